The thin complete path on real processes

Cause: nothing existed; every proof and measure needs one request served end to end.

One crate for all: the decisions must be driven without sockets, so the core takes events and returns effects.

--- /dev/null
+++ b/crates/base-settings/src/lib.rs
@@ -0,0 +1,7 @@
+//! Settings of a router process, parsed from TOML into types and checked before anything is bound.
+//!
+//! It reads no files: callers pass the text.
+
+mod settings;
+
+pub use crate::settings::{RouterSettings, SettingsError};
--- /dev/null
+++ b/crates/base-types/src/lib.rs
@@ -0,0 +1,19 @@
+//! Value types that every other crate shares: names, keys, time, result codes and requests.
+//!
+//! This crate is pure data. It is not a place for decisions, state machines or I/O.
+
+mod codes;
+mod macros;
+mod names;
+mod request;
+mod time;
+
+pub use crate::{
+    codes::{CodeRow, CompletedCode, NotRunCode, OutcomeKind, UnknownCode, code_table},
+    names::{
+        AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName,
+        PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TeamName,
+    },
+    request::{Arrival, Refusal},
+    time::TimePoint,
+};
--- /dev/null
+++ b/crates/core-router/src/core.rs
@@ -0,0 +1,137 @@
+//! The state machine of one router.
+
+mod arrivals;
+mod attempts;
+mod config;
+mod dispatch;
+mod operations;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use base_types::{AttemptKey, HostName, RequestKey, TimePoint, message_types};
+use state_tables::TableSet;
+
+use crate::{
+    DecisionRecord, Effect, Event, HostEntry, TargetRecord, decision::DecisionLog,
+    request::LiveRequest, targets::TargetArena,
+};
+
+const COME_BACK: Duration = Duration::from_secs(1);
+
+message_types! {
+    /// Counts that a router shows of itself.
+    pub struct CoreStatus {
+        /// Requests in any state of their life.
+        pub requests: usize,
+        /// Whether the tables have been read.
+        pub tables_complete: bool,
+        /// Whether the router is shutting down.
+        pub leaving: bool,
+    }
+}
+
+/// The decisions and the state of one router.
+#[derive(Debug)]
+pub struct RouterCore {
+    name: HostName,
+    attempt_seed: u64,
+    attempts: u64,
+    table: TableSet,
+    tables_complete: bool,
+    leaving: bool,
+    targets: TargetArena,
+    entries: Vec<HostEntry>,
+    requests: BTreeMap<RequestKey, LiveRequest>,
+    deadlines: BTreeSet<(TimePoint, RequestKey)>,
+    decisions: DecisionLog,
+    effects: Vec<Effect>,
+}
+
+impl RouterCore {
+    /// A router that has no tables yet; the seed makes its attempt keys unique across restarts.
+    pub fn new(name: HostName, attempt_seed: u64) -> Self {
+        Self {
+            name,
+            attempt_seed,
+            attempts: 0,
+            table: TableSet::default(),
+            tables_complete: false,
+            leaving: false,
+            targets: TargetArena::default(),
+            entries: Vec::new(),
+            requests: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            decisions: DecisionLog::default(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn on_event(&mut self, now: TimePoint, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Arrived(arrival) => self.on_arrival(now, arrival),
+            Event::ClaimAnswered(request, outcome) => self.on_claim(now, request, outcome),
+            Event::AttemptUnsent(request, attempt) => self.on_unsent(now, request, attempt),
+            Event::AttemptEnded(request, attempt, end) => self.on_end(now, request, attempt, end),
+            Event::CallerLeft(request) => self.on_caller_left(now, request),
+            Event::HostsListed(hosts) => self.on_hosts(hosts),
+            Event::RowHeard(change) => self.on_row(change),
+            Event::TablesComplete => self.tables_complete = true,
+            Event::LoadHeard(target, report) => self.on_load(target, report),
+            Event::ShutdownAsked => self.leaving = true,
+            Event::TimerFired => self.on_timer(now),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The next point at which [`Event::TimerFired`] is due.
+    pub fn next_deadline(&self) -> TimePoint {
+        self.deadlines.first().map_or(TimePoint::NEVER, |(deadline, _)| *deadline)
+    }
+
+    /// Name of the router's host.
+    pub fn name(&self) -> &HostName {
+        &self.name
+    }
+
+    /// The rows in force.
+    pub fn table(&self) -> &TableSet {
+        &self.table
+    }
+
+    /// Counts that the router shows of itself.
+    pub fn status(&self) -> CoreStatus {
+        CoreStatus {
+            requests: self.requests.len(),
+            tables_complete: self.tables_complete,
+            leaving: self.leaving,
+        }
+    }
+
+    /// The targets that the router knows.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.targets.records()
+    }
+
+    /// What was decided about a request, if it is still remembered.
+    pub fn explain(&self, request: RequestKey) -> Option<&DecisionRecord> {
+        self.decisions.find(request)
+    }
+
+    /// Routers that callers may use, by the platform's host list.
+    pub fn entries(&self) -> impl Iterator<Item = &HostEntry> {
+        self.entries.iter()
+    }
+
+    fn note(&mut self, now: TimePoint, key: RequestKey, sentence: String) {
+        self.decisions.add(key, now, sentence);
+    }
+
+    fn next_attempt(&mut self) -> AttemptKey {
+        self.attempts += 1;
+        AttemptKey((u128::from(self.attempt_seed) << 64) | u128::from(self.attempts))
+    }
+}
--- /dev/null
+++ b/crates/core-router/src/core/arrivals.rs
@@ -0,0 +1,54 @@
+//! Admission of requests that arrive.
+
+use std::time::Duration;
+
+use base_types::{Arrival, NotRunCode, Refusal, TimePoint};
+use state_tables::PoolRow;
+
+use crate::{
+    RequestStep,
+    core::{COME_BACK, RouterCore},
+    request::Request,
+};
+
+impl RouterCore {
+    pub(super) fn on_arrival(&mut self, now: TimePoint, mut arrival: Arrival) {
+        let (pool, deadline) = match self.admit(now, &arrival) {
+            Ok(admitted) => admitted,
+            Err(code) => return self.refuse_arrival(now, &arrival, code),
+        };
+        arrival.deadline = deadline;
+        self.deadlines.insert((deadline, arrival.request));
+        let request = Request::new(arrival, pool.name.clone());
+        if pool.repeatable {
+            return self.dispatch_fresh(now, request, &pool);
+        }
+        self.claim(now, request);
+    }
+
+    pub(super) fn admit(
+        &self,
+        now: TimePoint,
+        arrival: &Arrival,
+    ) -> Result<(PoolRow, TimePoint), NotRunCode> {
+        if !self.tables_complete {
+            return Err(NotRunCode::TablesMissing);
+        }
+        let route = self.table.match_route(&arrival.path).ok_or(NotRunCode::UnknownRoute)?;
+        let pool = self.table.pool(&route.pool).ok_or(NotRunCode::PoolMissing)?;
+        if !pool.repeatable && arrival.operation.is_none() {
+            return Err(NotRunCode::OperationMissing);
+        }
+        let latest = now.after(Duration::from_millis(route.deadline_ms));
+        let deadline = arrival.deadline.min(latest);
+        if deadline.passed(now) {
+            return Err(NotRunCode::DeadlinePassed);
+        }
+        Ok((pool.clone(), deadline))
+    }
+
+    pub(super) fn refuse_arrival(&mut self, now: TimePoint, arrival: &Arrival, code: NotRunCode) {
+        let refusal = Refusal::NotRun(code, now.after(COME_BACK));
+        self.finish(now, arrival.request, RequestStep::Refuse(refusal));
+    }
+}
--- /dev/null
+++ b/crates/core-router/src/core/config.rs
@@ -0,0 +1,17 @@
+//! Hosts and rows that reach the router.
+
+use state_tables::RowChange;
+
+use crate::{HostEntry, HostRole, HostState, core::RouterCore};
+
+impl RouterCore {
+    pub(super) fn on_hosts(&mut self, hosts: Vec<HostEntry>) {
+        self.targets.adopt_hosts(&hosts);
+        let live = |host: &HostEntry| host.role == HostRole::Entry && host.state == HostState::Live;
+        self.entries = hosts.into_iter().filter(live).collect();
+    }
+
+    pub(super) fn on_row(&mut self, change: RowChange) {
+        self.table.adopt(change);
+    }
+}
--- /dev/null
+++ b/crates/core-router/src/lib.rs
@@ -0,0 +1,20 @@
+//! The router's decisions as one state machine without I/O.
+//!
+//! [`RouterCore::on_event`] takes an event and a point in time and returns effects. Sockets,
+//! files and timers belong to the crates that run the effects and post the events.
+
+mod core;
+mod decision;
+mod event;
+mod request;
+mod targets;
+
+pub use crate::{
+    core::{CoreStatus, RouterCore},
+    decision::DecisionRecord,
+    event::{
+        AttemptEnd, ClaimOutcome, Effect, Event, HostEntry, HostRole, HostState, OperationClaim,
+        RequestStep, StoredAnswer,
+    },
+    targets::{LoadReport, TargetRecord},
+};
--- /dev/null
+++ b/crates/fakes/src/bin/stand-in.rs
@@ -0,0 +1,64 @@
+//! Runs one stand-in as a process.
+
+use std::{net::SocketAddr, process::ExitCode, time::Duration};
+
+use bpaf::Bpaf;
+use fakes::{run_engine, run_platform, run_service};
+
+/// Runs a stand-in for the platform, a model engine or a plain service.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+enum StandIn {
+    /// The platform: objects, watches, host list.
+    #[bpaf(command)]
+    Platform {
+        /// Address to listen on.
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Time until a change of the host list shows, in milliseconds.
+        #[bpaf(argument("MS"), fallback(0))]
+        host_lag_ms: u64,
+    },
+    /// A model engine.
+    #[bpaf(command)]
+    Engine {
+        /// Address to listen on.
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Time for each token, in milliseconds.
+        #[bpaf(argument("MS"), fallback(5))]
+        step_ms: u64,
+    },
+    /// A plain service.
+    #[bpaf(command)]
+    Service {
+        /// Address to listen on.
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Time for each call, in milliseconds.
+        #[bpaf(argument("MS"), fallback(5))]
+        work_ms: u64,
+    },
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let ended = match stand_in().run() {
+        StandIn::Platform { listen, host_lag_ms } => {
+            run_platform(listen, Duration::from_millis(host_lag_ms)).await
+        }
+        StandIn::Engine { listen, step_ms } => {
+            run_engine(listen, Duration::from_millis(step_ms)).await
+        }
+        StandIn::Service { listen, work_ms } => {
+            run_service(listen, Duration::from_millis(work_ms)).await
+        }
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/store.rs
@@ -0,0 +1,85 @@
+//! The platform stand-in's objects: versions, conditional writes and a log for watches.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Condition of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreGuard {
+    /// No condition.
+    Any,
+    /// The object must not exist.
+    Absent,
+    /// The object must have this version.
+    Version(u64),
+}
+
+/// An object at one version; without a value it was deleted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StoredObject {
+    /// Key of the object.
+    pub key: Box<str>,
+    /// Revision of the write.
+    pub version: u64,
+    /// Value, absent when deleted.
+    pub value: Option<Value>,
+}
+
+/// All objects and the log of their changes.
+#[derive(Debug, Default)]
+pub struct ObjectStore {
+    revision: u64,
+    objects: BTreeMap<Box<str>, StoredObject>,
+    log: Vec<StoredObject>,
+}
+
+impl ObjectStore {
+    /// Revision of the latest write.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Reads an object.
+    pub fn read(&self, key: &str) -> Option<&StoredObject> {
+        self.objects.get(key)
+    }
+
+    /// Writes or deletes an object; `None` when the condition does not hold.
+    pub fn write(&mut self, key: &str, guard: StoreGuard, value: Option<Value>) -> Option<u64> {
+        let current = self.objects.get(key).map(|object| object.version);
+        let holds = match guard {
+            StoreGuard::Any => true,
+            StoreGuard::Absent => current.is_none(),
+            StoreGuard::Version(version) => current == Some(version),
+        };
+        if !holds {
+            return None;
+        }
+        self.revision += 1;
+        let object = StoredObject { key: key.into(), version: self.revision, value };
+        if object.value.is_some() {
+            self.objects.insert(key.into(), object.clone());
+        } else {
+            self.objects.remove(key);
+        }
+        self.log.push(object);
+        Some(self.revision)
+    }
+
+    /// Objects whose keys start with a prefix.
+    pub fn list(&self, prefix: &str) -> Vec<StoredObject> {
+        let from = self.objects.range(Box::<str>::from(prefix)..);
+        from.take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, object)| object.clone())
+            .collect()
+    }
+
+    /// Changes below a prefix since a revision.
+    pub fn since(&self, prefix: &str, revision: u64) -> Vec<StoredObject> {
+        let start = self.log.partition_point(|object| object.version <= revision);
+        let later = self.log[start..].iter();
+        later.filter(|object| object.key.starts_with(prefix)).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/io-router/src/answer.rs
@@ -0,0 +1,78 @@
+//! Answers that the router itself gives to callers.
+
+use std::time::Duration;
+
+use base_types::{CodeRow, CompletedCode, Refusal, RequestKey, TimePoint, UnknownCode};
+use core_router::StoredAnswer;
+use salvo::{
+    Response,
+    http::{HeaderName, HeaderValue, ResBody, StatusCode, header},
+};
+use serde_json::json;
+
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+pub(crate) const RESULT_CODE: HeaderName = HeaderName::from_static("x-result-code");
+
+/// Text form of a request key in headers.
+pub(crate) fn request_text(request: RequestKey) -> String {
+    format!("{:032x}", request.0)
+}
+
+/// Writes a final refusal.
+pub(crate) fn write_refusal(
+    response: &mut Response,
+    request: RequestKey,
+    refusal: Refusal,
+    now: TimePoint,
+) {
+    let row = refusal.row();
+    write_row(response, request, &row);
+    let Refusal::NotRun(_, come_back) = refusal else { return };
+    let seconds = come_back.since(now).max(Duration::from_secs(1)).as_secs();
+    response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+}
+
+/// Writes an answer whose outcome is unknown.
+pub(crate) fn write_unknown(response: &mut Response, request: RequestKey, code: UnknownCode) {
+    write_row(response, request, &code.row());
+}
+
+/// Writes the stored answer of an operation.
+pub(crate) fn write_stored(
+    response: &mut Response,
+    request: RequestKey,
+    answer: StoredAnswer,
+    code: CompletedCode,
+) {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    response.status_code(status);
+    write_identity(response, request, code.number());
+    if let Ok(value) = HeaderValue::from_str(&answer.content_type) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response.body(ResBody::Once(answer.body));
+}
+
+/// Writes the headers that name the request and the result code.
+pub(crate) fn write_identity(response: &mut Response, request: RequestKey, code: u16) {
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&request_text(request)) {
+        headers.insert(REQUEST_ID, value);
+    }
+    headers.insert(RESULT_CODE, HeaderValue::from(code));
+}
+
+fn write_row(response: &mut Response, request: RequestKey, row: &CodeRow) {
+    response.status_code(StatusCode::from_u16(row.status).unwrap_or(StatusCode::BAD_GATEWAY));
+    write_identity(response, request, row.number);
+    let body = json!({
+        "code": row.number,
+        "kind": row.kind.as_str(),
+        "message": row.sentence,
+        "request_id": request_text(request),
+    });
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.body(ResBody::Once(body.to_string().into()));
+}
--- /dev/null
+++ b/crates/io-router/src/run.rs
@@ -0,0 +1,178 @@
+//! The loop that owns the core, and the start of a router process.
+
+use std::{collections::BTreeMap, fmt, rc::Rc, time::Instant};
+
+use base_settings::RouterSettings;
+use base_types::{RequestKey, TimePoint};
+use core_router::{Effect, Event, RequestStep, RouterCore};
+use error_stack::{Report, ResultExt};
+use io_platform::PlatformClient;
+use salvo::{Listener, Router, Server, conn::TcpListener};
+use tokio::sync::mpsc;
+
+use crate::{
+    admin::operator_router,
+    front::caller_router,
+    handle::{LoopHandle, LoopInput},
+    ledger::OperationLedger,
+    platform::watch_platform,
+};
+
+/// The router could not start or ended early.
+#[derive(Debug)]
+pub struct RunError;
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the router could not run")
+    }
+}
+
+impl std::error::Error for RunError {}
+
+/// Clock of one process; its points start at the process's start.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LoopClock {
+    start: Instant,
+}
+
+impl LoopClock {
+    pub(crate) fn now(self) -> TimePoint {
+        TimePoint(0).after(self.start.elapsed())
+    }
+
+    fn instant(self, point: TimePoint) -> tokio::time::Instant {
+        let wait = point.since(self.now());
+        tokio::time::Instant::now() + wait
+    }
+}
+
+/// Runs a router until it is told to stop and its last request is done.
+///
+/// # Errors
+///
+/// Fails when a listen address cannot be bound.
+pub async fn run_router(settings: RouterSettings) -> Result<(), Report<RunError>> {
+    let local = tokio::task::LocalSet::new();
+    local.run_until(run_local(settings)).await
+}
+
+async fn run_local(settings: RouterSettings) -> Result<(), Report<RunError>> {
+    let clock = LoopClock { start: Instant::now() };
+    let platform = PlatformClient::new(settings.platform);
+    let (handle, inputs) = LoopHandle::new();
+    let caller = serve(settings.caller_listen, caller_router(handle.clone(), clock)).await?;
+    let operator = operator_router(handle.clone(), platform.clone());
+    let operator = serve(settings.operator_listen, operator).await?;
+    tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
+    tokio::task::spawn_local(stop_on_signal(handle.clone()));
+    log::info!(host = settings.host.as_str(); "router started");
+    let core = RouterCore::new(settings.host, rand::random());
+    let ledger = OperationLedger::new(platform, handle);
+    CoreLoop { core, clock, ledger, steps: BTreeMap::new() }.run(inputs).await;
+    caller.stop_graceful(None);
+    operator.stop_graceful(None);
+    log::info!("router stopped");
+    Ok(())
+}
+
+async fn serve(
+    address: std::net::SocketAddr,
+    router: Router,
+) -> Result<salvo::server::ServerHandle, Report<RunError>> {
+    let acceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .change_context(RunError)
+        .attach_with(|| format!("cannot listen on {address}"))?;
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    tokio::spawn(server.serve(router));
+    Ok(handle)
+}
+
+async fn stop_on_signal(handle: LoopHandle) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
+    terminate.recv().await;
+    handle.post(Event::ShutdownAsked);
+}
+
+struct CoreLoop {
+    core: RouterCore,
+    clock: LoopClock,
+    ledger: Rc<OperationLedger>,
+    steps: BTreeMap<RequestKey, mpsc::UnboundedSender<RequestStep>>,
+}
+
+impl CoreLoop {
+    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<LoopInput>) {
+        while !self.is_done() {
+            let deadline = self.core.next_deadline();
+            let timer = tokio::time::sleep_until(self.clock.instant(deadline));
+            let input = tokio::select! {
+                input = inputs.recv() => input,
+                () = timer => Some(LoopInput::Post(Event::TimerFired)),
+            };
+            let Some(input) = input else { return };
+            self.on_input(input);
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        let status = self.core.status();
+        status.leaving && status.requests == 0
+    }
+
+    fn on_input(&mut self, input: LoopInput) {
+        match input {
+            LoopInput::Begin(arrival, steps) => {
+                self.steps.insert(arrival.request, steps);
+                self.on_event(Event::Arrived(arrival));
+            }
+            LoopInput::Post(event) => self.on_event(event),
+            LoopInput::Query(question) => question(&self.core),
+        }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        let ended = ended_request(&event);
+        for effect in self.core.on_event(self.clock.now(), event) {
+            self.run_effect(effect);
+        }
+        self.drop_closed_steps(ended);
+    }
+
+    fn run_effect(&mut self, effect: Effect) {
+        match effect {
+            Effect::Step(request, step) => self.send_step(request, step),
+            Effect::Claim(request, claim) => self.ledger.clone().spawn_claim(request, claim),
+            Effect::Complete(claim, answer) => self.ledger.clone().spawn_complete(claim, answer),
+            Effect::Release(claim) => self.ledger.clone().spawn_release(claim),
+        }
+    }
+
+    fn drop_closed_steps(&mut self, ended: Option<RequestKey>) {
+        let Some(request) = ended else { return };
+        if self.steps.get(&request).is_some_and(mpsc::UnboundedSender::is_closed) {
+            self.steps.remove(&request);
+        }
+    }
+
+    /// A caller that left has dropped its end; the core hears of that by its own event.
+    fn send_step(&mut self, request: RequestKey, step: RequestStep) {
+        let last = !matches!(step, RequestStep::Send { .. });
+        let Some(steps) = self.steps.get(&request) else { return };
+        let _ = steps.send(step);
+        if last {
+            self.steps.remove(&request);
+        }
+    }
+}
+
+fn ended_request(event: &Event) -> Option<RequestKey> {
+    match event {
+        Event::AttemptEnded(request, ..) | Event::CallerLeft(request) => Some(*request),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/local-fleet/src/fleet.rs
@@ -0,0 +1,429 @@
+//! The fleet: one platform, routers in failure domains, engines and plain services.
+
+use std::{
+    fmt, fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use fakes::FaultOrder;
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::{HttpCaller, ports::PortSource, process::ChildProcess};
+
+const READY_POLL: Duration = Duration::from_millis(20);
+const READY_POLLS_MAX: u32 = 500;
+
+/// The fleet could not be started or called.
+#[derive(Debug)]
+pub struct FleetError;
+
+impl fmt::Display for FleetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the fleet could not be started or called")
+    }
+}
+
+impl std::error::Error for FleetError {}
+
+/// What a fleet consists of.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    programs: PathBuf,
+    workdir: PathBuf,
+    routers: usize,
+    domains: usize,
+    engines: usize,
+    services: usize,
+    host_lag: Duration,
+}
+
+impl FleetPlan {
+    /// The fleet of today's users: 7 routers in 4 failure domains, 12 engines, 4 services.
+    ///
+    /// `programs` holds the built binaries; settings and logs go to `workdir`.
+    pub fn new(programs: &Path, workdir: &Path) -> Self {
+        Self {
+            programs: programs.to_owned(),
+            workdir: workdir.to_owned(),
+            routers: 7,
+            domains: 4,
+            engines: 12,
+            services: 4,
+            host_lag: Duration::from_millis(500),
+        }
+    }
+
+    /// Sets the number of routers.
+    #[must_use]
+    pub fn routers(self, routers: usize) -> Self {
+        Self { routers, ..self }
+    }
+
+    /// Sets the number of failure domains.
+    #[must_use]
+    pub fn domains(self, domains: usize) -> Self {
+        Self { domains, ..self }
+    }
+
+    /// Sets the number of engines.
+    #[must_use]
+    pub fn engines(self, engines: usize) -> Self {
+        Self { engines, ..self }
+    }
+
+    /// Sets the number of plain services.
+    #[must_use]
+    pub fn services(self, services: usize) -> Self {
+        Self { services, ..self }
+    }
+
+    /// Sets how long the platform's host list lags.
+    #[must_use]
+    pub fn host_lag(self, host_lag: Duration) -> Self {
+        Self { host_lag, ..self }
+    }
+}
+
+/// A router process and its addresses.
+#[derive(Debug)]
+pub struct RouterProcess {
+    /// Name of the host.
+    pub host: Box<str>,
+    /// Failure domain.
+    pub failure_domain: Box<str>,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    /// Address for other routers.
+    pub peer: SocketAddr,
+    /// The process; absent while it is down.
+    pub process: Option<ChildProcess>,
+}
+
+/// A target process and its address.
+#[derive(Debug)]
+pub struct TargetProcess {
+    /// Name of the host.
+    pub host: Box<str>,
+    /// Group that pools select by.
+    pub group: Box<str>,
+    /// Failure domain.
+    pub failure_domain: Box<str>,
+    /// Address for calls.
+    pub address: SocketAddr,
+    /// The process; absent while it is down.
+    pub process: Option<ChildProcess>,
+}
+
+/// A running fleet; all of its processes end with it.
+#[derive(Debug)]
+pub struct LocalFleet {
+    plan: FleetPlan,
+    caller: HttpCaller,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Process of the platform; absent while it is down.
+    pub platform_process: Option<ChildProcess>,
+    /// The routers.
+    pub routers: Vec<RouterProcess>,
+    /// The model engines.
+    pub engines: Vec<TargetProcess>,
+    /// The plain services.
+    pub services: Vec<TargetProcess>,
+}
+
+impl LocalFleet {
+    /// Starts all processes, lists their hosts and waits until each answers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or does not answer in time.
+    pub async fn start(plan: FleetPlan) -> Result<Self, Report<FleetError>> {
+        fs::create_dir_all(&plan.workdir).change_context(FleetError)?;
+        let mut ports = PortSource::new();
+        let mut fleet = Self::lay_out(plan, &mut ports);
+        fleet.start_platform()?;
+        fleet.wait_answer(fleet.platform, "/calls").await?;
+        for index in 0..fleet.engines.len() {
+            fleet.start_engine(index)?;
+        }
+        for index in 0..fleet.services.len() {
+            fleet.start_service(index)?;
+        }
+        for index in 0..fleet.routers.len() {
+            fleet.start_router(index)?;
+        }
+        fleet.list_hosts().await?;
+        fleet.wait_all().await?;
+        Ok(fleet)
+    }
+
+    /// The caller that the fleet itself uses.
+    pub fn caller(&self) -> &HttpCaller {
+        &self.caller
+    }
+
+    /// Starts the platform's process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn start_platform(&mut self) -> Result<(), Report<FleetError>> {
+        let listen = self.platform.to_string();
+        let lag = self.plan.host_lag.as_millis().to_string();
+        let arguments = ["platform", "--listen", &listen, "--host-lag-ms", &lag];
+        self.platform_process = Some(self.start_program("stand-in", &arguments, "platform")?);
+        Ok(())
+    }
+
+    /// Starts, or starts again, a router's process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn start_router(&mut self, index: usize) -> Result<(), Report<FleetError>> {
+        let router = &self.routers[index];
+        let path = self.plan.workdir.join(format!("{}.toml", router.host));
+        fs::write(&path, self.settings_text(router)).change_context(FleetError)?;
+        let settings = path.display().to_string();
+        let arguments = ["router", "--settings", &settings];
+        let process = self.start_program("knapweedport", &arguments, &router.host)?;
+        self.routers[index].process = Some(process);
+        Ok(())
+    }
+
+    /// Starts, or starts again, an engine's process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn start_engine(&mut self, index: usize) -> Result<(), Report<FleetError>> {
+        let engine = &self.engines[index];
+        let listen = engine.address.to_string();
+        let process =
+            self.start_program("stand-in", &["engine", "--listen", &listen], &engine.host)?;
+        self.engines[index].process = Some(process);
+        Ok(())
+    }
+
+    /// Starts, or starts again, a plain service's process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn start_service(&mut self, index: usize) -> Result<(), Report<FleetError>> {
+        let service = &self.services[index];
+        let listen = service.address.to_string();
+        let process =
+            self.start_program("stand-in", &["service", "--listen", &listen], &service.host)?;
+        self.services[index].process = Some(process);
+        Ok(())
+    }
+
+    /// Tells a stand-in which faults to show from now on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub async fn order_faults(
+        &self,
+        address: SocketAddr,
+        order: &FaultOrder,
+    ) -> Result<(), Report<FleetError>> {
+        let body = serde_json::to_vec(order).change_context(FleetError)?;
+        let answer = self.caller.call(Method::POST, address, "/control", &[], body).await;
+        answer.map(drop).change_context(FleetError)
+    }
+
+    /// Puts a row into a table through a router; `version` is that of the row to replace.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the router does not answer or refuses the row.
+    pub async fn put_row(
+        &self,
+        router: usize,
+        path: &str,
+        version: Option<u64>,
+        row: &Value,
+    ) -> Result<(), Report<FleetError>> {
+        let operator = self.routers[router].operator;
+        let tag = version.map(|version| format!("\"{version}\""));
+        let headers: Vec<(&str, &str)> = tag.iter().map(|tag| ("if-match", &**tag)).collect();
+        let path = format!("/admin/v1/{path}");
+        let body = row.to_string();
+        let answer = self.caller.call(Method::PUT, operator, &path, &headers, body).await;
+        let answer = answer.change_context(FleetError)?;
+        if answer.status.is_success() {
+            return Ok(());
+        }
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        Err(Report::new(FleetError).attach(format!("{path}: {} {body}", answer.status)))
+    }
+
+    /// Puts a pool of engines, a pool of services that run once, and a route to each.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a row is refused or not in force on all routers in time.
+    pub async fn put_tables(&self) -> Result<(), Report<FleetError>> {
+        let assistant = json!({
+            "name": "assistant", "team": "renewals", "group": "assistant",
+            "kind": "engine", "repeatable": true,
+        });
+        let payments = json!({
+            "name": "payments", "team": "payments", "group": "payments",
+            "kind": "service", "repeatable": false,
+        });
+        self.put_row(0, "pools/assistant", None, &assistant).await?;
+        self.put_row(0, "pools/payments", None, &payments).await?;
+        self.wait_rows(2).await?;
+        let chat =
+            json!({ "name": "chat", "team": "renewals", "path": "/v1/chat", "pool": "assistant" });
+        let pay = json!({ "name": "pay", "team": "payments", "path": "/pay", "pool": "payments" });
+        self.put_row(0, "routes/chat", None, &chat).await?;
+        self.put_row(0, "routes/pay", None, &pay).await?;
+        self.wait_rows(4).await
+    }
+
+    /// Waits until each running router has a number of rows in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a router does not have them in time.
+    pub async fn wait_rows(&self, rows: usize) -> Result<(), Report<FleetError>> {
+        for router in self.routers.iter().filter(|router| router.process.is_some()) {
+            let enough =
+                |status: &Value| status["rows"].as_array().is_some_and(|all| all.len() >= rows);
+            self.wait_status(router, enough).await?;
+        }
+        Ok(())
+    }
+
+    /// Lists a target's or router's host in the platform, or takes it from the list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn list_host(
+        &self,
+        name: &str,
+        row: Option<&Value>,
+    ) -> Result<(), Report<FleetError>> {
+        let method = if row.is_some() { Method::PUT } else { Method::DELETE };
+        let body = row.map(ToString::to_string).unwrap_or_default();
+        let path = format!("/hosts/{name}");
+        let answer = self.caller.call(method, self.platform, &path, &[], body).await;
+        answer.map(drop).change_context(FleetError)
+    }
+
+    fn lay_out(plan: FleetPlan, ports: &mut PortSource) -> Self {
+        let domain = |index: usize| format!("domain-{}", index % plan.domains.max(1));
+        let mut target = |kind: &str, group: &str, index: usize| TargetProcess {
+            host: format!("{kind}-{index}").into(),
+            group: group.into(),
+            failure_domain: domain(index).into(),
+            address: ports.take(),
+            process: None,
+        };
+        let engines = (0..plan.engines).map(|index| target("engine", "assistant", index)).collect();
+        let services =
+            (0..plan.services).map(|index| target("service", "payments", index)).collect();
+        let mut router = |index: usize| RouterProcess {
+            host: format!("router-{index}").into(),
+            failure_domain: domain(index).into(),
+            caller: ports.take(),
+            operator: ports.take(),
+            peer: ports.take(),
+            process: None,
+        };
+        let routers = (0..plan.routers).map(&mut router).collect();
+        let platform = ports.take();
+        let caller = HttpCaller::default();
+        Self { plan, caller, platform, platform_process: None, routers, engines, services }
+    }
+
+    fn settings_text(&self, router: &RouterProcess) -> String {
+        format!(
+            "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
+             operator_listen = \"{}\"\nplatform = \"{}\"\n",
+            router.host, router.failure_domain, router.caller, router.operator, self.platform,
+        )
+    }
+
+    fn start_program(
+        &self,
+        program: &str,
+        arguments: &[&str],
+        name: &str,
+    ) -> Result<ChildProcess, Report<FleetError>> {
+        let log = self.plan.workdir.join(format!("{name}.log"));
+        ChildProcess::start(&self.plan.programs.join(program), arguments, &log)
+    }
+
+    async fn list_hosts(&self) -> Result<(), Report<FleetError>> {
+        for router in &self.routers {
+            let row = json!({
+                "name": router.host, "role": "entry", "group": "router", "state": "live",
+                "address": router.caller.to_string(), "failure_domain": router.failure_domain,
+            });
+            self.list_host(&router.host, Some(&row)).await?;
+        }
+        for target in self.engines.iter().chain(&self.services) {
+            let row = json!({
+                "name": target.host, "role": "target", "group": target.group, "state": "live",
+                "address": target.address.to_string(), "failure_domain": target.failure_domain,
+            });
+            self.list_host(&target.host, Some(&row)).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_all(&self) -> Result<(), Report<FleetError>> {
+        for engine in &self.engines {
+            self.wait_answer(engine.address, "/load").await?;
+        }
+        for service in &self.services {
+            self.wait_answer(service.address, "/runs").await?;
+        }
+        let targets = self.engines.len() + self.services.len();
+        for router in &self.routers {
+            let ready = |status: &Value| {
+                status["tables_complete"] == json!(true)
+                    && status["targets"].as_array().is_some_and(|all| all.len() >= targets)
+            };
+            self.wait_status(router, ready).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_status(
+        &self,
+        router: &RouterProcess,
+        ready: impl Fn(&Value) -> bool,
+    ) -> Result<(), Report<FleetError>> {
+        for _ in 0..READY_POLLS_MAX {
+            let status = self.caller.read::<Value>(router.operator, "/admin/v1/status").await;
+            if status.is_ok_and(|status| ready(&status)) {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        Err(Report::new(FleetError).attach(format!("{} is not ready in time", router.host)))
+    }
+
+    async fn wait_answer(&self, address: SocketAddr, path: &str) -> Result<(), Report<FleetError>> {
+        for _ in 0..READY_POLLS_MAX {
+            if self.caller.read::<Value>(address, path).await.is_ok() {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        Err(Report::new(FleetError).attach(format!("{address} does not answer in time")))
+    }
+}
--- /dev/null
+++ b/crates/policy-routing/tests/choice.rs
@@ -0,0 +1,56 @@
+//! Target choice keeps affinity, the bound and closed targets.
+
+use base_types::{TargetKey, test_cases};
+use policy_routing::{ChoiceQuery, TargetView, affinity_hash, choose_target};
+
+fn views(loads: &[u32], open: &[bool]) -> Vec<TargetView> {
+    loads
+        .iter()
+        .zip(open)
+        .enumerate()
+        .map(|(index, (load, open))| TargetView {
+            target: TargetKey(index as u32),
+            hash: affinity_hash(format!("target-{index}").as_bytes()),
+            slots: 16,
+            load: *load,
+            open: *open,
+        })
+        .collect()
+}
+
+fn query(affinity: u64) -> ChoiceQuery<'static> {
+    ChoiceQuery { affinity, max_load_ratio: 1.5, tried: &[] }
+}
+
+fn check_within_bound(loads: &[u32], open: &[bool], found: bool) {
+    for affinity in 0..1000 {
+        let choice = choose_target(&query(affinity), &views(loads, open));
+        assert_eq!(choice.is_some(), found);
+        let Some(choice) = choice else { continue };
+        assert!(open[choice.target.0 as usize]);
+        assert!(loads[choice.target.0 as usize] < choice.bound);
+    }
+}
+
+test_cases! {
+    check_within_bound:
+    idle_targets(&[0, 0, 0], &[true, true, true], true);
+    one_busy_target(&[9, 1, 1], &[true, true, true], true);
+    closed_targets_are_never_chosen(&[0, 5, 5], &[false, true, true], true);
+    no_target_is_open(&[0, 0], &[false, false], false);
+    all_slots_are_taken(&[16, 16], &[true, true], false);
+    no_targets(&[], &[], false);
+}
+
+#[test]
+fn a_leaving_target_moves_only_its_own_affinities() {
+    let all = views(&[0; 12], &[true; 12]);
+    let mut open = [true; 12];
+    open[3] = false;
+    let fewer = views(&[0; 12], &open);
+    for affinity in 0..1000 {
+        let before = choose_target(&query(affinity), &all).unwrap().target;
+        let after = choose_target(&query(affinity), &fewer).unwrap().target;
+        assert!(before == after || before == TargetKey(3));
+    }
+}
--- /dev/null
+++ b/crates/state-tables/src/check.rs
@@ -0,0 +1,94 @@
+//! Checks that rows must pass before they are accepted.
+
+use std::{collections::BTreeMap, fmt};
+
+use base_types::{PoolName, RouteName, message_types};
+
+use crate::{PoolRow, RouteRow};
+
+const LOAD_RATIO_MIN: f64 = 1.0;
+const LOAD_RATIO_MAX: f64 = 100.0;
+const NAME_BYTES_MAX: usize = 64;
+
+message_types! {
+    /// One fault of a row, with its key and a remedy.
+    #[derive(Eq)]
+    pub struct RowFault {
+        /// Table, row and key, such as `pool.assistant.max_load_ratio`.
+        pub key: Box<str>,
+        /// What is wrong and how to mend it.
+        pub remedy: Box<str>,
+    }
+}
+
+impl fmt::Display for RowFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.remedy)
+    }
+}
+
+/// Checks a whole set of rows and returns every fault.
+pub fn check_rows(
+    routes: &BTreeMap<RouteName, RouteRow>,
+    pools: &BTreeMap<PoolName, PoolRow>,
+) -> Vec<RowFault> {
+    let mut faults = Vec::new();
+    for row in routes.values() {
+        check_route(row, pools, &mut faults);
+    }
+    check_paths(routes, &mut faults);
+    for row in pools.values() {
+        check_pool(row, &mut faults);
+    }
+    faults
+}
+
+fn check_route(row: &RouteRow, pools: &BTreeMap<PoolName, PoolRow>, faults: &mut Vec<RowFault>) {
+    let key = |field: &str| format!("route.{}.{field}", row.name);
+    check_name(row.name.as_str(), &key("name"), faults);
+    check_name(row.team.as_str(), &key("team"), faults);
+    if !row.path.starts_with('/') {
+        faults.push(fault(key("path"), "must start with `/`"));
+    }
+    if !pools.contains_key(&row.pool) {
+        let remedy = format!("no pool is named `{}`; create the pool first", row.pool);
+        faults.push(fault(key("pool"), &remedy));
+    }
+    if row.deadline_ms == 0 {
+        faults.push(fault(key("deadline_ms"), "must be above zero"));
+    }
+}
+
+fn check_paths(routes: &BTreeMap<RouteName, RouteRow>, faults: &mut Vec<RowFault>) {
+    let mut owners: BTreeMap<&str, &RouteName> = BTreeMap::new();
+    for row in routes.values() {
+        let Some(owner) = owners.insert(&row.path, &row.name) else { continue };
+        let remedy = format!("route `{owner}` matches the same path; change one of the two");
+        faults.push(fault(format!("route.{}.path", row.name), &remedy));
+    }
+}
+
+fn check_pool(row: &PoolRow, faults: &mut Vec<RowFault>) {
+    let key = |field: &str| format!("pool.{}.{field}", row.name);
+    check_name(row.name.as_str(), &key("name"), faults);
+    check_name(row.team.as_str(), &key("team"), faults);
+    check_name(&row.group, &key("group"), faults);
+    if !(LOAD_RATIO_MIN..=LOAD_RATIO_MAX).contains(&row.max_load_ratio) {
+        let remedy = format!("must lie between {LOAD_RATIO_MIN} and {LOAD_RATIO_MAX}");
+        faults.push(fault(key("max_load_ratio"), &remedy));
+    }
+    if row.target_slots == 0 {
+        faults.push(fault(key("target_slots"), "must be above zero"));
+    }
+}
+
+fn check_name(name: &str, key: &str, faults: &mut Vec<RowFault>) {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
+    if name.is_empty() || name.len() > NAME_BYTES_MAX || !name.chars().all(allowed) {
+        faults.push(fault(key.to_owned(), "use 1 to 64 letters, digits, `-`, `_` or `.`"));
+    }
+}
+
+fn fault(key: String, remedy: &str) -> RowFault {
+    RowFault { key: key.into(), remedy: remedy.into() }
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,38 @@
+//! The project's automation. `cargo xtask --help` lists the tasks.
+
+mod ci;
+mod demo;
+mod steps;
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+/// Runs one of the project's tasks.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+enum Task {
+    /// Runs the whole check: format, lints, tests, docs.
+    #[bpaf(command)]
+    Ci,
+    /// Starts a fleet on loopback, uses it, breaks it, and shows what was seen.
+    #[bpaf(command)]
+    Demo {
+        /// Leaves the fleet up until a line is read from standard input.
+        keep: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    let ended = match task().run() {
+        Task::Ci => ci::run_ci(),
+        Task::Demo { keep } => demo::run_demo(keep),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/steps.rs
@@ -0,0 +1,36 @@
+//! Running cargo as a step of a task.
+
+use std::{fmt, path::PathBuf, process::Command};
+
+use error_stack::{Report, ResultExt};
+
+/// A task failed.
+#[derive(Debug)]
+pub(crate) struct TaskError;
+
+impl fmt::Display for TaskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the task failed")
+    }
+}
+
+impl std::error::Error for TaskError {}
+
+/// Runs cargo with arguments and fails when it does.
+pub(crate) fn cargo(arguments: &[&str]) -> Result<(), Report<TaskError>> {
+    println!("==> cargo {}", arguments.join(" "));
+    let status = Command::new(env!("CARGO")).args(arguments).status();
+    let status = status.change_context(TaskError)?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(Report::new(TaskError).attach(format!("cargo {} failed", arguments.join(" "))))
+}
+
+/// Folder of the binaries that a profile builds.
+pub(crate) fn program_folder(profile: &str) -> Result<PathBuf, Report<TaskError>> {
+    let own = std::env::current_exe().change_context(TaskError)?;
+    let target = own.parent().and_then(|folder| folder.parent());
+    let target = target.ok_or_else(|| Report::new(TaskError))?;
+    Ok(target.join(profile))
+}
