Seams for notices between routers

Cause: load, limits and suspects are decided from what other routers tell, and the parts that tell and that decide are built side by side.

Ruled out: opaque bytes at this seam, which would lose the types where both sides meet.

Change: typed notices in the base types, an event and an effect for them. Neither side uses them yet.

Conclusion: load and membership work can go on independently.

--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -5,6 +5,7 @@
 mod codes;
 mod macros;
 mod names;
+mod notices;
 mod request;
 mod time;
 
@@ -14,6 +15,7 @@
         AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName,
         PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TeamName,
     },
+    notices::{AccountLoad, AccountShare, LoadShare, PeerNotice, SuspectNotice, TargetLoad},
     request::{Arrival, Refusal},
     time::TimePoint,
 };
--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -81,6 +81,8 @@
             Event::RowHeard(change) => self.on_row(change),
             Event::TablesComplete => self.tables_complete = true,
             Event::LoadHeard(target, report) => self.on_load(target, report),
+            // FIXME: loads, accounts and suspects of other routers are not used yet.
+            Event::NoticeHeard(_) => {}
             Event::ShutdownAsked => self.leaving = true,
             Event::TimerFired => self.on_timer(now),
         }
--- a/crates/core-router/src/event.rs
+++ b/crates/core-router/src/event.rs
@@ -1,8 +1,9 @@
 //! Events that the core takes and effects that it asks for.
 
 use base_types::{
-    Arrival, AttemptKey, ContentDigest, DomainName, HostName, NotRunCode, OperationName, PoolName,
-    Refusal, RequestKey, TargetKey, UnknownCode, key_types, message_types, value_types,
+    Arrival, AttemptKey, ContentDigest, DomainName, HostName, NotRunCode, OperationName,
+    PeerNotice, PoolName, Refusal, RequestKey, TargetKey, UnknownCode, key_types, message_types,
+    value_types,
 };
 use bytes::Bytes;
 use state_tables::RowChange;
@@ -114,6 +115,8 @@
         TablesComplete,
         /// A target reported its load.
         LoadHeard(TargetKey, LoadReport),
+        /// Another router's notice was heard.
+        NoticeHeard(PeerNotice),
         /// The process was asked to stop.
         ShutdownAsked,
         /// Time passed.
@@ -151,5 +154,7 @@
         Complete(OperationClaim, StoredAnswer),
         /// Release a claim whose request was certainly not sent.
         Release(OperationClaim),
+        /// Tell every router.
+        Notify(PeerNotice),
     }
 }
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -148,6 +148,8 @@
             Effect::Step(request, step) => self.send_step(request, step),
             Effect::Claim(request, claim) => self.ledger.clone().spawn_claim(request, claim),
             Effect::Complete(claim, answer) => self.ledger.clone().spawn_complete(claim, answer),
+            // FIXME: notices are not sent yet.
+            Effect::Notify(_) => {}
             Effect::Release(claim) => self.ledger.clone().spawn_release(claim),
         }
     }
