Keep operations in a pure ledger and check their histories

Cause: the thin path told callers "not run" while a claim's write was still in flight or unanswered. The write could take effect later and leave the operation claimed for ever.

Ruled out: deleting the claim on release, since a late write under "must not exist" could then land after the delete. A release is a record instead, written under the condition of the write that it cancels, so at most one of the two takes effect.

Change: state-ledger holds the life of an operation as typestate; core-router records an answer before it gives it, for at most one second, and keeps waiting for late answers so that repeats get them.

--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -74,6 +74,7 @@
         match event {
             Event::Arrived(arrival) => self.on_arrival(now, arrival),
             Event::ClaimAnswered(request, outcome) => self.on_claim(now, request, outcome),
+            Event::AnswerRecorded(request) => self.on_recorded(now, request),
             Event::AttemptUnsent(request, attempt) => self.on_unsent(now, request, attempt),
             Event::AttemptEnded(request, attempt, end) => self.on_end(now, request, attempt, end),
             Event::CallerLeft(request) => self.on_caller_left(now, request),
@@ -84,6 +85,7 @@
             // FIXME: loads, accounts and suspects of other routers are not used yet.
             Event::NoticeHeard(_) => {}
             Event::ShutdownAsked => self.leaving = true,
+            Event::StopForced => self.on_stop_forced(now),
             Event::TimerFired => self.on_timer(now),
         }
         std::mem::take(&mut self.effects)
--- a/crates/core-router/src/core/attempts.rs
+++ b/crates/core-router/src/core/attempts.rs
@@ -23,7 +23,7 @@
             LiveRequest::Repeating(request) => {
                 self.dispatch_again(now, request, UnknownCode::TargetLost);
             }
-            LiveRequest::Sent(_) => {}
+            LiveRequest::Sent(_) | LiveRequest::Whole(_) => {}
         }
     }
 
@@ -40,7 +40,11 @@
             AttemptEnd::LostEarly(code) => {
                 self.hold_target(now, request.state.target);
                 self.note(now, key, format!("The attempt was lost: {}", code.sentence()));
-                self.dispatch_again(now, request.lost(), code);
+                let request = request.lost();
+                if request.claim.is_some() {
+                    return self.give_up(now, request, code);
+                }
+                self.dispatch_again(now, request, code);
             }
             AttemptEnd::LostLate => {
                 self.hold_target(now, request.state.target);
@@ -64,6 +68,9 @@
             Some(LiveRequest::Fresh(request)) => {
                 self.refuse_fresh(now, request, NotRunCode::DeadlinePassed);
             }
+            Some(LiveRequest::Sent(request)) if request.claim.is_some() && !request.state.told => {
+                self.await_late_answer(now, request);
+            }
             Some(LiveRequest::Sent(request)) => {
                 self.free_slot(request.state.target);
                 self.give_up(now, request.lost(), UnknownCode::DeadlineAfterSend);
@@ -71,10 +78,31 @@
             Some(LiveRequest::Repeating(request)) => {
                 self.give_up(now, request, UnknownCode::DeadlineAfterSend);
             }
+            Some(LiveRequest::Whole(request)) => self.deliver(now, request),
             None => {}
         }
     }
 
+    /// The process ends now: every request gets the final answer that is true of it.
+    pub(super) fn on_stop_forced(&mut self, now: TimePoint) {
+        while let Some((key, live)) = self.requests.pop_first() {
+            self.note(now, key, "The router ended before the request did.".to_owned());
+            match live {
+                LiveRequest::Fresh(request) => {
+                    self.refuse_fresh(now, request, NotRunCode::RouterLeaving);
+                }
+                LiveRequest::Sent(request) => {
+                    self.free_slot(request.state.target);
+                    self.give_up(now, request.lost(), UnknownCode::RouterStopped);
+                }
+                LiveRequest::Repeating(request) => {
+                    self.give_up(now, request, UnknownCode::RouterStopped);
+                }
+                LiveRequest::Whole(request) => self.deliver(now, request),
+            }
+        }
+    }
+
     /// A call that may not be repeated goes on without its caller, so that its outcome is kept.
     pub(super) fn on_caller_left(&mut self, now: TimePoint, key: RequestKey) {
         match self.requests.remove(&key) {
@@ -89,6 +117,9 @@
                 self.drop_deadline(&request.arrival);
             }
             Some(LiveRequest::Repeating(request)) => self.drop_deadline(&request.arrival),
+            Some(LiveRequest::Whole(request)) => {
+                self.requests.insert(key, LiveRequest::Whole(request));
+            }
             None => return,
         }
         self.note(now, key, "The caller left.".to_owned());
@@ -135,6 +166,9 @@
     ) {
         self.drop_deadline(&request.arrival);
         let key = request.arrival.request;
+        if let Some(claim) = request.claim.clone() {
+            self.effects.push(Effect::Lose(claim));
+        }
         let refusal = request.give_up(code);
         self.finish(now, key, RequestStep::Refuse(refusal));
     }
@@ -146,6 +180,8 @@
                 let row = refusal.row();
                 format!("Answered {} ({}): {}", row.number, row.kind.as_str(), row.sentence)
             }
+            RequestStep::Deliver(_) => "Answered with the target's answer.".to_owned(),
+            RequestStep::Confirm(code) => format!("Answered {}.", code.sentence()),
             _ => "Answered with the stored answer of the operation.".to_owned(),
         };
         self.note(now, key, sentence);
--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -34,7 +34,7 @@
         };
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
-        self.send(now, sent, pool);
+        self.send(now, sent);
     }
 
     pub(super) fn dispatch_again(
@@ -55,7 +55,7 @@
         };
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
-        self.send(now, sent, &pool);
+        self.send(now, sent);
     }
 
     pub(super) fn choose(
@@ -106,7 +106,7 @@
         }
     }
 
-    pub(super) fn send(&mut self, now: TimePoint, request: Request<Sent>, pool: &PoolRow) {
+    pub(super) fn send(&mut self, now: TimePoint, request: Request<Sent>) {
         let Some(record) = self.targets.record_mut(request.state.target) else { return };
         record.own_in_flight += 1;
         let key = request.arrival.request;
@@ -114,7 +114,7 @@
             attempt: request.state.attempt,
             target: request.state.target,
             address: record.address.clone(),
-            once: !pool.repeatable,
+            once: request.claim.is_some(),
         };
         let sentence = format!("Sent to `{}` at {}.", record.name, record.address);
         self.note(now, key, sentence);
--- a/crates/core-router/src/event.rs
+++ b/crates/core-router/src/event.rs
@@ -1,11 +1,10 @@
 //! Events that the core takes and effects that it asks for.
 
 use base_types::{
-    Arrival, AttemptKey, ContentDigest, DomainName, HostName, NotRunCode, OperationName,
-    PeerNotice, PoolName, Refusal, RequestKey, TargetKey, UnknownCode, key_types, message_types,
-    value_types,
+    Arrival, AttemptKey, CompletedCode, DomainName, HostName, PeerNotice, Refusal, RequestKey,
+    TargetKey, UnknownCode, key_types, message_types, value_types,
 };
-use bytes::Bytes;
+use state_ledger::{ClaimOutcome, OperationClaim, StoredAnswer};
 use state_tables::RowChange;
 
 use crate::LoadReport;
@@ -47,44 +46,9 @@
         /// Whether the host stays.
         pub state: HostState,
     }
-
-    /// Answer of a non-idempotent operation as the ledger keeps it.
-    #[derive(Eq)]
-    pub struct StoredAnswer {
-        /// HTTP status of the answer.
-        pub status: u16,
-        /// Content type of the answer.
-        pub content_type: Box<str>,
-        /// Body of the answer.
-        pub body: Bytes,
-    }
 }
 
 message_types! {
-    /// A claim of a non-idempotent operation by one attempt.
-    pub struct OperationClaim {
-        /// Pool the operation runs on.
-        pub pool: PoolName,
-        /// Idempotency key.
-        pub operation: OperationName,
-        /// Digest of the content.
-        pub content: ContentDigest,
-        /// The attempt that claims.
-        pub attempt: AttemptKey,
-    }
-
-    /// What the ledger says of a claim.
-    pub enum ClaimOutcome {
-        /// The claim is confirmed and this attempt holds it.
-        Held,
-        /// The operation ran; this is its answer.
-        Replayed(StoredAnswer),
-        /// The claim is not held and the request was not run.
-        Refused(NotRunCode),
-        /// Another attempt holds the operation.
-        Unsettled(UnknownCode),
-    }
-
     /// How an attempt ended after its request may have reached the target.
     pub enum AttemptEnd {
         /// The answer is whole; the ledger keeps it where the call may not be repeated.
@@ -101,6 +65,8 @@
         Arrived(Arrival),
         /// The ledger answered a claim.
         ClaimAnswered(RequestKey, ClaimOutcome),
+        /// The answer of a call that may not be repeated is recorded in the ledger.
+        AnswerRecorded(RequestKey),
         /// An attempt failed before any byte of the request left this router.
         AttemptUnsent(RequestKey, AttemptKey),
         /// An attempt that may have reached its target ended.
@@ -119,6 +85,8 @@
         NoticeHeard(PeerNotice),
         /// The process was asked to stop.
         ShutdownAsked,
+        /// The process ends now; every request that is left gets its final answer.
+        StopForced,
         /// Time passed.
         TimerFired,
     }
@@ -140,6 +108,8 @@
         Deliver(StoredAnswer),
         /// Give the caller the stored answer of the operation.
         Replay(StoredAnswer),
+        /// Tell the caller how an operator settled the operation.
+        Confirm(CompletedCode),
         /// Give the caller a final refusal.
         Refuse(Refusal),
     }
@@ -150,9 +120,11 @@
         Step(RequestKey, RequestStep),
         /// Claim an operation and answer with [`Event::ClaimAnswered`].
         Claim(RequestKey, OperationClaim),
-        /// Record that a claimed operation completed.
-        Complete(OperationClaim, StoredAnswer),
-        /// Release a claim whose request was certainly not sent.
+        /// Record the answer of a claimed operation and answer with [`Event::AnswerRecorded`].
+        Complete(RequestKey, OperationClaim, StoredAnswer),
+        /// Record that a claimed operation was sent and its outcome is not known.
+        Lose(OperationClaim),
+        /// Release a claim whose request was certainly not sent, be the claim confirmed or not.
         Release(OperationClaim),
         /// Tell every router.
         Notify(PeerNotice),
--- a/crates/core-router/src/lib.rs
+++ b/crates/core-router/src/lib.rs
@@ -12,9 +12,7 @@
 pub use crate::{
     core::{CoreStatus, RouterCore},
     decision::DecisionRecord,
-    event::{
-        AttemptEnd, ClaimOutcome, Effect, Event, HostEntry, HostRole, HostState, OperationClaim,
-        RequestStep, StoredAnswer,
-    },
+    event::{AttemptEnd, Effect, Event, HostEntry, HostRole, HostState, RequestStep},
     targets::{LoadReport, TargetRecord},
 };
+pub use state_ledger::{ClaimOutcome, OperationClaim, StoredAnswer};
--- a/crates/core-router/src/request.rs
+++ b/crates/core-router/src/request.rs
@@ -6,8 +6,7 @@
 use base_types::{
     Arrival, AttemptKey, NotRunCode, PoolName, Refusal, TargetKey, TimePoint, UnknownCode,
 };
-
-use crate::OperationClaim;
+use state_ledger::{OperationClaim, StoredAnswer};
 
 /// No byte of the request has left this router.
 #[derive(Debug)]
@@ -21,12 +20,21 @@
     /// Target of the attempt.
     pub(crate) target: TargetKey,
     earlier_sent: bool,
+    /// The caller was told that the outcome is unknown; the answer is still awaited.
+    pub(crate) told: bool,
 }
 
 /// An earlier attempt may have reached its target; none is in flight.
 #[derive(Debug)]
 pub(crate) struct Repeating;
 
+/// The operation ran, and its whole answer is being recorded in the ledger.
+#[derive(Debug)]
+pub(crate) struct Whole {
+    /// The answer.
+    pub(crate) answer: StoredAnswer,
+}
+
 /// A request in one state of its life.
 #[derive(Debug)]
 pub(crate) struct Request<State> {
@@ -43,6 +51,7 @@
     Fresh(Request<Fresh>),
     Sent(Request<Sent>),
     Repeating(Request<Repeating>),
+    Whole(Request<Whole>),
 }
 
 impl<State> Request<State> {
@@ -58,7 +67,7 @@
     }
 
     pub(crate) fn send(self, attempt: AttemptKey, target: TargetKey) -> Request<Sent> {
-        self.with_state(Sent { attempt, target, earlier_sent: false })
+        self.with_state(Sent { attempt, target, earlier_sent: false, told: false })
     }
 
     pub(crate) fn refuse(self, code: NotRunCode, come_back: TimePoint) -> Refusal {
@@ -76,6 +85,11 @@
         LiveRequest::Fresh(self.with_state(Fresh))
     }
 
+    /// The answer is whole; from here the request can only be answered with it.
+    pub(crate) fn whole(self, answer: StoredAnswer) -> Request<Whole> {
+        self.with_state(Whole { answer })
+    }
+
     /// The attempt was lost; the target is not tried again.
     pub(crate) fn lost(mut self) -> Request<Repeating> {
         self.tried.push(self.state.target);
@@ -85,7 +99,7 @@
 
 impl Request<Repeating> {
     pub(crate) fn send(self, attempt: AttemptKey, target: TargetKey) -> Request<Sent> {
-        self.with_state(Sent { attempt, target, earlier_sent: true })
+        self.with_state(Sent { attempt, target, earlier_sent: true, told: false })
     }
 
     pub(crate) fn give_up(self, code: UnknownCode) -> Refusal {
--- /dev/null
+++ b/crates/history-check/tests/outcomes/platform.rs
@@ -0,0 +1,47 @@
+//! The platform's objects in virtual time.
+
+use std::collections::BTreeMap;
+
+use base_types::RowVersion;
+use state_ledger::{CallAnswer, LedgerCall, OperationRecord, RecordGuard};
+
+#[derive(Debug, Default)]
+pub(crate) struct ObjectStore {
+    revision: u64,
+    objects: BTreeMap<Box<str>, (RowVersion, OperationRecord)>,
+    ignores_conditions: bool,
+}
+
+impl ObjectStore {
+    pub(crate) fn new(ignores_conditions: bool) -> Self {
+        Self { ignores_conditions, ..Self::default() }
+    }
+
+    pub(crate) fn apply(&mut self, path: &str, call: LedgerCall) -> CallAnswer {
+        match call {
+            LedgerCall::Read => self.objects.get(path).map_or(CallAnswer::Missing, |object| {
+                CallAnswer::Found(object.0, object.1.clone())
+            }),
+            LedgerCall::Write(guard, record) => self.write(path, guard, record),
+        }
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &OperationRecord> {
+        self.objects.values().map(|(_, record)| record)
+    }
+
+    fn write(&mut self, path: &str, guard: RecordGuard, record: OperationRecord) -> CallAnswer {
+        let current = self.objects.get(path).map(|object| object.0);
+        let holds = match guard {
+            RecordGuard::Absent => current.is_none(),
+            RecordGuard::Version(version) => current == Some(version),
+        };
+        if !holds && !self.ignores_conditions {
+            return CallAnswer::Conflict;
+        }
+        self.revision += 1;
+        let version = RowVersion(self.revision);
+        self.objects.insert(path.into(), (version, record));
+        CallAnswer::Written(version)
+    }
+}
--- a/crates/io-router/src/answer.rs
+++ b/crates/io-router/src/answer.rs
@@ -13,6 +13,9 @@
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 pub(crate) const RESULT_CODE: HeaderName = HeaderName::from_static("x-result-code");
 
+/// A repeat with the same operation id learns the outcome, once it is recorded.
+const COME_BACK_UNKNOWN: Duration = Duration::from_secs(1);
+
 /// Text form of a request key in headers.
 pub(crate) fn request_text(request: RequestKey) -> String {
     format!("{:032x}", request.0)
@@ -27,7 +30,10 @@
 ) {
     let row = refusal.row();
     write_row(response, request, &row);
-    let Refusal::NotRun(_, come_back) = refusal else { return };
+    let come_back = match refusal {
+        Refusal::NotRun(_, come_back) => come_back,
+        Refusal::Unknown(_) => now.after(COME_BACK_UNKNOWN),
+    };
     let seconds = come_back.since(now).max(Duration::from_secs(1)).as_secs();
     response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
 }
@@ -37,6 +43,11 @@
     write_row(response, request, &code.row());
 }
 
+/// Writes that the work completed, where its answer was not kept.
+pub(crate) fn write_completed(response: &mut Response, request: RequestKey, code: CompletedCode) {
+    write_row(response, request, &code.row());
+}
+
 /// Writes the stored answer of an operation.
 pub(crate) fn write_stored(
     response: &mut Response,
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    answer::{write_identity, write_refusal, write_stored, write_unknown},
+    answer::{write_completed, write_identity, write_refusal, write_stored, write_unknown},
     entry::EntryHandler,
     forward::{BegunAnswer, CallerRequest, OnceEnd, SendEnd, TargetClients},
     handle::{CallerGuard, LoopHandle},
@@ -101,6 +101,10 @@
                     guard.finish();
                     return write_stored(res, request, answer, CompletedCode::Replayed);
                 }
+                RequestStep::Confirm(code) => {
+                    guard.finish();
+                    return write_completed(res, request, code);
+                }
                 RequestStep::Deliver(answer) => {
                     guard.finish();
                     return write_stored(res, request, answer, CompletedCode::Complete);
--- a/crates/io-router/src/handle.rs
+++ b/crates/io-router/src/handle.rs
@@ -1,7 +1,8 @@
 //! The way from tasks to the loop that owns the core.
 
-use base_types::{Arrival, RequestKey};
+use base_types::{Arrival, AttemptKey, RequestKey};
 use core_router::{Event, RequestStep, RouterCore};
+use state_ledger::CallAnswer;
 use tokio::sync::{mpsc, oneshot};
 
 type CoreQuery = Box<dyn FnOnce(&RouterCore) + Send>;
@@ -12,6 +13,8 @@
     Begin(Arrival, mpsc::UnboundedSender<RequestStep>),
     /// Any other event.
     Post(Event),
+    /// The platform answered a call of the ledger.
+    LedgerAnswered(AttemptKey, CallAnswer),
     /// A question about the core's state.
     Query(CoreQuery),
 }
@@ -53,7 +56,7 @@
     }
 
     /// The loop outlives all tasks but for the last moments of a shutdown, when input is moot.
-    fn input(&self, input: LoopInput) {
+    pub(crate) fn input(&self, input: LoopInput) {
         let _ = self.sender.send(input);
     }
 }
--- a/crates/io-router/src/ledger.rs
+++ b/crates/io-router/src/ledger.rs
@@ -1,174 +1,151 @@
-//! Claims of non-idempotent operations, one platform object an operation.
+//! Runs the ledger's calls on the platform, one object an operation.
 
-use std::{rc::Rc, time::Duration};
+use std::collections::BTreeMap;
 
-use base_types::{ContentDigest, NotRunCode, RequestKey, UnknownCode, value_types};
-use base64::{Engine, prelude::BASE64_STANDARD};
-use core_router::{ClaimOutcome, Event, OperationClaim, StoredAnswer};
+use base_types::{AttemptKey, HostName, RequestKey, TimePoint};
+use core_router::Event;
 use error_stack::Report;
 use io_platform::{ObjectKey, ObjectRecord, PlatformClient, PlatformError, WriteGuard};
+use state_ledger::{
+    CallAnswer, LedgerBook, LedgerCall, LedgerEffect, LedgerOrder, OperationRecord, RecordGuard,
+    WallTime,
+};
 
-use crate::handle::LoopHandle;
+use crate::handle::{LoopHandle, LoopInput};
 
-const CLAIM_TRIES: u32 = 3;
-const SETTLE_TRIES: u32 = 20;
-const SETTLE_PAUSE: Duration = Duration::from_millis(500);
-
-value_types! {
-    /// An operation as the platform keeps it.
-    struct OperationRecord {
-        operation: Box<str>,
-        content: Box<str>,
-        attempt: Box<str>,
-        answer: Option<AnswerRecord>,
-    }
-
-    /// The stored answer of an operation.
-    struct AnswerRecord {
-        status: u16,
-        content_type: Box<str>,
-        body: Box<str>,
-    }
-}
-
-/// The ledger of operations as one router sees it.
+/// The ledger as the loop uses it: orders in, events for the core out.
 pub(crate) struct OperationLedger {
+    book: LedgerBook,
     platform: PlatformClient,
     handle: LoopHandle,
+    requests: BTreeMap<AttemptKey, RequestKey>,
 }
 
 impl OperationLedger {
-    pub(crate) fn new(platform: PlatformClient, handle: LoopHandle) -> Rc<Self> {
-        Rc::new(Self { platform, handle })
+    pub(crate) fn new(host: HostName, platform: PlatformClient, handle: LoopHandle) -> Self {
+        let book = LedgerBook::new(host, wall_time());
+        Self { book, platform, handle, requests: BTreeMap::new() }
+    }
+
+    /// Takes an order; a claim or an answer names the request that is told of its end.
+    pub(crate) fn on_order(
+        &mut self,
+        now: TimePoint,
+        request: Option<RequestKey>,
+        order: LedgerOrder,
+    ) -> Vec<Event> {
+        match (&order, request) {
+            (LedgerOrder::Claim(claim) | LedgerOrder::Complete(claim, _), Some(request)) => {
+                self.requests.insert(claim.attempt, request);
+            }
+            (LedgerOrder::Release(claim) | LedgerOrder::Lose(claim), _) => {
+                self.requests.remove(&claim.attempt);
+            }
+            _ => {}
+        }
+        let effects = self.book.on_order(now, order);
+        self.run(effects)
     }
 
-    pub(crate) fn spawn_claim(self: Rc<Self>, request: RequestKey, claim: OperationClaim) {
-        tokio::task::spawn_local(async move {
-            let outcome = self.claim(&claim).await;
-            self.handle.post(Event::ClaimAnswered(request, outcome));
-        });
+    pub(crate) fn on_answer(
+        &mut self,
+        now: TimePoint,
+        attempt: AttemptKey,
+        answer: CallAnswer,
+    ) -> Vec<Event> {
+        let effects = self.book.on_answer(now, attempt, answer);
+        self.run(effects)
     }
 
-    pub(crate) fn spawn_complete(self: Rc<Self>, claim: OperationClaim, answer: StoredAnswer) {
-        tokio::task::spawn_local(async move { self.complete(&claim, answer).await });
+    pub(crate) fn on_timer(&mut self, now: TimePoint) -> Vec<Event> {
+        let effects = self.book.on_timer(now);
+        self.run(effects)
     }
 
-    pub(crate) fn spawn_release(self: Rc<Self>, claim: OperationClaim) {
-        tokio::task::spawn_local(async move { self.release(&claim).await });
+    pub(crate) fn next_deadline(&self) -> TimePoint {
+        self.book.next_deadline()
     }
 
-    /// Writes a claim and confirms it; an unanswered write is read back before it is trusted.
-    async fn claim(&self, claim: &OperationClaim) -> ClaimOutcome {
-        let key = operation_key(claim);
-        let record = OperationRecord::claimed(claim);
-        for _ in 0..CLAIM_TRIES {
-            if self.platform.write(&key, WriteGuard::Absent, &record).await.is_ok() {
-                return ClaimOutcome::Held;
-            }
-            if let Ok(Some(object)) = self.platform.read(&key).await {
-                return standing(claim, &object);
-            }
-        }
-        ClaimOutcome::Refused(NotRunCode::LedgerUnavailable)
+    /// Holds whose record is still being written.
+    pub(crate) fn unfinished(&self) -> usize {
+        self.book.unfinished()
     }
 
-    async fn complete(&self, claim: &OperationClaim, answer: StoredAnswer) {
-        let record =
-            OperationRecord { answer: Some(answer.into()), ..OperationRecord::claimed(claim) };
-        for _ in 0..SETTLE_TRIES {
-            if self.try_complete(claim, &record).await.is_ok() {
-                return;
+    fn run(&mut self, effects: Vec<LedgerEffect>) -> Vec<Event> {
+        let mut events = Vec::new();
+        for effect in effects {
+            match effect {
+                LedgerEffect::Call(attempt, path, call) => self.spawn_call(attempt, &path, call),
+                LedgerEffect::Claimed(attempt, outcome) => {
+                    let Some(request) = self.requests.remove(&attempt) else { continue };
+                    events.push(Event::ClaimAnswered(request, outcome));
+                }
+                LedgerEffect::Recorded(attempt) => {
+                    let Some(request) = self.requests.remove(&attempt) else { continue };
+                    events.push(Event::AnswerRecorded(request));
+                }
             }
-            tokio::time::sleep(SETTLE_PAUSE).await;
         }
-        log::error!(operation = claim.operation.as_str(); "answer of an operation was not recorded");
+        events
     }
 
-    async fn try_complete(
-        &self,
-        claim: &OperationClaim,
-        record: &OperationRecord,
-    ) -> Result<(), Report<PlatformError>> {
-        let key = operation_key(claim);
-        let Some(object) = self.platform.read(&key).await? else { return Ok(()) };
-        let guard = WriteGuard::Version(object.version);
-        self.platform.write(&key, guard, record).await.map(drop)
+    fn spawn_call(&self, attempt: AttemptKey, path: &str, call: LedgerCall) {
+        let platform = self.platform.clone();
+        let handle = self.handle.clone();
+        let key = ObjectKey::new(path);
+        tokio::task::spawn_local(async move {
+            let answer = make_call(&platform, &key, call).await;
+            handle.input(LoopInput::LedgerAnswered(attempt, answer));
+        });
     }
+}
 
-    async fn release(&self, claim: &OperationClaim) {
-        for _ in 0..SETTLE_TRIES {
-            if self.try_release(claim).await.is_ok() {
-                return;
+async fn make_call(platform: &PlatformClient, key: &ObjectKey, call: LedgerCall) -> CallAnswer {
+    match call {
+        LedgerCall::Read => match platform.read(key).await {
+            Ok(Some(object)) => found(&object),
+            Ok(None) => CallAnswer::Missing,
+            Err(report) => failed(&report),
+        },
+        LedgerCall::Write(guard, record) => {
+            match platform.write(key, write_guard(guard), &record).await {
+                Ok(written) => CallAnswer::Written(written.version),
+                Err(report) => failed(&report),
             }
-            tokio::time::sleep(SETTLE_PAUSE).await;
         }
-        log::error!(operation = claim.operation.as_str(); "claim of an operation was not released");
-    }
-
-    async fn try_release(&self, claim: &OperationClaim) -> Result<(), Report<PlatformError>> {
-        let key = operation_key(claim);
-        let Some(object) = self.platform.read(&key).await? else { return Ok(()) };
-        let Some(record) = parse_record(&object) else { return Ok(()) };
-        if record.attempt != OperationRecord::claimed(claim).attempt || record.answer.is_some() {
-            return Ok(());
-        }
-        self.platform.delete(&key, object.version).await.map(drop)
     }
 }
 
-impl OperationRecord {
-    fn claimed(claim: &OperationClaim) -> Self {
-        Self {
-            operation: claim.operation.as_str().into(),
-            content: digest_text(claim.content).into(),
-            attempt: format!("{:032x}", claim.attempt.0).into(),
-            answer: None,
-        }
+fn found(object: &ObjectRecord) -> CallAnswer {
+    match parse_record(object) {
+        Some(record) => CallAnswer::Found(object.version, record),
+        None => CallAnswer::Unreadable,
     }
 }
 
-impl From<StoredAnswer> for AnswerRecord {
-    fn from(answer: StoredAnswer) -> Self {
-        Self {
-            status: answer.status,
-            content_type: answer.content_type,
-            body: BASE64_STANDARD.encode(&answer.body).into(),
-        }
+fn failed(report: &Report<PlatformError>) -> CallAnswer {
+    match report.current_context() {
+        PlatformError::Conflict => CallAnswer::Conflict,
+        PlatformError::Unreachable | PlatformError::Refused => CallAnswer::NoEffect,
+        PlatformError::Unanswered | PlatformError::Malformed => CallAnswer::Unanswered,
     }
 }
 
-fn standing(claim: &OperationClaim, object: &ObjectRecord) -> ClaimOutcome {
-    let Some(record) = parse_record(object) else {
-        return ClaimOutcome::Unsettled(UnknownCode::OperationUnsettled);
-    };
-    if record.attempt == OperationRecord::claimed(claim).attempt {
-        return ClaimOutcome::Held;
-    }
-    if *record.content != *digest_text(claim.content) {
-        return ClaimOutcome::Refused(NotRunCode::OperationReused);
-    }
-    match record.answer.and_then(stored_answer) {
-        Some(answer) => ClaimOutcome::Replayed(answer),
-        None => ClaimOutcome::Unsettled(UnknownCode::OperationRunning),
+fn write_guard(guard: RecordGuard) -> WriteGuard {
+    match guard {
+        RecordGuard::Absent => WriteGuard::Absent,
+        RecordGuard::Version(version) => WriteGuard::Version(version),
     }
 }
 
-fn stored_answer(record: AnswerRecord) -> Option<StoredAnswer> {
-    let body = BASE64_STANDARD.decode(record.body.as_bytes()).ok()?;
-    let AnswerRecord { status, content_type, .. } = record;
-    Some(StoredAnswer { status, content_type, body: body.into() })
-}
-
-fn parse_record(object: &ObjectRecord) -> Option<OperationRecord> {
+/// The record that an operation's object holds.
+pub(crate) fn parse_record(object: &ObjectRecord) -> Option<OperationRecord> {
     serde_json::from_value(object.value.clone()?).ok()
 }
 
-/// The operation's name is hashed, as callers may put any byte into it.
-fn operation_key(claim: &OperationClaim) -> ObjectKey {
-    let digest = ContentDigest::of(claim.operation.as_str().as_bytes());
-    ObjectKey::new(&format!("operations/{}/{}", claim.pool, digest_text(digest)))
-}
-
-fn digest_text(digest: ContentDigest) -> String {
-    format!("{:032x}", digest.0)
+/// The time by this host's clock.
+pub(crate) fn wall_time() -> WallTime {
+    let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let millis = elapsed.map(|elapsed| elapsed.as_millis()).unwrap_or_default();
+    WallTime(u64::try_from(millis).unwrap_or(u64::MAX))
 }
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -1,6 +1,10 @@
 //! The loop that owns the core, and the start of a router process.
 
-use std::{collections::BTreeMap, fmt, rc::Rc, time::Instant};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    time::Instant,
+};
 
 use base_settings::RouterSettings;
 use base_types::{RequestKey, TimePoint};
@@ -8,6 +12,7 @@
 use error_stack::{Report, ResultExt};
 use io_platform::PlatformClient;
 use salvo::{Listener, Router, Server, conn::TcpListener};
+use state_ledger::LedgerOrder;
 use tokio::sync::mpsc;
 
 use crate::{
@@ -67,8 +72,8 @@
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
+    let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
     let core = RouterCore::new(settings.host, rand::random());
-    let ledger = OperationLedger::new(platform, handle);
     CoreLoop { core, clock, ledger, steps: BTreeMap::new() }.run(inputs).await;
     caller.stop_graceful(None);
     operator.stop_graceful(None);
@@ -101,18 +106,21 @@
 struct CoreLoop {
     core: RouterCore,
     clock: LoopClock,
-    ledger: Rc<OperationLedger>,
+    ledger: OperationLedger,
     steps: BTreeMap<RequestKey, mpsc::UnboundedSender<RequestStep>>,
 }
 
 impl CoreLoop {
     async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<LoopInput>) {
         while !self.is_done() {
-            let deadline = self.core.next_deadline();
+            let deadline = self.core.next_deadline().min(self.ledger.next_deadline());
             let timer = tokio::time::sleep_until(self.clock.instant(deadline));
             let input = tokio::select! {
                 input = inputs.recv() => input,
-                () = timer => Some(LoopInput::Post(Event::TimerFired)),
+                () = timer => {
+                    self.on_timer();
+                    continue;
+                }
             };
             let Some(input) = input else { return };
             self.on_input(input);
@@ -121,7 +129,7 @@
 
     fn is_done(&self) -> bool {
         let status = self.core.status();
-        status.leaving && status.requests == 0
+        status.leaving && status.requests == 0 && self.ledger.unfinished() == 0
     }
 
     fn on_input(&mut self, input: LoopInput) {
@@ -131,27 +139,57 @@
                 self.on_event(Event::Arrived(arrival));
             }
             LoopInput::Post(event) => self.on_event(event),
+            LoopInput::LedgerAnswered(attempt, answer) => {
+                let events = self.ledger.on_answer(self.clock.now(), attempt, answer);
+                self.on_events(events);
+            }
             LoopInput::Query(question) => question(&self.core),
         }
     }
 
+    fn on_timer(&mut self) {
+        let mut events = self.ledger.on_timer(self.clock.now());
+        events.push(Event::TimerFired);
+        self.on_events(events);
+    }
+
     fn on_event(&mut self, event: Event) {
-        let ended = ended_request(&event);
-        for effect in self.core.on_event(self.clock.now(), event) {
-            self.run_effect(effect);
+        self.on_events(vec![event]);
+    }
+
+    /// Runs events and those that the ledger answers at once, in order.
+    fn on_events(&mut self, events: Vec<Event>) {
+        let mut queue = VecDeque::from(events);
+        while let Some(event) = queue.pop_front() {
+            let ended = ended_request(&event);
+            for effect in self.core.on_event(self.clock.now(), event) {
+                queue.extend(self.run_effect(effect));
+            }
+            self.drop_closed_steps(ended);
         }
-        self.drop_closed_steps(ended);
     }
 
-    fn run_effect(&mut self, effect: Effect) {
+    fn run_effect(&mut self, effect: Effect) -> Vec<Event> {
+        let now = self.clock.now();
         match effect {
             Effect::Step(request, step) => self.send_step(request, step),
-            Effect::Claim(request, claim) => self.ledger.clone().spawn_claim(request, claim),
-            Effect::Complete(claim, answer) => self.ledger.clone().spawn_complete(claim, answer),
+            Effect::Claim(request, claim) => {
+                return self.ledger.on_order(now, Some(request), LedgerOrder::Claim(claim));
+            }
+            Effect::Complete(request, claim, answer) => {
+                let order = LedgerOrder::Complete(claim, answer);
+                return self.ledger.on_order(now, Some(request), order);
+            }
+            Effect::Lose(claim) => {
+                return self.ledger.on_order(now, None, LedgerOrder::Lose(claim));
+            }
+            Effect::Release(claim) => {
+                return self.ledger.on_order(now, None, LedgerOrder::Release(claim));
+            }
             // FIXME: notices are not sent yet.
             Effect::Notify(_) => {}
-            Effect::Release(claim) => self.ledger.clone().spawn_release(claim),
         }
+        Vec::new()
     }
 
     fn drop_closed_steps(&mut self, ended: Option<RequestKey>) {
