Name every fault of a settings file in one go

Cause: the first fault ended the parse, without its line, key or remedy, and the settings held neither TLS, limits nor logs. Ruled out: serde with deny_unknown_fields, as it stops at its first fault; a second pass over a lenient form, as types would stand twice. Secrets stand in `SecretValue`, whose Debug form hides them.

--- /dev/null
+++ b/crates/base-settings/src/fault.rs
@@ -0,0 +1,58 @@
+//! Faults of a settings file.
+
+use std::fmt;
+
+/// One fault of a settings file, with its place and a remedy.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SettingsFault {
+    /// Line in the file, counted from 1; absent for a key that is missing.
+    pub line: Option<usize>,
+    /// Path of the key, such as `caller_tls.key`; empty for a fault of the TOML syntax.
+    pub key: Box<str>,
+    /// What is wrong.
+    pub problem: Box<str>,
+    /// How to mend it.
+    pub remedy: Box<str>,
+}
+
+impl fmt::Display for SettingsFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "`{}` ", self.key)?;
+        }
+        write!(f, "{}; {}", self.problem, self.remedy)
+    }
+}
+
+/// The settings cannot be used; holds every fault in the order of their lines.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    faults: Vec<SettingsFault>,
+}
+
+impl SettingsError {
+    pub(crate) fn new(mut faults: Vec<SettingsFault>) -> Self {
+        faults.sort();
+        Self { faults }
+    }
+
+    /// Every fault, in the order of their lines; missing keys come first.
+    pub fn faults(&self) -> &[SettingsFault] {
+        &self.faults
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the settings have {} fault(s)", self.faults.len())?;
+        for fault in &self.faults {
+            write!(f, "\n{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/crates/base-settings/src/secret.rs
@@ -0,0 +1,25 @@
+//! Values that must never be logged or shown.
+
+use std::fmt;
+
+/// A secret; its `Debug` form hides the value and it has no `Display`.
+#[derive(Clone, PartialEq, Eq)]
+pub struct SecretValue<T>(T);
+
+impl<T> SecretValue<T> {
+    /// Wraps a secret.
+    pub fn new(value: T) -> Self {
+        Self(value)
+    }
+
+    /// Gives the secret to code that must use it.
+    pub fn reveal(&self) -> &T {
+        &self.0
+    }
+}
+
+impl<T> fmt::Debug for SecretValue<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", std::any::type_name::<T>()).and(f.write_str("[hidden]"))
+    }
+}
