Share load between routers

Cause: each router counted only its own requests and the last report of a target, so that with 7 routers its estimate missed most of the load.

Ruled out: adding reports of targets to shares; both count the same requests, and a report is as old as the last answer of that target. A report now counts only while no share is heard.

Change: `PeerLoads` keeps the latest share of each router, drops stale sequence numbers and expires a share at a stored deadline. The core emits its share when its load changed, at most twice a second, and again each second while it names load. The sum behind the load bound no longer overflows on a lying share.

--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -5,6 +5,7 @@
 mod config;
 mod dispatch;
 mod operations;
+mod shares;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,11 +13,12 @@
 };
 
 use base_types::{AttemptKey, HostName, RequestKey, TimePoint, message_types};
+use policy_routing::PeerLoads;
 use state_tables::TableSet;
 
 use crate::{
-    DecisionRecord, Effect, Event, HostEntry, TargetRecord, decision::DecisionLog,
-    request::LiveRequest, targets::TargetArena,
+    DecisionRecord, Effect, Event, HostEntry, TargetRecord, core::shares::OwnShare,
+    decision::DecisionLog, request::LiveRequest, targets::TargetArena,
 };
 
 const COME_BACK: Duration = Duration::from_secs(1);
@@ -43,6 +45,8 @@
     tables_complete: bool,
     leaving: bool,
     targets: TargetArena,
+    peer_loads: PeerLoads,
+    share: OwnShare,
     entries: Vec<HostEntry>,
     requests: BTreeMap<RequestKey, LiveRequest>,
     deadlines: BTreeSet<(TimePoint, RequestKey)>,
@@ -61,6 +65,8 @@
             tables_complete: false,
             leaving: false,
             targets: TargetArena::default(),
+            peer_loads: PeerLoads::default(),
+            share: OwnShare::default(),
             entries: Vec::new(),
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
@@ -81,17 +87,18 @@
             Event::RowHeard(change) => self.on_row(change),
             Event::TablesComplete => self.tables_complete = true,
             Event::LoadHeard(target, report) => self.on_load(target, report),
-            // FIXME: loads, accounts and suspects of other routers are not used yet.
-            Event::NoticeHeard(_) => {}
+            Event::NoticeHeard(notice) => self.on_notice(now, notice),
             Event::ShutdownAsked => self.leaving = true,
             Event::TimerFired => self.on_timer(now),
         }
+        self.tell_load(now);
         std::mem::take(&mut self.effects)
     }
 
     /// The next point at which [`Event::TimerFired`] is due.
     pub fn next_deadline(&self) -> TimePoint {
-        self.deadlines.first().map_or(TimePoint::NEVER, |(deadline, _)| *deadline)
+        let request = self.deadlines.first().map_or(TimePoint::NEVER, |(deadline, _)| *deadline);
+        request.min(self.share.next_deadline()).min(self.peer_loads.next_expiry())
     }
 
     /// Name of the router's host.
--- a/crates/core-router/src/core/attempts.rs
+++ b/crates/core-router/src/core/attempts.rs
@@ -57,6 +57,7 @@
             self.deadlines.remove(&(deadline, key));
             self.on_deadline(now, key);
         }
+        self.expire_peer_loads(now);
     }
 
     pub(super) fn on_deadline(&mut self, now: TimePoint, key: RequestKey) {
--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -118,6 +118,7 @@
         };
         let sentence = format!("Sent to `{}` at {}.", record.name, record.address);
         self.note(now, key, sentence);
+        self.touch_load();
         self.effects.push(Effect::Step(key, step));
         self.requests.insert(key, LiveRequest::Sent(request));
     }
@@ -128,6 +129,10 @@
     }
 
     pub(super) fn on_load(&mut self, target: TargetKey, report: LoadReport) {
+        // Shares of the routers count alike for all targets; a report is the fallback.
+        if self.peer_loads.routers() > 0 {
+            return;
+        }
         let Some(record) = self.targets.record_mut(target) else { return };
         record.others_in_flight = report.in_flight.saturating_sub(record.own_in_flight);
     }
@@ -135,6 +140,7 @@
     pub(super) fn free_slot(&mut self, target: TargetKey) {
         let Some(record) = self.targets.record_mut(target) else { return };
         record.own_in_flight = record.own_in_flight.saturating_sub(1);
+        self.touch_load();
     }
 }
 
--- a/crates/core-router/src/targets.rs
+++ b/crates/core-router/src/targets.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use base_types::{DomainName, HostName, TargetKey, TimePoint, key_types, message_types};
-use policy_routing::{TargetView, affinity_hash};
+use base_types::{
+    DomainName, HostName, TargetKey, TargetLoad, TimePoint, key_types, message_types,
+};
+use policy_routing::{PeerLoads, TargetView, affinity_hash};
 
 use crate::{HostEntry, HostRole, HostState};
 
@@ -32,7 +34,7 @@
         pub open: bool,
         /// Requests of this router in flight on the target.
         pub own_in_flight: u32,
-        /// Load that others put on the target, from its last report.
+        /// Requests of others in flight on the target, from their shares or its last report.
         pub others_in_flight: u32,
         /// Point until which the target gets no work after a refused connection.
         pub held_until: TimePoint,
@@ -70,6 +72,23 @@
         }
     }
 
+    /// Takes over what other routers say they have in flight.
+    pub(crate) fn adopt_peer_loads(&mut self, loads: &PeerLoads) {
+        for record in &mut self.records {
+            record.others_in_flight = loads.load(record.hash);
+        }
+    }
+
+    /// What this router has in flight, target by target.
+    pub(crate) fn own_loads(&self) -> Vec<TargetLoad> {
+        let busy = self.records.iter().filter(|record| record.own_in_flight > 0);
+        let load = |record: &TargetRecord| TargetLoad {
+            target: record.hash,
+            in_flight: record.own_in_flight,
+        };
+        busy.map(load).collect()
+    }
+
     pub(crate) fn views(&self, group: &str, slots: u32, now: TimePoint) -> Vec<TargetView> {
         let members = self.records.iter().enumerate().filter(|(_, record)| &*record.group == group);
         members.map(|(index, record)| record.view(TargetKey(index as u32), slots, now)).collect()
@@ -110,7 +129,7 @@
             target,
             hash: self.hash,
             slots,
-            load: self.own_in_flight + self.others_in_flight,
+            load: self.own_in_flight.saturating_add(self.others_in_flight),
             open: self.open && self.held_until.passed(now),
         }
     }
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -71,8 +71,8 @@
 fn load_bound(max_load_ratio: f64, views: &[TargetView]) -> u32 {
     let open = views.iter().filter(|view| view.open && view.slots > 0);
     let (count, load) =
-        open.fold((0u32, 1u32), |(count, load), view| (count + 1, load + view.load));
-    let mean = f64::from(load) / f64::from(count.max(1));
+        open.fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load)));
+    let mean = load as f64 / f64::from(count.max(1));
     (mean * max_load_ratio).ceil() as u32
 }
 
--- a/crates/policy-routing/src/lib.rs
+++ b/crates/policy-routing/src/lib.rs
@@ -1,12 +1,14 @@
 //! Target choice: which target of a pool a request goes to.
 //!
-//! Pure decisions over a view of the pool's targets. It holds no load, no health and no queues:
-//! callers keep those and pass a view.
+//! Pure decisions over a view of the pool's targets. Load that other routers share is kept here;
+//! health and queues are not: callers keep those and pass a view.
 
 mod choice;
 mod rendezvous;
+mod shares;
 
 pub use crate::{
     choice::{ChoiceQuery, ChoiceReason, TargetChoice, TargetView, choose_target},
     rendezvous::{affinity_hash, rendezvous_score},
+    shares::{PeerLoads, SHARE_LIFE},
 };
