--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -1,7 +1,15 @@
 //! Settings of a router process, parsed from TOML into types and checked before anything is bound.
 //!
-//! It reads no files: callers pass the text.
+//! Every fault of a file is found in one go, each with its line, its key and the remedy. The crate
+//! reads no files: callers pass the text and a [`FileReader`] for the key files that it names.
 
+mod fault;
+mod secret;
+mod section;
 mod settings;
 
-pub use crate::settings::{RouterSettings, SettingsError};
+pub use crate::{
+    fault::{SettingsError, SettingsFault},
+    secret::SecretValue,
+    settings::{FileReader, LimitSettings, LogFormat, LogSettings, RouterSettings, TlsSettings},
+};
--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -95,6 +95,11 @@
         Some(Self { path, table, faults: self.faults, known: RefCell::default() })
     }
 
+    /// A text without a look at its faults, for checks of keys that were read before.
+    pub(crate) fn peek_text(&self, name: &str) -> Option<&'a str> {
+        self.table.get(name)?.get_ref().as_str()
+    }
+
     /// A text that may be absent.
     pub(crate) fn text(&self, name: &'static str) -> Option<&'a str> {
         let value = self.value(name)?;
--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -1,14 +1,32 @@
 //! The settings and their checks.
 
-use std::{fmt, net::SocketAddr};
+mod files;
+mod limits;
+mod logs;
+mod tls;
+
+use std::net::SocketAddr;
 
 use base_types::{DomainName, HostName};
-use error_stack::{Report, ResultExt};
-use serde::Deserialize;
+use error_stack::Report;
+use toml::de::DeTable;
+
+pub use self::{
+    files::FileReader,
+    limits::LimitSettings,
+    logs::{LogFormat, LogSettings},
+    tls::TlsSettings,
+};
+use crate::{
+    SettingsError,
+    section::{FaultList, SettingsSection},
+};
+
+/// Keys whose addresses this process binds over TCP.
+const LISTEN_KEYS: [&str; 2] = ["caller_listen", "operator_listen"];
 
 /// Settings of one router process.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouterSettings {
     /// Name of the host.
     pub host: HostName,
@@ -20,28 +38,80 @@
     pub operator_listen: SocketAddr,
     /// Address of the platform's API.
     pub platform: SocketAddr,
+    /// TLS of the callers' port; absent for plain HTTP.
+    pub caller_tls: Option<TlsSettings>,
+    /// TLS of the operators' port; absent for plain HTTP.
+    pub operator_tls: Option<TlsSettings>,
+    /// Limits on what one caller may use.
+    pub limits: LimitSettings,
+    /// What is logged and how.
+    pub log: LogSettings,
 }
 
-/// The settings cannot be used.
-#[derive(Debug)]
-pub struct SettingsError;
+impl RouterSettings {
+    /// Parses and checks the TOML text of a settings file.
+    ///
+    /// `files` reads the certificate and key files that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault of the text and of the files that it names.
+    pub fn parse(text: &str, files: &dyn FileReader) -> Result<Self, Report<SettingsError>> {
+        let (root, syntax) = DeTable::parse_recoverable(text);
+        let faults = FaultList::new(text);
+        for error in &syntax {
+            faults.push(error.span(), "", error.message(), "mend the TOML");
+        }
+        let section = SettingsSection::root(root.get_ref(), &faults);
+        let settings = Self::read(&section, files);
+        check_listens(&section);
+        section.finish();
+        let faults = faults.into_faults();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Report::new(SettingsError::new(faults))),
+        }
+    }
 
-impl fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the settings cannot be used")
+    /// Reads every key before it looks at any, so that all faults are found.
+    fn read(root: &SettingsSection<'_, '_>, files: &dyn FileReader) -> Option<Self> {
+        let host = root.required_name("host");
+        let failure_domain = root.required_name("failure_domain");
+        let caller_listen = root.required_address("caller_listen");
+        let operator_listen = root.required_address("operator_listen");
+        let platform = root.required_address("platform");
+        let caller_tls = TlsSettings::read(root, "caller_tls", files);
+        let operator_tls = TlsSettings::read(root, "operator_tls", files);
+        let limits = LimitSettings::read(root);
+        let log = LogSettings::read(root);
+        Some(Self {
+            host: HostName::new(host?),
+            failure_domain: DomainName::new(failure_domain?),
+            caller_listen: caller_listen?,
+            operator_listen: operator_listen?,
+            platform: platform?,
+            caller_tls,
+            operator_tls,
+            limits,
+            log,
+        })
     }
 }
 
-impl std::error::Error for SettingsError {}
-
-impl RouterSettings {
-    /// Parses and checks the TOML text of a settings file.
-    pub fn parse(text: &str) -> Result<Self, Report<SettingsError>> {
-        let settings: Self = toml::from_str(text).change_context(SettingsError)?;
-        if settings.caller_listen == settings.operator_listen {
-            let report = Report::new(SettingsError);
-            return Err(report.attach("`caller_listen` and `operator_listen` are the same address"));
-        }
-        Ok(settings)
+/// Two keys may not bind the same address; an unspecified IP address takes every one of its kind.
+fn check_listens(root: &SettingsSection<'_, '_>) {
+    let listens: Vec<(&str, SocketAddr)> = LISTEN_KEYS
+        .into_iter()
+        .filter_map(|key| Some((key, root.peek_text(key)?.parse().ok()?)))
+        .collect();
+    for (index, (key, address)) in listens.iter().enumerate() {
+        let clash = listens[..index].iter().find(|(_, earlier)| overlap(*earlier, *address));
+        let Some((earlier, _)) = clash else { continue };
+        root.fault(key, format!("takes the address of `{earlier}`"), "give each its own port");
     }
 }
+
+fn overlap(left: SocketAddr, right: SocketAddr) -> bool {
+    let any = left.ip().is_unspecified() || right.ip().is_unspecified();
+    left.port() == right.port() && (any || left.ip() == right.ip())
+}
--- a/crates/knapweedport/src/main.rs
+++ b/crates/knapweedport/src/main.rs
@@ -1,5 +1,7 @@
 //! The knapweedport command: reads arguments and settings and starts what they ask for.
 
+mod files;
+
 use std::{fmt, path::PathBuf, process::ExitCode};
 
 use base_settings::RouterSettings;
@@ -7,6 +9,8 @@
 use error_stack::{Report, ResultExt};
 use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
 
+use crate::files::DiskFiles;
+
 /// Routes language-model requests and calls that may run once to their targets.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -52,7 +56,8 @@
     let text = std::fs::read_to_string(path)
         .change_context(CommandError)
         .attach_with(|| format!("cannot read {}", path.display()))?;
-    let settings = RouterSettings::parse(&text).change_context(CommandError)?;
+    let settings =
+        RouterSettings::parse(&text, &DiskFiles::beside(path)).change_context(CommandError)?;
     start_logs();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
