Torture real processes and judge the history of their calls

Cause: the promises were only checked without sockets. The stand-ins keep executions and objects in a file, so that a kill does not hide a second execution.

--- a/crates/fakes/src/bin/stand-in.rs
+++ b/crates/fakes/src/bin/stand-in.rs
@@ -1,6 +1,6 @@
 //! Runs one stand-in as a process.
 
-use std::{net::SocketAddr, process::ExitCode, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
 use bpaf::Bpaf;
 use fakes::{run_engine, run_platform, run_service};
@@ -18,6 +18,9 @@
         /// Time until a change of the host list shows, in milliseconds.
         #[bpaf(argument("MS"), fallback(0))]
         host_lag_ms: u64,
+        /// File that keeps objects and hosts across kills.
+        #[bpaf(argument("FILE"))]
+        kept: Option<PathBuf>,
     },
     /// A model engine.
     #[bpaf(command)]
@@ -38,20 +41,23 @@
         /// Time for each call, in milliseconds.
         #[bpaf(argument("MS"), fallback(5))]
         work_ms: u64,
+        /// File that keeps executions across kills.
+        #[bpaf(argument("FILE"))]
+        kept: Option<PathBuf>,
     },
 }
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let ended = match stand_in().run() {
-        StandIn::Platform { listen, host_lag_ms } => {
-            run_platform(listen, Duration::from_millis(host_lag_ms)).await
+        StandIn::Platform { listen, host_lag_ms, kept } => {
+            run_platform(listen, Duration::from_millis(host_lag_ms), kept.as_deref()).await
         }
         StandIn::Engine { listen, step_ms } => {
             run_engine(listen, Duration::from_millis(step_ms)).await
         }
-        StandIn::Service { listen, work_ms } => {
-            run_service(listen, Duration::from_millis(work_ms)).await
+        StandIn::Service { listen, work_ms, kept } => {
+            run_service(listen, Duration::from_millis(work_ms), kept.as_deref()).await
         }
     };
     match ended {
--- /dev/null
+++ b/crates/fakes/src/journal.rs
@@ -0,0 +1,56 @@
+//! What a stand-in keeps across kills: one JSON line a change.
+
+use std::{
+    fs::File,
+    io::{BufRead, BufReader, Write},
+    marker::PhantomData,
+    path::Path,
+    sync::{Mutex, PoisonError},
+};
+
+use error_stack::{Report, ResultExt};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::serve::FakeError;
+
+/// A file of changes; without a path nothing is kept.
+#[derive(Debug)]
+pub(crate) struct ChangeJournal<T> {
+    file: Option<Mutex<File>>,
+    change: PhantomData<fn(T)>,
+}
+
+impl<T: Serialize + DeserializeOwned> ChangeJournal<T> {
+    /// Opens a file and reads the changes that an earlier process kept.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be opened or read.
+    pub(crate) fn open(path: Option<&Path>) -> Result<(Self, Vec<T>), Report<FakeError>> {
+        let Some(path) = path else {
+            return Ok((Self { file: None, change: PhantomData }, Vec::new()));
+        };
+        let file = File::options().create(true).append(true).read(true).open(path);
+        let file = file.change_context(FakeError)?;
+        let lines = BufReader::new(&file).lines();
+        let changes = lines.map_while(Result::ok).filter_map(|line| parse(&line)).collect();
+        Ok((Self { file: Some(Mutex::new(file)), change: PhantomData }, changes))
+    }
+
+    /// Keeps a change before it is answered.
+    pub(crate) fn append(&self, change: &T) {
+        let Some(file) = &self.file else { return };
+        let Ok(mut line) = serde_json::to_vec(change) else { return };
+        line.push(b'\n');
+        let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(error) = file.write_all(&line) {
+            eprintln!("a change was not kept: {error}");
+            std::process::abort();
+        }
+    }
+}
+
+/// A line that a kill cut off was never answered.
+fn parse<T: DeserializeOwned>(line: &str) -> Option<T> {
+    serde_json::from_str(line).ok()
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 mod cache;
 mod engine;
 mod faults;
+mod journal;
 mod platform;
 mod serve;
 mod service;
@@ -17,6 +18,6 @@
     faults::{FaultOrder, FaultState},
     platform::run_platform,
     serve::FakeError,
-    service::run_service,
+    service::{ServiceRun, run_service},
     store::{ObjectStore, StoreGuard},
 };
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    path::Path,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -13,25 +14,36 @@
     http::{Method, StatusCode, header},
     writing::Json,
 };
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
 use crate::{
     faults::FaultState,
+    journal::ChangeJournal,
     serve::{FakeError, read_body, serve},
-    store::{ObjectStore, StoreGuard},
+    store::{ObjectStore, StoreGuard, StoredObject},
 };
 
 /// Runs the platform stand-in; changes of the host list show after `host_lag`.
 ///
+/// Objects and hosts are appended to the file `kept`, so that they outlive the process.
+///
 /// # Errors
 ///
-/// Fails when the address cannot be bound.
-pub async fn run_platform(listen: SocketAddr, host_lag: Duration) -> Result<(), Report<FakeError>> {
+/// Fails when the address cannot be bound or the file not read.
+pub async fn run_platform(
+    listen: SocketAddr,
+    host_lag: Duration,
+    kept: Option<&Path>,
+) -> Result<(), Report<FakeError>> {
     let faults = FaultState::default();
+    let (journal, changes) = ChangeJournal::open(kept)?;
+    let (store, hosts) = restore(changes);
     let state = Arc::new(PlatformState {
-        store: Mutex::default(),
-        hosts: Mutex::default(),
+        store: Mutex::new(store),
+        hosts: Mutex::new(hosts),
+        journal,
         calls: Mutex::default(),
         changed: Notify::new(),
         host_lag,
@@ -60,12 +72,20 @@
 struct PlatformState {
     store: Mutex<ObjectStore>,
     hosts: Mutex<Vec<HostChange>>,
+    journal: ChangeJournal<KeptChange>,
     calls: Mutex<BTreeMap<&'static str, u64>>,
     changed: Notify,
     host_lag: Duration,
     faults: FaultState,
 }
 
+/// A change that outlives the process.
+#[derive(Debug, Serialize, Deserialize)]
+enum KeptChange {
+    Object(StoredObject),
+    Host(Box<str>, Option<Value>),
+}
+
 struct HostChange {
     name: Box<str>,
     row: Option<Value>,
@@ -131,6 +151,7 @@
         let name = req.param::<String>("name").unwrap_or_default();
         let body = read_body(req).await;
         let row = serde_json::from_slice(&body).ok().filter(|_| req.method() == Method::PUT);
+        self.0.journal.append(&KeptChange::Host(name.as_str().into(), row.clone()));
         let change = HostChange { name: name.into(), row, made: Instant::now() };
         lock(&self.0.hosts).push(change);
     }
@@ -166,7 +187,7 @@
             res.status_code(StatusCode::BAD_REQUEST);
             return;
         };
-        let written = lock(&self.store).write(&object_key(req), store_guard(req), value);
+        let written = self.write_kept(&object_key(req), store_guard(req), value);
         match written {
             Some(version) => {
                 self.changed.notify_waiters();
@@ -178,6 +199,15 @@
         }
     }
 
+    fn write_kept(&self, key: &str, guard: StoreGuard, value: Option<Value>) -> Option<u64> {
+        let mut store = lock(&self.store);
+        let version = store.write(key, guard, value)?;
+        if let Some(change) = store.last_change() {
+            self.journal.append(&KeptChange::Object(change.clone()));
+        }
+        Some(version)
+    }
+
     async fn watch(&self, req: &Request, res: &mut Response) {
         let prefix = req.query::<String>("prefix").unwrap_or_default();
         let since = req.query::<u64>("since").unwrap_or_default();
@@ -219,6 +249,20 @@
     }
 }
 
+fn restore(changes: Vec<KeptChange>) -> (ObjectStore, Vec<HostChange>) {
+    let mut store = ObjectStore::default();
+    let mut hosts = Vec::new();
+    for change in changes {
+        match change {
+            KeptChange::Object(object) => store.restore(object),
+            KeptChange::Host(name, row) => {
+                hosts.push(HostChange { name, row, made: Instant::now() });
+            }
+        }
+    }
+    (store, hosts)
+}
+
 fn object_key(req: &Request) -> String {
     req.param::<String>("key").unwrap_or_default()
 }
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -3,30 +3,55 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    path::Path,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use error_stack::Report;
 use salvo::{
-    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode,
-    writing::Json,
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
+    http::StatusCode,
+    writing::{Json, Text},
 };
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::{
     faults::FaultState,
+    journal::ChangeJournal,
     serve::{FakeError, read_body, serve},
 };
 
+/// One execution of an operation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRun {
+    /// Idempotency key of the call.
+    pub operation: Box<str>,
+    /// Request key that the router gave.
+    pub request: Box<str>,
+    /// Body of the call.
+    pub content: Box<str>,
+    /// Body of the answer.
+    pub answer: Box<str>,
+}
+
 /// Runs a plain service stand-in whose calls take `work`.
 ///
+/// Executions are appended to the file `kept`, so that they outlive the process.
+///
 /// # Errors
 ///
 /// Fails when the address cannot be bound.
-pub async fn run_service(listen: SocketAddr, work: Duration) -> Result<(), Report<FakeError>> {
+pub async fn run_service(
+    listen: SocketAddr,
+    work: Duration,
+    kept: Option<&Path>,
+) -> Result<(), Report<FakeError>> {
     let faults = FaultState::default();
-    let state = Arc::new(ServiceState { runs: Mutex::default(), work, faults: faults.clone() });
+    let (journal, _) = ChangeJournal::open(kept)?;
+    let state =
+        Arc::new(ServiceState { runs: Mutex::default(), journal, work, faults: faults.clone() });
     let router = Router::new()
         .push(Router::with_path("runs").get(RunsHandler(state.clone())))
         .push(Router::with_path("{**path}").goal(CallHandler(state)));
@@ -35,6 +60,7 @@
 
 struct ServiceState {
     runs: Mutex<BTreeMap<String, u64>>,
+    journal: ChangeJournal<ServiceRun>,
     work: Duration,
     faults: FaultState,
 }
@@ -54,7 +80,8 @@
             return;
         }
         let operation = req.header::<String>("idempotency-key").unwrap_or_default();
-        let run = state.count_run(&operation);
+        let request = req.header::<String>("x-request-id").unwrap_or_default();
+        let answer = state.run(&operation, &request, &String::from_utf8_lossy(&body));
         state.faults.delay().await;
         tokio::time::sleep(state.work).await;
         if state.faults.take_lost_answer() {
@@ -63,8 +90,7 @@
         if let Some(value) = req.headers().get("x-request-id") {
             res.headers_mut().insert("x-request-id", value.clone());
         }
-        let text = String::from_utf8_lossy(&body);
-        res.render(Json(json!({ "operation": operation, "run": run, "echo": text })));
+        res.render(Text::Json(answer));
     }
 }
 
@@ -77,6 +103,21 @@
 }
 
 impl ServiceState {
+    /// Executes a call; from here on it cannot be taken back.
+    fn run(&self, operation: &str, request: &str, content: &str) -> String {
+        let run = self.count_run(operation);
+        let answer =
+            json!({ "operation": operation, "run": run, "request": request, "echo": content });
+        let answer = answer.to_string();
+        self.journal.append(&ServiceRun {
+            operation: operation.into(),
+            request: request.into(),
+            content: content.into(),
+            answer: answer.as_str().into(),
+        });
+        answer
+    }
+
     fn count_run(&self, operation: &str) -> u64 {
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         let count = runs.entry(operation.to_owned()).or_default();
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -68,6 +68,22 @@
         Some(self.revision)
     }
 
+    /// The latest change.
+    pub fn last_change(&self) -> Option<&StoredObject> {
+        self.log.last()
+    }
+
+    /// Takes over a change that an earlier process made.
+    pub fn restore(&mut self, object: StoredObject) {
+        self.revision = self.revision.max(object.version);
+        if object.value.is_some() {
+            self.objects.insert(object.key.clone(), object.clone());
+        } else {
+            self.objects.remove(&object.key);
+        }
+        self.log.push(object);
+    }
+
     /// Objects whose keys start with a prefix.
     pub fn list(&self, prefix: &str) -> Vec<StoredObject> {
         let from = self.objects.range(Box::<str>::from(prefix)..);
--- a/crates/io-router/src/ledger.rs
+++ b/crates/io-router/src/ledger.rs
@@ -7,8 +7,8 @@
 use error_stack::Report;
 use io_platform::{ObjectKey, ObjectRecord, PlatformClient, PlatformError, WriteGuard};
 use state_ledger::{
-    CallAnswer, LedgerBook, LedgerCall, LedgerEffect, LedgerOrder, OperationRecord, RecordGuard,
-    WallTime,
+    CallAnswer, ClaimOutcome, LedgerBook, LedgerCall, LedgerEffect, LedgerOrder, OperationRecord,
+    RecordGuard, WallTime,
 };
 
 use crate::handle::{LoopHandle, LoopInput};
@@ -34,6 +34,11 @@
         request: Option<RequestKey>,
         order: LedgerOrder,
     ) -> Vec<Event> {
+        if cfg!(feature = "broken-ledger")
+            && let (LedgerOrder::Claim(_), Some(request)) = (&order, request)
+        {
+            return vec![Event::ClaimAnswered(request, ClaimOutcome::Held)];
+        }
         match (&order, request) {
             (LedgerOrder::Claim(claim) | LedgerOrder::Complete(claim, _), Some(request)) => {
                 self.requests.insert(claim.attempt, request);
--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -8,7 +8,7 @@
 };
 
 use error_stack::{Report, ResultExt};
-use fakes::FaultOrder;
+use fakes::{FaultOrder, ServiceRun};
 use http::Method;
 use serde_json::{Value, json};
 
@@ -16,6 +16,7 @@
 
 const READY_POLL: Duration = Duration::from_millis(20);
 const READY_POLLS_MAX: u32 = 500;
+const KEPT_SUFFIX: &str = "kept";
 
 /// The fleet could not be started or called.
 #[derive(Debug)]
@@ -145,6 +146,7 @@
     /// Fails when a process does not start or does not answer in time.
     pub async fn start(plan: FleetPlan) -> Result<Self, Report<FleetError>> {
         fs::create_dir_all(&plan.workdir).change_context(FleetError)?;
+        drop_kept(&plan.workdir).change_context(FleetError)?;
         let mut ports = PortSource::new();
         let mut fleet = Self::lay_out(plan, &mut ports);
         fleet.start_platform()?;
@@ -168,6 +170,22 @@
         &self.caller
     }
 
+    /// All executions of the plain services, those of killed processes included.
+    ///
+    /// # Errors
+    ///
+    /// Fails when what a service kept cannot be read.
+    pub fn service_runs(&self) -> Result<Vec<ServiceRun>, Report<FleetError>> {
+        let mut runs = Vec::new();
+        for service in &self.services {
+            let text = fs::read_to_string(self.kept_path(&service.host));
+            let text = text.change_context(FleetError)?;
+            let lines = text.lines().filter_map(|line| serde_json::from_str(line).ok());
+            runs.extend(lines);
+        }
+        Ok(runs)
+    }
+
     /// Starts the platform's process.
     ///
     /// # Errors
@@ -176,7 +194,8 @@
     pub fn start_platform(&mut self) -> Result<(), Report<FleetError>> {
         let listen = self.platform.to_string();
         let lag = self.plan.host_lag.as_millis().to_string();
-        let arguments = ["platform", "--listen", &listen, "--host-lag-ms", &lag];
+        let kept = self.kept_path("platform").display().to_string();
+        let arguments = ["platform", "--listen", &listen, "--host-lag-ms", &lag, "--kept", &kept];
         self.platform_process = Some(self.start_program("stand-in", &arguments, "platform")?);
         Ok(())
     }
@@ -219,8 +238,9 @@
     pub fn start_service(&mut self, index: usize) -> Result<(), Report<FleetError>> {
         let service = &self.services[index];
         let listen = service.address.to_string();
-        let process =
-            self.start_program("stand-in", &["service", "--listen", &listen], &service.host)?;
+        let kept = self.kept_path(&service.host).display().to_string();
+        let arguments = ["service", "--listen", &listen, "--kept", &kept];
+        let process = self.start_program("stand-in", &arguments, &service.host)?;
         self.services[index].process = Some(process);
         Ok(())
     }
@@ -348,6 +368,10 @@
         Self { plan, caller, platform, platform_process: None, routers, engines, services }
     }
 
+    fn kept_path(&self, host: &str) -> PathBuf {
+        self.plan.workdir.join(format!("{host}.{KEPT_SUFFIX}"))
+    }
+
     fn settings_text(&self, router: &RouterProcess) -> String {
         format!(
             "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
@@ -427,3 +451,14 @@
         Err(Report::new(FleetError).attach(format!("{address} does not answer in time")))
     }
 }
+
+/// A new fleet starts with nothing that an earlier one kept.
+fn drop_kept(workdir: &Path) -> std::io::Result<()> {
+    for entry in fs::read_dir(workdir)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|suffix| suffix == KEPT_SUFFIX) {
+            fs::remove_file(path)?;
+        }
+    }
+    Ok(())
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod ci;
 mod demo;
 mod steps;
+mod torture;
 
 use std::process::ExitCode;
 
@@ -21,11 +22,26 @@
         /// Leaves the fleet up until a line is read from standard input.
         keep: bool,
     },
+    /// Kills, freezes and cuts off a fleet's processes and judges the history of its calls.
+    #[bpaf(command)]
+    Torture {
+        /// Time for which faults are shown, in minutes.
+        #[bpaf(argument("MINUTES"), fallback(1.0))]
+        minutes: f64,
+        /// Seed of callers and faults.
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Tortures a build whose ledger does not wait for its claims; this must fail.
+        broken: bool,
+    },
 }
 
 fn main() -> ExitCode {
     let ended = match task().run() {
         Task::Ci => ci::run_ci(),
+        Task::Torture { minutes, seed, broken } => {
+            torture::run_torture(torture::TorturePlan { minutes, seed, broken })
+        }
         Task::Demo { keep } => demo::run_demo(keep),
     };
     match ended {
