--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -80,6 +80,7 @@
         match event {
             Event::Arrived(arrival) => self.on_arrival(now, arrival),
             Event::ClaimAnswered(request, outcome) => self.on_claim(now, request, outcome),
+            Event::AnswerRecorded(request) => self.on_recorded(now, request),
             Event::AttemptUnsent(request, attempt) => self.on_unsent(now, request, attempt),
             Event::AttemptEnded(request, attempt, end) => self.on_end(now, request, attempt, end),
             Event::CallerLeft(request) => self.on_caller_left(now, request),
@@ -89,6 +90,7 @@
             Event::LoadHeard(target, report) => self.on_load(target, report),
             Event::NoticeHeard(notice) => self.on_notice(now, notice),
             Event::ShutdownAsked => self.leaving = true,
+            Event::StopForced => self.on_stop_forced(now),
             Event::TimerFired => self.on_timer(now),
         }
         self.tell_load(now);
