Encrypted links between routers

Cause: routers have to tell each other who lives, which rows are in force and what they carry, and nothing joined them yet.

Ruled out: one link for each pair of host name and address taken from settings, as hosts are replaced at any time: the host of a peer is read from its certificate. Estimating bytes from messages, as handshakes and acknowledgements cost more than the payloads: the socket itself counts.

Change: `io-wire` with QUIC, mutual TLS from PEM texts, the protocol version in ALPN, postcard messages of at most 256 KiB, calls with a reply, counts by kind; `io_wire::keys` makes a fleet authority and host certificates. Settings name the peer address, seeds, key files and the budget; the local fleet writes them; entry rows of the host list carry the peer address. Routers do not bind the socket yet.

Conclusion: a peer of another fleet or of an old version gets no link and is counted, and others are not affected.

--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -1,11 +1,13 @@
 //! The settings and their checks.
 
-use std::{fmt, net::SocketAddr};
+use std::{fmt, net::SocketAddr, path::PathBuf};
 
 use base_types::{DomainName, HostName};
 use error_stack::{Report, ResultExt};
 use serde::Deserialize;
 
+const DEFAULT_CONTROL_BYTES: u32 = 3_000;
+
 /// Settings of one router process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -20,6 +22,28 @@
     pub operator_listen: SocketAddr,
     /// Address of the platform's API.
     pub platform: SocketAddr,
+    /// Address that other routers connect to, over UDP.
+    pub peer_listen: SocketAddr,
+    /// Peer addresses of some other routers, asked when the platform cannot be reached.
+    #[serde(default)]
+    pub peer_seeds: Vec<SocketAddr>,
+    /// Files that make this host a member of its fleet.
+    pub peer_tls: PeerTlsSettings,
+    /// Bytes of control traffic that this router may send each second.
+    #[serde(default = "default_control_bytes")]
+    pub control_bytes_per_second: u32,
+}
+
+/// Files that make a host a member of its fleet, in PEM.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerTlsSettings {
+    /// Certificate of the fleet's authority.
+    pub ca: PathBuf,
+    /// Certificate of this host.
+    pub certificate: PathBuf,
+    /// Private key of this host.
+    pub key: PathBuf,
 }
 
 /// The settings cannot be used.
@@ -45,3 +69,7 @@
         Ok(settings)
     }
 }
+
+fn default_control_bytes() -> u32 {
+    DEFAULT_CONTROL_BYTES
+}
--- a/crates/core-router/src/event.rs
+++ b/crates/core-router/src/event.rs
@@ -1,5 +1,7 @@
 //! Events that the core takes and effects that it asks for.
 
+use std::net::SocketAddr;
+
 use base_types::{
     Arrival, AttemptKey, ContentDigest, DomainName, HostName, NotRunCode, OperationName,
     PeerNotice, PoolName, Refusal, RequestKey, TargetKey, UnknownCode, key_types, message_types,
@@ -42,6 +44,8 @@
         pub group: Box<str>,
         /// IP address and port.
         pub address: Box<str>,
+        /// Address that other routers connect to; only on entry hosts.
+        pub peer: Option<SocketAddr>,
         /// Failure domain of the host.
         pub failure_domain: DomainName,
         /// Whether the host stays.
--- a/crates/io-platform/src/objects.rs
+++ b/crates/io-platform/src/objects.rs
@@ -1,5 +1,7 @@
 //! Objects and lists as the platform's API shows them.
 
+use std::net::SocketAddr;
+
 use base_types::{DomainName, HostName, RowVersion, key_types, name_types, value_types};
 use serde_json::Value;
 
@@ -67,6 +69,9 @@
         pub group: Box<str>,
         /// IP address and port.
         pub address: Box<str>,
+        /// Address that other routers connect to; only on entry hosts.
+        #[serde(default)]
+        pub peer: Option<SocketAddr>,
         /// Failure domain of the host.
         pub failure_domain: DomainName,
         /// Whether the host stays, `live` or `leaving`.
--- a/crates/io-router/src/platform.rs
+++ b/crates/io-router/src/platform.rs
@@ -109,6 +109,7 @@
         role: if &*row.role == "entry" { HostRole::Entry } else { HostRole::Target },
         group: row.group,
         address: row.address,
+        peer: row.peer,
         failure_domain: row.failure_domain,
         state: if &*row.state == "live" { HostState::Live } else { HostState::Leaving },
     }
--- /dev/null
+++ b/crates/io-wire/src/endpoint.rs
@@ -0,0 +1,183 @@
+//! The socket of a process: it accepts and dials links.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use quinn::{
+    AckFrequencyConfig, ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, Runtime,
+    ServerConfig, TokioRuntime, TransportConfig, VarInt,
+};
+use tokio::sync::{Semaphore, mpsc};
+
+use crate::{
+    MESSAGE_BYTES_MAX, PeerLink, PeerTls, TrafficCounter, WireError,
+    identity::{PROTOCOL, peer_host},
+    keys::FLEET_NAME,
+    socket::CountedSocket,
+};
+
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+const HANDSHAKES_MAX: usize = 64;
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+const STREAMS_MAX: u32 = 16;
+const LINK_BUFFER_BYTES: u32 = 2 * MESSAGE_BYTES_MAX as u32;
+const DATAGRAM_BUFFER_BYTES: usize = 64 * 1024;
+const ACK_DELAY: Duration = Duration::from_millis(600);
+const ACK_THRESHOLD: u32 = 8;
+const ACCEPTED_QUEUE: usize = 16;
+const CLOSE_UNNAMED: VarInt = VarInt::from_u32(2);
+
+/// The peer socket of a process; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct WireEndpoint {
+    endpoint: Endpoint,
+    counter: TrafficCounter,
+}
+
+impl WireEndpoint {
+    /// Binds the socket and accepts links from hosts of the same fleet; must be called within a
+    /// tokio runtime. Accepted links arrive on the returned channel.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the keys cannot be used or the address cannot be bound.
+    pub fn bind(
+        listen: SocketAddr,
+        tls: &PeerTls,
+    ) -> Result<(Self, mpsc::Receiver<PeerLink>), Report<WireError>> {
+        Self::bind_protocol(listen, tls, PROTOCOL)
+    }
+
+    /// As [`Self::bind`], speaking another protocol version; it meets only its like.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::bind`].
+    pub fn bind_protocol(
+        listen: SocketAddr,
+        tls: &PeerTls,
+        protocol: &[u8],
+    ) -> Result<(Self, mpsc::Receiver<PeerLink>), Report<WireError>> {
+        let counter = TrafficCounter::default();
+        let transport = Arc::new(transport_config());
+        let mut server = ServerConfig::with_crypto(Arc::new(tls.server_config(protocol)?));
+        server.transport_config(transport.clone()).max_incoming(HANDSHAKES_MAX);
+        server.migration(false);
+        let mut client = ClientConfig::new(Arc::new(tls.client_config(protocol)?));
+        client.transport_config(transport);
+        let socket = counted_socket(listen, counter.clone())?;
+        let mut endpoint = Endpoint::new_with_abstract_socket(
+            EndpointConfig::default(),
+            Some(server),
+            socket,
+            Arc::new(TokioRuntime),
+        )
+        .change_context(WireError::Bind)?;
+        endpoint.set_default_client_config(client);
+        let (sender, receiver) = mpsc::channel(ACCEPTED_QUEUE);
+        let wire = Self { endpoint, counter };
+        tokio::spawn(wire.clone().accept_links(sender));
+        Ok((wire, receiver))
+    }
+
+    /// Dials a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer does not answer in time, or either side refuses the other.
+    pub async fn connect(&self, address: SocketAddr) -> Result<PeerLink, Report<WireError>> {
+        let connecting = self.endpoint.connect(address, FLEET_NAME);
+        let connecting = connecting.change_context(WireError::Unreachable)?;
+        let connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, connecting)
+            .await
+            .change_context(WireError::Unreachable)?
+            .change_context(WireError::Refused)?;
+        self.name_link(connection)
+    }
+
+    /// Counts of this socket's traffic.
+    pub fn traffic(&self) -> &TrafficCounter {
+        &self.counter
+    }
+
+    /// Closes the socket and all of its links, and waits until the peers were told.
+    pub async fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"");
+        let _ = tokio::time::timeout(HANDSHAKE_TIMEOUT, self.endpoint.wait_idle()).await;
+    }
+
+    async fn accept_links(self, links: mpsc::Sender<PeerLink>) {
+        let slots = Arc::new(Semaphore::new(HANDSHAKES_MAX));
+        while let Some(incoming) = self.endpoint.accept().await {
+            let Ok(slot) = slots.clone().try_acquire_owned() else {
+                self.counter.add_refused_peer();
+                incoming.refuse();
+                continue;
+            };
+            let wire = self.clone();
+            let links = links.clone();
+            tokio::spawn(async move {
+                let accepted = wire.accept_one(incoming).await;
+                drop(slot);
+                match accepted {
+                    Ok(link) => drop(links.send(link).await),
+                    Err(report) => {
+                        wire.counter.add_refused_peer();
+                        log::warn!("peer refused: {report:?}");
+                    }
+                }
+            });
+        }
+    }
+
+    async fn accept_one(&self, incoming: Incoming) -> Result<PeerLink, Report<WireError>> {
+        let connection = tokio::time::timeout(HANDSHAKE_TIMEOUT, incoming)
+            .await
+            .change_context(WireError::Unreachable)?
+            .change_context(WireError::Refused)?;
+        self.name_link(connection)
+    }
+
+    fn name_link(&self, connection: Connection) -> Result<PeerLink, Report<WireError>> {
+        let Some(host) = peer_host(&connection) else {
+            connection.close(CLOSE_UNNAMED, b"");
+            return Err(Report::new(WireError::Refused).attach("the certificate names no host"));
+        };
+        Ok(PeerLink::new(connection, host, self.counter.clone()))
+    }
+}
+
+fn counted_socket(
+    listen: SocketAddr,
+    counter: TrafficCounter,
+) -> Result<Arc<CountedSocket>, Report<WireError>> {
+    let socket = UdpSocket::bind(listen)
+        .change_context(WireError::Bind)
+        .attach_with(|| format!("cannot bind {listen}"))?;
+    let inner = TokioRuntime.wrap_udp_socket(socket).change_context(WireError::Bind)?;
+    Ok(Arc::new(CountedSocket { inner, counter }))
+}
+
+/// Acknowledgements wait for the next heartbeat to ride on, as each costs a datagram of its own.
+fn transport_config() -> TransportConfig {
+    let mut ack = AckFrequencyConfig::default();
+    ack.ack_eliciting_threshold(VarInt::from_u32(ACK_THRESHOLD));
+    ack.max_ack_delay(Some(ACK_DELAY));
+    let mut config = TransportConfig::default();
+    config
+        .max_concurrent_uni_streams(VarInt::from_u32(STREAMS_MAX))
+        .max_concurrent_bidi_streams(VarInt::from_u32(STREAMS_MAX))
+        .stream_receive_window(VarInt::from_u32(MESSAGE_BYTES_MAX as u32))
+        .receive_window(VarInt::from_u32(LINK_BUFFER_BYTES))
+        .send_window(u64::from(LINK_BUFFER_BYTES))
+        .datagram_receive_buffer_size(Some(DATAGRAM_BUFFER_BYTES))
+        .datagram_send_buffer_size(DATAGRAM_BUFFER_BYTES)
+        .max_idle_timeout(IDLE_TIMEOUT.try_into().ok())
+        .mtu_discovery_config(None)
+        .ack_frequency_config(Some(ack));
+    config
+}
--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -7,13 +7,16 @@
     time::Duration,
 };
 
+use base_types::HostName;
 use error_stack::{Report, ResultExt};
 use fakes::FaultOrder;
 use http::Method;
+use io_wire::keys::FleetAuthority;
 use serde_json::{Value, json};
 
 use crate::{HttpCaller, ports::PortSource, process::ChildProcess};
 
+const SEEDS: usize = 3;
 const READY_POLL: Duration = Duration::from_millis(20);
 const READY_POLLS_MAX: u32 = 500;
 
@@ -147,6 +150,7 @@
         fs::create_dir_all(&plan.workdir).change_context(FleetError)?;
         let mut ports = PortSource::new();
         let mut fleet = Self::lay_out(plan, &mut ports);
+        fleet.write_keys()?;
         fleet.start_platform()?;
         fleet.wait_answer(fleet.platform, "/calls").await?;
         for index in 0..fleet.engines.len() {
@@ -351,11 +355,48 @@
     fn settings_text(&self, router: &RouterProcess) -> String {
         format!(
             "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
-             operator_listen = \"{}\"\nplatform = \"{}\"\n",
-            router.host, router.failure_domain, router.caller, router.operator, self.platform,
+             operator_listen = \"{}\"\nplatform = \"{}\"\npeer_listen = \"{}\"\n\
+             peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n",
+            router.host,
+            router.failure_domain,
+            router.caller,
+            router.operator,
+            self.platform,
+            router.peer,
+            self.seed_list(router),
+            self.key_path("authority.crt").display(),
+            self.key_path(&format!("{}.crt", router.host)).display(),
+            self.key_path(&format!("{}.key", router.host)).display(),
         )
     }
 
+    /// Peer addresses of the next few routers, which stand in a router's settings.
+    fn seed_list(&self, router: &RouterProcess) -> String {
+        let own = self.routers.iter().position(|other| other.host == router.host).unwrap_or(0);
+        let seeds = (1..self.routers.len()).take(SEEDS);
+        let seeds = seeds.map(|step| &self.routers[(own + step) % self.routers.len()].peer);
+        seeds.map(|peer| format!("\"{peer}\"")).collect::<Vec<_>>().join(", ")
+    }
+
+    fn key_path(&self, name: &str) -> PathBuf {
+        self.plan.workdir.join(name)
+    }
+
+    /// Writes the certificates of a new fleet authority.
+    fn write_keys(&self) -> Result<(), Report<FleetError>> {
+        let authority = FleetAuthority::generate().change_context(FleetError)?;
+        let certificate = authority.files().certificate.as_bytes();
+        fs::write(self.key_path("authority.crt"), certificate).change_context(FleetError)?;
+        for router in &self.routers {
+            let files = authority.issue(&HostName::new(&router.host)).change_context(FleetError)?;
+            let certificate = self.key_path(&format!("{}.crt", router.host));
+            fs::write(certificate, files.certificate.as_bytes()).change_context(FleetError)?;
+            let key = self.key_path(&format!("{}.key", router.host));
+            fs::write(key, files.key.as_bytes()).change_context(FleetError)?;
+        }
+        Ok(())
+    }
+
     fn start_program(
         &self,
         program: &str,
@@ -370,7 +411,8 @@
         for router in &self.routers {
             let row = json!({
                 "name": router.host, "role": "entry", "group": "router", "state": "live",
-                "address": router.caller.to_string(), "failure_domain": router.failure_domain,
+                "address": router.caller.to_string(), "peer": router.peer.to_string(),
+                "failure_domain": router.failure_domain,
             });
             self.list_host(&router.host, Some(&row)).await?;
         }
