--- a/crates/core-router/tests/shares.rs
+++ b/crates/core-router/tests/shares.rs
@@ -10,6 +10,7 @@
         role: HostRole::Target,
         group: "runners".into(),
         address: "127.0.0.1:1".into(),
+        peer: None,
         failure_domain: base_types::DomainName::new("a"),
         state: HostState::Live,
     }
