--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -11,5 +11,8 @@
 pub use crate::{
     fault::{SettingsError, SettingsFault},
     secret::SecretValue,
-    settings::{FileReader, LimitSettings, LogFormat, LogSettings, RouterSettings, TlsSettings},
+    settings::{
+        FileReader, LimitSettings, LogFormat, LogSettings, PeerSettings, PeerTlsSettings,
+        RouterSettings, TlsSettings,
+    },
 };
