Relay answers in whole events, resume them, and leave in order

Cause: a stream past its deadline went on unheard by the core, a broken stream was never resumed, and SIGTERM ended the loop before the last bytes were written and while entry answers still named the router.

It asks the same target to go on after the last whole event when the stream breaks. Shutdown lingers while callers may hold an older answer, drains, and flushes the ports; a second signal or the drain deadline answers and logs each request that is cut.

--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -13,6 +13,6 @@
     secret::SecretValue,
     settings::{
         FileReader, LimitSettings, LogFormat, LogSettings, PeerSettings, PeerTlsSettings,
-        RouterSettings, TlsSettings,
+        RouterSettings, StopSettings, TlsSettings,
     },
 };
--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod logs;
 mod peers;
+mod stop;
 mod tls;
 
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
     limits::LimitSettings,
     logs::{LogFormat, LogSettings},
     peers::{PeerSettings, PeerTlsSettings},
+    stop::StopSettings,
     tls::TlsSettings,
 };
 use crate::{
@@ -50,6 +52,8 @@
     pub limits: LimitSettings,
     /// What is logged and how.
     pub log: LogSettings,
+    /// How the router takes its leave.
+    pub stop: StopSettings,
 }
 
 impl RouterSettings {
@@ -89,6 +93,7 @@
         let operator_tls = TlsSettings::read(root, "operator_tls", files);
         let limits = LimitSettings::read(root);
         let log = LogSettings::read(root);
+        let stop = StopSettings::read(root);
         Some(Self {
             host: HostName::new(host?),
             failure_domain: DomainName::new(failure_domain?),
@@ -100,6 +105,7 @@
             operator_tls,
             limits,
             log,
+            stop,
         })
     }
 }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -106,7 +106,11 @@
         if let Some(value) = req.headers().get("x-request-id") {
             res.headers_mut().insert("x-request-id", value.clone());
         }
-        let run = GenerationRun::begin(state, &chat);
+        let resumed = req.header::<u32>("last-event-id");
+        let run = GenerationRun::begin(state, &chat, resumed.map_or(0, |last| last + 1));
+        if let Some(last) = resumed {
+            res.headers_mut().insert("x-resumed-after", HeaderValue::from(last));
+        }
         let in_flight = run.state.counts.in_flight.load(Ordering::Relaxed);
         res.headers_mut().insert("x-engine-in-flight", HeaderValue::from(in_flight));
         let event_stream = HeaderValue::from_static("text/event-stream");
@@ -139,6 +143,8 @@
 struct GenerationRun {
     state: Arc<EngineState>,
     digest: u64,
+    /// Index of the first token to stream; a resumed stream starts later than at zero.
+    first: u32,
     tokens: u32,
     prefill: Duration,
     cached: usize,
@@ -146,7 +152,7 @@
 }
 
 impl GenerationRun {
-    fn begin(state: Arc<EngineState>, chat: &ChatBody) -> Self {
+    fn begin(state: Arc<EngineState>, chat: &ChatBody, first: u32) -> Self {
         let prompt: String = chat.messages.iter().map(|message| &*message.content).collect();
         let cached = {
             let mut cache = state.cache.lock().unwrap_or_else(PoisonError::into_inner);
@@ -161,6 +167,7 @@
         let prefill = PREFILL_PER_KILOBYTE * u32::try_from(uncached / 1024).unwrap_or(u32::MAX);
         Self {
             digest: xxh3::xxh3_64(prompt.as_bytes()),
+            first,
             tokens: chat.max_tokens.unwrap_or(TOKENS_DEFAULT),
             prefill,
             cached,
@@ -172,10 +179,10 @@
     /// Streams the tokens; each names the prompt's digest, so that a caller knows its own answer.
     async fn generate(mut self, sender: mpsc::Sender<Piece>) {
         tokio::time::sleep(self.prefill).await;
-        for index in 0..self.tokens {
+        for index in self.first..self.tokens {
             tokio::time::sleep(self.state.step).await;
             let text = json!({ "index": index, "token": format!("{:016x}-{index}", self.digest) });
-            if sender.send(Ok(format!("data: {text}\n\n").into())).await.is_err() {
+            if sender.send(Ok(format!("data: {text}\nid: {index}\n\n").into())).await.is_err() {
                 return;
             }
             if self.state.faults.take_cut_answer() {
--- a/crates/io-router/src/forward.rs
+++ b/crates/io-router/src/forward.rs
@@ -1,32 +1,24 @@
 //! Sending requests to targets and checking that their answers are whole.
 
-use std::{
-    pin::Pin,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::time::Duration;
 
-use base_types::{AttemptKey, RequestKey, UnknownCode};
+use base_types::{RequestKey, UnknownCode};
 use bytes::Bytes;
-use core_router::{AttemptEnd, Event, StoredAnswer};
-use futures_util::Stream;
-use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use core_router::StoredAnswer;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
 
-use crate::{
-    answer::{REQUEST_ID, request_text},
-    handle::{CallerGuard, LoopHandle},
-};
+use crate::answer::{REQUEST_ID, request_text};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const STORED_ANSWER_BYTES_MAX: usize = 256 * 1024;
-const STREAM_END: &[u8] = b"[DONE]";
-const TAIL_BYTES: usize = 64;
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const RESUMED_AFTER: HeaderName = HeaderName::from_static("x-resumed-after");
 
 type TargetClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -55,8 +47,8 @@
 pub(crate) struct BegunAnswer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    first: Option<Bytes>,
-    body: Incoming,
+    pub(crate) first: Option<Bytes>,
+    pub(crate) body: Incoming,
 }
 
 /// Clients towards targets.
@@ -90,6 +82,27 @@
         }
     }
 
+    /// Asks a target to go on with an answer after an event; `None` when it does not.
+    pub(crate) async fn resume(
+        &self,
+        call: &CallerRequest,
+        address: &str,
+        last: &str,
+    ) -> Option<BegunAnswer> {
+        let mut request = build_request(call, address)?;
+        let last = HeaderValue::from_str(last).ok()?;
+        request.headers_mut().insert(LAST_EVENT, last.clone());
+        let response = self.fresh.request(request).await.ok()?;
+        let confirmed = response.headers().get(RESUMED_AFTER) == Some(&last);
+        if !confirmed || !response.status().is_success() {
+            return None;
+        }
+        match begin_answer(call, response).await {
+            SendEnd::Answered(answer) => Some(answer),
+            SendEnd::Unsent | SendEnd::Lost(_) => None,
+        }
+    }
+
     /// Sends a call that may not be repeated, on a connection of its own, and reads its answer.
     ///
     /// A fresh connection makes a refused connection proof that no byte was sent.
@@ -129,139 +142,12 @@
 }
 
 impl BegunAnswer {
-    /// The answer's body as a stream that tells the core how it ended.
-    pub(crate) fn into_stream(
-        self,
-        handle: LoopHandle,
-        request: RequestKey,
-        attempt: AttemptKey,
-        guard: CallerGuard,
-    ) -> AnswerStream {
-        let framed = content_type(&self.headers).starts_with("text/event-stream");
-        AnswerStream {
-            first: self.first,
-            body: self.body,
-            tail: Vec::new(),
-            framed,
-            state: StreamState::Running,
-            handle,
-            request,
-            attempt,
-            guard,
-        }
-    }
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum StreamState {
-    Running,
-    Failed,
-    Ended,
-}
-
-/// Body of an answer on its way to the caller.
-///
-/// An event stream that ends without its end mark is given an explicit error event and then
-/// broken off, so that a short answer never looks whole.
-pub(crate) struct AnswerStream {
-    first: Option<Bytes>,
-    body: Incoming,
-    tail: Vec<u8>,
-    framed: bool,
-    state: StreamState,
-    handle: LoopHandle,
-    request: RequestKey,
-    attempt: AttemptKey,
-    guard: CallerGuard,
-}
-
-impl AnswerStream {
-    fn on_piece(&mut self, piece: Bytes) -> Bytes {
-        if self.framed {
-            self.tail.extend_from_slice(&piece[piece.len().saturating_sub(TAIL_BYTES)..]);
-            let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
-            self.tail.drain(..surplus);
-        }
-        piece
-    }
-
-    fn is_whole(&self) -> bool {
-        let end = self.tail.windows(STREAM_END.len()).any(|window| window == STREAM_END);
-        !self.framed || end
-    }
-
-    fn finish(&mut self, end: AttemptEnd) {
-        self.guard.finish();
-        self.handle.post(Event::AttemptEnded(self.request, self.attempt, end));
-    }
-
-    fn on_failure(&mut self) -> Poll<Option<Result<Bytes, AnswerCutError>>> {
-        self.finish(AttemptEnd::LostLate);
-        if !self.framed {
-            self.state = StreamState::Ended;
-            return Poll::Ready(Some(Err(AnswerCutError)));
-        }
-        self.state = StreamState::Failed;
-        let row = UnknownCode::AnswerCut.row();
-        let event = format!(
-            "\n\nevent: error\ndata: {{\"code\":{},\"kind\":\"{}\",\"message\":\"{}\",\"request_id\":\"{}\"}}\n\n",
-            row.number,
-            row.kind.as_str(),
-            row.sentence,
-            request_text(self.request),
-        );
-        Poll::Ready(Some(Ok(event.into())))
-    }
-}
-
-impl Stream for AnswerStream {
-    type Item = Result<Bytes, AnswerCutError>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        match self.state {
-            StreamState::Running => {}
-            StreamState::Failed => {
-                self.state = StreamState::Ended;
-                return Poll::Ready(Some(Err(AnswerCutError)));
-            }
-            StreamState::Ended => return Poll::Ready(None),
-        }
-        if let Some(first) = self.first.take() {
-            let piece = self.on_piece(first);
-            return Poll::Ready(Some(Ok(piece)));
-        }
-        loop {
-            let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
-            match frame {
-                Some(Ok(frame)) => {
-                    let Ok(piece) = frame.into_data() else { continue };
-                    let piece = self.on_piece(piece);
-                    return Poll::Ready(Some(Ok(piece)));
-                }
-                Some(Err(_)) => return self.on_failure(),
-                None if self.is_whole() => {
-                    self.state = StreamState::Ended;
-                    self.finish(AttemptEnd::Whole(None));
-                    return Poll::Ready(None);
-                }
-                None => return self.on_failure(),
-            }
-        }
+    /// Whether the answer is a stream of events.
+    pub(crate) fn is_event_stream(&self) -> bool {
+        content_type(&self.headers).starts_with("text/event-stream")
     }
 }
 
-/// The answer broke off; the caller's connection is closed without an end mark.
-#[derive(Debug)]
-pub(crate) struct AnswerCutError;
-
-impl std::fmt::Display for AnswerCutError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(UnknownCode::AnswerCut.sentence())
-    }
-}
-
-impl std::error::Error for AnswerCutError {}
-
 fn build_request(call: &CallerRequest, address: &str) -> Option<Request<Full<Bytes>>> {
     let mut builder = Request::builder()
         .method(call.method.clone())
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, header};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
 
 use crate::{
     answer::{write_completed, write_identity, write_refusal, write_stored, write_unknown},
@@ -17,6 +18,7 @@
     forward::{BegunAnswer, CallerRequest, OnceEnd, SendEnd, TargetClients},
     handle::{CallerGuard, LoopHandle},
     prompt::ChatPrompt,
+    relay::{RelayContext, relay_answer},
     run::LoopClock,
 };
 
@@ -118,7 +120,16 @@
                         SendRace::Decided(step) => step,
                         SendRace::Ended(SendEnd::Answered(answer)) => {
                             self.report_load(target, &answer.headers);
-                            return self.stream(res, answer, (request, attempt), guard);
+                            let context = RelayContext {
+                                handle: self.handle.clone(),
+                                clients: self.clients.clone(),
+                                call,
+                                address,
+                                attempt,
+                                guard,
+                                steps,
+                            };
+                            return stream_answer(res, answer, context);
                         }
                         SendRace::Ended(end) => {
                             self.post_failure(request, attempt, &end);
@@ -130,21 +141,6 @@
         }
     }
 
-    fn stream(
-        &self,
-        res: &mut Response,
-        answer: BegunAnswer,
-        (request, attempt): (RequestKey, AttemptKey),
-        guard: CallerGuard,
-    ) {
-        res.status_code(answer.status);
-        if let Some(value) = answer.headers.get(header::CONTENT_TYPE) {
-            res.headers_mut().insert(header::CONTENT_TYPE, value.clone());
-        }
-        write_identity(res, request, CompletedCode::Complete.number());
-        res.stream(answer.into_stream(self.handle.clone(), request, attempt, guard));
-    }
-
     /// Sends a request until its answer begins or the core decides otherwise.
     async fn race(
         &self,
@@ -194,6 +190,15 @@
     }
 }
 
+fn stream_answer(res: &mut Response, answer: BegunAnswer, context: RelayContext) {
+    res.status_code(answer.status);
+    if let Some(value) = answer.headers.get(header::CONTENT_TYPE) {
+        res.headers_mut().insert(header::CONTENT_TYPE, value.clone());
+    }
+    write_identity(res, context.call.request, CompletedCode::Complete.number());
+    res.stream(ReceiverStream::new(relay_answer(context, answer)));
+}
+
 /// What came first: the end of sending, or another step from the core.
 enum SendRace {
     Ended(SendEnd),
--- a/crates/io-router/src/handle.rs
+++ b/crates/io-router/src/handle.rs
@@ -19,6 +19,9 @@
     Query(CoreQuery),
 }
 
+/// Where the loop takes its input from.
+pub(crate) type LoopInputs = mpsc::UnboundedReceiver<LoopInput>;
+
 /// Handle to the loop; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct LoopHandle {
@@ -26,7 +29,7 @@
 }
 
 impl LoopHandle {
-    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<LoopInput>) {
+    pub(crate) fn new() -> (Self, LoopInputs) {
         let (sender, receiver) = mpsc::unbounded_channel();
         (Self { sender }, receiver)
     }
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -12,6 +12,8 @@
 mod ledger;
 mod platform;
 mod prompt;
+mod relay;
 mod run;
+mod shutdown;
 
 pub use crate::run::{RunError, run_router};
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -6,21 +6,22 @@
     time::Instant,
 };
 
-use base_settings::RouterSettings;
+use base_settings::{RouterSettings, StopSettings};
 use base_types::{RequestKey, TimePoint};
 use core_router::{Effect, Event, RequestStep, RouterCore};
 use error_stack::{Report, ResultExt};
 use io_platform::PlatformClient;
-use salvo::{Listener, Router, Server, conn::TcpListener};
+use salvo::{Listener, Router, Server, conn::TcpListener, server::ServerHandle};
 use state_ledger::LedgerOrder;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, task::JoinHandle};
 
 use crate::{
     admin::operator_router,
     front::caller_router,
-    handle::{LoopHandle, LoopInput},
+    handle::{LoopHandle, LoopInput, LoopInputs},
     ledger::OperationLedger,
     platform::watch_platform,
+    shutdown::{FLUSH_WAIT, LeaveState, log_cut, stop_on_signal},
 };
 
 /// The router could not start or ended early.
@@ -65,7 +66,7 @@
 async fn run_local(settings: RouterSettings) -> Result<(), Report<RunError>> {
     let clock = LoopClock { start: Instant::now() };
     let platform = PlatformClient::new(settings.platform);
-    let (handle, inputs) = LoopHandle::new();
+    let (handle, mut inputs) = LoopHandle::new();
     let caller = serve(settings.caller_listen, caller_router(handle.clone(), clock)).await?;
     let operator = operator_router(handle.clone(), platform.clone());
     let operator = serve(settings.operator_listen, operator).await?;
@@ -74,17 +75,37 @@
     log::info!(host = settings.host.as_str(); "router started");
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
     let core = RouterCore::new(settings.host, rand::random());
-    CoreLoop { core, clock, ledger, steps: BTreeMap::new() }.run(inputs).await;
-    caller.stop_graceful(None);
-    operator.stop_graceful(None);
+    let mut core_loop = CoreLoop {
+        core,
+        clock,
+        ledger,
+        steps: BTreeMap::new(),
+        stop: settings.stop,
+        leave: LeaveState::Staying,
+    };
+    core_loop.run(&mut inputs).await;
+    core_loop.run_until(&mut inputs, flush_servers(caller, operator)).await;
     log::info!("router stopped");
     Ok(())
 }
 
+/// Closes the ports and waits until the last bytes of all answers are written.
+async fn flush_servers(caller: ServerTask, operator: ServerTask) {
+    caller.handle.stop_graceful(FLUSH_WAIT);
+    operator.handle.stop_graceful(FLUSH_WAIT);
+    let _ = tokio::join!(caller.task, operator.task);
+}
+
+/// A port that is being served.
+struct ServerTask {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
 async fn serve(
     address: std::net::SocketAddr,
     router: Router,
-) -> Result<salvo::server::ServerHandle, Report<RunError>> {
+) -> Result<ServerTask, Report<RunError>> {
     let acceptor = TcpListener::new(address)
         .try_bind()
         .await
@@ -92,15 +113,8 @@
         .attach_with(|| format!("cannot listen on {address}"))?;
     let server = Server::new(acceptor);
     let handle = server.handle();
-    tokio::spawn(server.serve(router));
-    Ok(handle)
-}
-
-async fn stop_on_signal(handle: LoopHandle) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-    terminate.recv().await;
-    handle.post(Event::ShutdownAsked);
+    let task = tokio::spawn(server.serve(router));
+    Ok(ServerTask { handle, task })
 }
 
 struct CoreLoop {
@@ -108,28 +122,46 @@
     clock: LoopClock,
     ledger: OperationLedger,
     steps: BTreeMap<RequestKey, mpsc::UnboundedSender<RequestStep>>,
+    stop: StopSettings,
+    leave: LeaveState,
 }
 
 impl CoreLoop {
-    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<LoopInput>) {
-        while !self.is_done() {
-            let deadline = self.core.next_deadline().min(self.ledger.next_deadline());
-            let timer = tokio::time::sleep_until(self.clock.instant(deadline));
-            let input = tokio::select! {
-                input = inputs.recv() => input,
-                () = timer => {
-                    self.on_timer();
-                    continue;
-                }
-            };
-            let Some(input) = input else { return };
-            self.on_input(input);
+    /// Runs until the router may end.
+    async fn run(&mut self, inputs: &mut LoopInputs) {
+        while !self.may_end() {
+            self.turn(inputs).await;
+        }
+    }
+
+    /// Runs until something else has ended.
+    async fn run_until(&mut self, inputs: &mut LoopInputs, end: impl Future<Output = ()>) {
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                () = &mut end => return,
+                () = self.turn(inputs) => {}
+            }
+        }
+    }
+
+    /// Takes one input, or lets time pass until the next deadline.
+    async fn turn(&mut self, inputs: &mut LoopInputs) {
+        let timer = tokio::time::sleep_until(self.clock.instant(self.next_deadline()));
+        tokio::select! {
+            Some(input) = inputs.recv() => self.on_input(input),
+            () = timer => self.on_timer(),
         }
     }
 
-    fn is_done(&self) -> bool {
-        let status = self.core.status();
-        status.leaving && status.requests == 0 && self.ledger.unfinished() == 0
+    fn next_deadline(&self) -> TimePoint {
+        let leave = self.leave.next_deadline(self.clock.now());
+        self.core.next_deadline().min(self.ledger.next_deadline()).min(leave)
+    }
+
+    fn may_end(&self) -> bool {
+        let left = self.core.status().requests + self.ledger.unfinished();
+        self.leave.may_end(self.clock.now(), left)
     }
 
     fn on_input(&mut self, input: LoopInput) {
@@ -148,6 +180,9 @@
     }
 
     fn on_timer(&mut self) {
+        if self.leave.must_force(self.clock.now()) {
+            self.on_event(Event::StopForced);
+        }
         let mut events = self.ledger.on_timer(self.clock.now());
         events.push(Event::TimerFired);
         self.on_events(events);
@@ -162,6 +197,7 @@
         let mut queue = VecDeque::from(events);
         while let Some(event) = queue.pop_front() {
             let ended = ended_request(&event);
+            self.note_leave(&event);
             for effect in self.core.on_event(self.clock.now(), event) {
                 queue.extend(self.run_effect(effect));
             }
@@ -169,6 +205,20 @@
         }
     }
 
+    fn note_leave(&mut self, event: &Event) {
+        match event {
+            Event::ShutdownAsked => {
+                self.leave = LeaveState::leave(self.clock.now(), &self.stop);
+                log::info!(requests = self.core.status().requests; "router is leaving");
+            }
+            Event::StopForced => {
+                self.leave = LeaveState::force(self.clock.now());
+                log::warn!(requests = self.core.status().requests; "router ends now");
+            }
+            _ => {}
+        }
+    }
+
     fn run_effect(&mut self, effect: Effect) -> Vec<Event> {
         let now = self.clock.now();
         match effect {
@@ -201,6 +251,9 @@
 
     /// A caller that left has dropped its end; the core hears of that by its own event.
     fn send_step(&mut self, request: RequestKey, step: RequestStep) {
+        if matches!(self.leave, LeaveState::Forced(_)) {
+            log_cut(request, &step);
+        }
         let last = !matches!(step, RequestStep::Send { .. });
         let Some(steps) = self.steps.get(&request) else { return };
         let _ = steps.send(step);
--- a/crates/local-fleet/src/chat.rs
+++ b/crates/local-fleet/src/chat.rs
@@ -64,7 +64,7 @@
     /// Names the first fault found.
     pub fn check(&self, answer: &CallAnswer) -> Result<ChatAnswer, ChatFault> {
         let text = String::from_utf8_lossy(&answer.body);
-        let mut events = text.split("\n\n").filter_map(|event| event.strip_prefix("data: "));
+        let mut events = text.split("\n\n").filter_map(event_data);
         let digest = format!("{:016x}", xxh3::xxh3_64(self.text.as_bytes()));
         for index in 0..self.tokens {
             check_token(events.next(), index, &digest)?;
@@ -77,6 +77,10 @@
     }
 }
 
+fn event_data(event: &str) -> Option<&str> {
+    event.lines().find_map(|line| line.strip_prefix("data: "))
+}
+
 fn check_token(event: Option<&str>, index: u32, digest: &str) -> Result<(), ChatFault> {
     let event = event.ok_or(ChatFault::Unfinished)?;
     let token: TokenEvent = serde_json::from_str(event).map_err(|_| ChatFault::Disordered)?;
