--- a/crates/state-tables/src/check.rs
+++ b/crates/state-tables/src/check.rs
@@ -2,15 +2,15 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use base_types::{PoolName, RouteName, message_types};
+use base_types::{PoolName, RouteName, value_types};
 
-use crate::{PoolRow, RouteRow};
+use crate::{PoolRow, RouteRow, RowContent, RowKey};
 
 const LOAD_RATIO_MIN: f64 = 1.0;
 const LOAD_RATIO_MAX: f64 = 100.0;
 const NAME_BYTES_MAX: usize = 64;
 
-message_types! {
+value_types! {
     /// One fault of a row, with its key and a remedy.
     #[derive(Eq)]
     pub struct RowFault {
@@ -34,7 +34,8 @@
 ) -> Vec<RowFault> {
     let mut faults = Vec::new();
     for row in routes.values() {
-        check_route(row, pools, &mut faults);
+        check_route(row, &mut faults);
+        check_route_pool(row, pools, &mut faults);
     }
     check_paths(routes, &mut faults);
     for row in pools.values() {
@@ -43,22 +44,55 @@
     faults
 }
 
-fn check_route(row: &RouteRow, pools: &BTreeMap<PoolName, PoolRow>, faults: &mut Vec<RowFault>) {
+/// Checks whatever can be checked of a row without other rows.
+pub(crate) fn check_row(key: &RowKey, content: &RowContent) -> Vec<RowFault> {
+    let mut faults = Vec::new();
+    let name = match content {
+        RowContent::Route(row) => {
+            check_route(row, &mut faults);
+            row.name.as_str()
+        }
+        RowContent::Pool(row) => {
+            check_pool(row, &mut faults);
+            row.name.as_str()
+        }
+        RowContent::Tombstone | RowContent::Invalid(_) => return faults,
+    };
+    if name != key.name() {
+        let remedy = format!("the row calls itself `{name}`; the name must be that of its key");
+        faults.push(fault(key.to_string(), &remedy));
+    }
+    faults
+}
+
+fn check_route(row: &RouteRow, faults: &mut Vec<RowFault>) {
     let key = |field: &str| format!("route.{}.{field}", row.name);
     check_name(row.name.as_str(), &key("name"), faults);
     check_name(row.team.as_str(), &key("team"), faults);
     if !row.path.starts_with('/') {
         faults.push(fault(key("path"), "must start with `/`"));
     }
-    if !pools.contains_key(&row.pool) {
-        let remedy = format!("no pool is named `{}`; create the pool first", row.pool);
-        faults.push(fault(key("pool"), &remedy));
-    }
     if row.deadline_ms == 0 {
         faults.push(fault(key("deadline_ms"), "must be above zero"));
     }
 }
 
+fn check_route_pool(
+    row: &RouteRow,
+    pools: &BTreeMap<PoolName, PoolRow>,
+    faults: &mut Vec<RowFault>,
+) {
+    if pools.contains_key(&row.pool) {
+        return;
+    }
+    let key = format!("route.{}.pool", row.name);
+    let remedy = format!(
+        "no pool is named `{}`; create the pool first, and delete it after its routes",
+        row.pool
+    );
+    faults.push(fault(key, &remedy));
+}
+
 fn check_paths(routes: &BTreeMap<RouteName, RouteRow>, faults: &mut Vec<RowFault>) {
     let mut owners: BTreeMap<&str, &RouteName> = BTreeMap::new();
     for row in routes.values() {
--- a/crates/state-tables/src/table.rs
+++ b/crates/state-tables/src/table.rs
@@ -1,21 +1,14 @@
 //! The set of rows in force on one router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use base_types::{PoolName, RouteName, RowVersion, value_types};
+use base_types::{PoolName, RouteName, RowVersion, message_types, value_types};
 
-use crate::{PoolRow, RouteRow};
+use crate::{
+    PoolRow, RouteRow, RowFault, RowKey, TableKind, check_rows, key::TableFloors, slot::RowSlot,
+};
 
 value_types! {
-    /// Key of a row in either table.
-    #[derive(Eq, PartialOrd, Ord)]
-    pub enum RowKey {
-        /// A row of the routes table.
-        Route(RouteName),
-        /// A row of the pools table.
-        Pool(PoolName),
-    }
-
     /// What a row holds at one version.
     pub enum RowContent {
         /// A route.
@@ -24,6 +17,8 @@
         Pool(PoolRow),
         /// The row was deleted at this version.
         Tombstone,
+        /// The object holds no valid row; it was written past the administration API.
+        Invalid(Vec<RowFault>),
     }
 
     /// A row at one version, as read from the platform or heard from a peer.
@@ -37,31 +32,89 @@
     }
 }
 
-/// The rows in force, each taken only at a version above the one already held.
+message_types! {
+    /// A row that was heard and is not in force.
+    pub struct HeldRow {
+        /// Key of the row.
+        pub key: RowKey,
+        /// Version that was heard.
+        pub version: RowVersion,
+        /// Version in force in its place.
+        pub in_force: Option<RowVersion>,
+        /// Why it is not in force.
+        pub faults: Vec<RowFault>,
+    }
+}
+
+/// The rows in force, each replaced only by a later version, and always valid together.
+///
+/// A later version that would make the rows in force invalid is held until the rows that it
+/// needs arrive; rows may therefore arrive in any order.
 #[derive(Debug, Clone, Default)]
 pub struct TableSet {
-    rows: BTreeMap<RowKey, RowChange>,
+    pub(crate) slots: BTreeMap<RowKey, RowSlot>,
+    floors: TableFloors,
 }
 
 impl TableSet {
-    /// Adopts a change when its version is above the one held; returns whether it was adopted.
+    /// Takes a change; returns whether it is news.
     pub fn adopt(&mut self, change: RowChange) -> bool {
-        let held = self.version(&change.key);
-        if held.is_some_and(|version| version >= change.version) {
-            return false;
+        self.adopt_all([change]) > 0
+    }
+
+    /// Takes changes together; returns how many are news.
+    pub fn adopt_all(&mut self, changes: impl IntoIterator<Item = RowChange>) -> usize {
+        let news = changes.into_iter().filter(|change| self.hear(change)).count();
+        if news > 0 {
+            self.resolve();
+        }
+        news
+    }
+
+    /// Takes whole tables, each read at a revision; rows that they lack were deleted by then.
+    pub fn adopt_lists(&mut self, tables: &[(TableKind, RowVersion)], rows: Vec<RowChange>) {
+        let listed: BTreeSet<RowKey> = rows.iter().map(|change| change.key.clone()).collect();
+        let mut changes = rows;
+        for (table, revision) in tables {
+            let missing = self.slots.iter().filter(|(key, slot)| {
+                let older = slot.latest() < Some(*revision);
+                key.table() == *table && older && !listed.contains(*key)
+            });
+            changes.extend(missing.map(|(key, _)| RowChange {
+                key: key.clone(),
+                version: *revision,
+                content: RowContent::Tombstone,
+            }));
+        }
+        self.adopt_all(changes);
+        for (table, revision) in tables {
+            self.floors.raise(*table, *revision);
         }
-        self.rows.insert(change.key.clone(), change);
-        true
     }
 
-    /// Version at which a row, or its tombstone, is held.
+    /// Revision at which a whole table was last read; unknown rows below it are refused.
+    pub fn floor(&self, table: TableKind) -> Option<RowVersion> {
+        self.floors.get(table)
+    }
+
+    /// Raises a table's floor to that of a peer whose rows have all been taken.
+    pub fn raise_floor(&mut self, table: TableKind, revision: RowVersion) {
+        self.floors.raise(table, revision);
+    }
+
+    /// Latest version heard of a row or its tombstone, in force or not.
     pub fn version(&self, key: &RowKey) -> Option<RowVersion> {
-        self.rows.get(key).map(|change| change.version)
+        self.slots.get(key).and_then(RowSlot::latest)
+    }
+
+    /// The change in force for a row; a tombstone when it is deleted.
+    pub fn in_force(&self, key: &RowKey) -> Option<&RowChange> {
+        self.slots.get(key)?.in_force.as_ref()
     }
 
     /// The pool of a name, when its row is in force.
     pub fn pool(&self, name: &PoolName) -> Option<&PoolRow> {
-        match &self.rows.get(&RowKey::Pool(name.clone()))?.content {
+        match &self.in_force(&RowKey::Pool(name.clone()))?.content {
             RowContent::Pool(row) => Some(row),
             _ => None,
         }
@@ -74,7 +127,7 @@
 
     /// All routes in force.
     pub fn routes(&self) -> impl Iterator<Item = &RouteRow> {
-        self.rows.values().filter_map(|change| match &change.content {
+        self.rows_in_force().filter_map(|change| match &change.content {
             RowContent::Route(row) => Some(row),
             _ => None,
         })
@@ -82,15 +135,67 @@
 
     /// All pools in force.
     pub fn pools(&self) -> impl Iterator<Item = &PoolRow> {
-        self.rows.values().filter_map(|change| match &change.content {
+        self.rows_in_force().filter_map(|change| match &change.content {
             RowContent::Pool(row) => Some(row),
             _ => None,
         })
     }
 
-    /// All rows and tombstones held, in the order of their keys.
+    /// The rows and tombstones in force, in the order of their keys.
+    pub fn rows_in_force(&self) -> impl Iterator<Item = &RowChange> {
+        self.slots.values().filter_map(|slot| slot.in_force.as_ref())
+    }
+
+    /// All rows and tombstones heard, in force or held, in the order of their keys.
     pub fn changes(&self) -> impl Iterator<Item = &RowChange> {
-        self.rows.values()
+        self.slots.values().flat_map(|slot| slot.in_force.iter().chain(&slot.held))
+    }
+
+    /// The latest versions that were heard and are not in force, with why.
+    pub fn held_rows(&self) -> impl Iterator<Item = HeldRow> {
+        self.slots.iter().filter_map(|(key, slot)| {
+            let change = slot.held.last()?;
+            Some(HeldRow {
+                key: key.clone(),
+                version: change.version,
+                in_force: slot.in_force.as_ref().map(|change| change.version),
+                faults: self.faults_with(key, &change.content),
+            })
+        })
+    }
+
+    /// Faults that the rows in force would have with a row's content put in place.
+    pub fn faults_with(&self, key: &RowKey, content: &RowContent) -> Vec<RowFault> {
+        if let RowContent::Invalid(faults) = content {
+            return faults.clone();
+        }
+        let mut routes: BTreeMap<RouteName, RouteRow> =
+            self.routes().map(|row| (row.name.clone(), row.clone())).collect();
+        let mut pools: BTreeMap<PoolName, PoolRow> =
+            self.pools().map(|row| (row.name.clone(), row.clone())).collect();
+        match (key, content) {
+            (RowKey::Route(name), RowContent::Route(row)) => {
+                routes.insert(name.clone(), row.clone());
+            }
+            (RowKey::Pool(name), RowContent::Pool(row)) => {
+                pools.insert(name.clone(), row.clone());
+            }
+            (RowKey::Route(name), _) => {
+                routes.remove(name);
+            }
+            (RowKey::Pool(name), _) => {
+                pools.remove(name);
+            }
+        }
+        check_rows(&routes, &pools)
+    }
+
+    fn hear(&mut self, change: &RowChange) -> bool {
+        let floor = self.floors.get(change.key.table());
+        if !self.slots.contains_key(&change.key) && Some(change.version) <= floor {
+            return false;
+        }
+        self.slots.entry(change.key.clone()).or_default().hear(change)
     }
 }
 
