--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! It reads no files: callers pass the text.
 
+mod operators;
 mod settings;
 
-pub use crate::settings::{RouterSettings, SettingsError};
+pub use crate::{
+    operators::{OperatorRight, OperatorSettings, TokenDigest},
+    settings::{RouterSettings, SettingsError},
+};
--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -6,6 +6,8 @@
 use error_stack::{Report, ResultExt};
 use serde::Deserialize;
 
+use crate::{OperatorSettings, operators::check_operators};
+
 /// Settings of one router process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -20,6 +22,9 @@
     pub operator_listen: SocketAddr,
     /// Address of the platform's API.
     pub platform: SocketAddr,
+    /// Operators who may use the administration API.
+    #[serde(default, rename = "operator")]
+    pub operators: Vec<OperatorSettings>,
 }
 
 /// The settings cannot be used.
@@ -42,6 +47,7 @@
             let report = Report::new(SettingsError);
             return Err(report.attach("`caller_listen` and `operator_listen` are the same address"));
         }
+        check_operators(&settings.operators)?;
         Ok(settings)
     }
 }
--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -12,7 +12,7 @@
 pub use crate::{
     codes::{CodeRow, CompletedCode, NotRunCode, OutcomeKind, UnknownCode, code_table},
     names::{
-        AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName,
+        AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName, OperatorName,
         PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TeamName,
     },
     notices::{AccountLoad, AccountShare, LoadShare, PeerNotice, SuspectNotice, TargetLoad},
--- a/crates/base-types/src/names.rs
+++ b/crates/base-types/src/names.rs
@@ -19,6 +19,8 @@
     DomainName;
     /// Name of a team that owns rows.
     TeamName;
+    /// Name of an operator.
+    OperatorName;
     /// Idempotency key of a non-idempotent operation, given by its caller.
     OperationName;
 }
--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -85,6 +85,7 @@
             Event::CallerLeft(request) => self.on_caller_left(now, request),
             Event::HostsListed(hosts) => self.on_hosts(hosts),
             Event::RowHeard(change) => self.on_row(change),
+            Event::TablesListed(tables, rows) => self.table.adopt_lists(&tables, rows),
             Event::TablesComplete => self.tables_complete = true,
             Event::LoadHeard(target, report) => self.on_load(target, report),
             Event::NoticeHeard(notice) => self.on_notice(now, notice),
--- a/crates/core-router/src/event.rs
+++ b/crates/core-router/src/event.rs
@@ -6,7 +6,7 @@
     value_types,
 };
 use bytes::Bytes;
-use state_tables::RowChange;
+use state_tables::{RowChange, TableRevision};
 
 use crate::LoadReport;
 
@@ -111,6 +111,8 @@
         HostsListed(Vec<HostEntry>),
         /// A row was read from the platform or heard from a peer.
         RowHeard(RowChange),
+        /// Whole tables were read, each at a revision; rows that they lack were deleted by then.
+        TablesListed(Vec<TableRevision>, Vec<RowChange>),
         /// All rows have been read once.
         TablesComplete,
         /// A target reported its load.
--- /dev/null
+++ b/crates/io-router/src/admin/port.rs
@@ -0,0 +1,56 @@
+//! The platform's client as the edit protocol uses it.
+
+use std::time::Duration;
+
+use base_types::RowVersion;
+use error_stack::Report;
+use io_platform::{ObjectKey, ObjectRecord, PlatformClient, PlatformError, WriteGuard};
+use serde_json::Value;
+use state_tables::{ObjectPort, PortError, StoredObject, StoredTable};
+
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The platform as the edit protocol uses it.
+pub(super) struct PlatformPort<'a>(pub(super) &'a PlatformClient);
+
+impl ObjectPort for PlatformPort<'_> {
+    async fn read(&self, key: &str) -> Result<Option<StoredObject>, PortError> {
+        let object = self.0.read(&ObjectKey::new(key)).await.map_err(port_error)?;
+        Ok(object.and_then(stored_object))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<StoredTable, PortError> {
+        let list = self.0.list(prefix).await.map_err(port_error)?;
+        let objects = list.objects.into_iter().filter_map(stored_object).collect();
+        Ok(StoredTable { revision: list.revision, objects })
+    }
+
+    async fn write(
+        &self,
+        key: &str,
+        expected: Option<RowVersion>,
+        value: Value,
+    ) -> Result<RowVersion, PortError> {
+        let guard = expected.map_or(WriteGuard::Absent, WriteGuard::Version);
+        let answer = self.0.write(&ObjectKey::new(key), guard, &value).await;
+        answer.map(|answer| answer.version).map_err(port_error)
+    }
+
+    async fn pause(&self) {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn stored_object(object: ObjectRecord) -> Option<StoredObject> {
+    let key = object.key.as_str().into();
+    Some(StoredObject { key, version: object.version, value: object.value? })
+}
+
+/// An answer that cannot be read says nothing of whether its write took effect.
+fn port_error(report: Report<PlatformError>) -> PortError {
+    match report.current_context() {
+        PlatformError::Conflict => PortError::Conflict,
+        PlatformError::Unreachable | PlatformError::Refused => PortError::Unsent,
+        PlatformError::Unanswered | PlatformError::Malformed => PortError::Unanswered,
+    }
+}
--- a/crates/io-router/src/admin/rows.rs
+++ b/crates/io-router/src/admin/rows.rs
@@ -1,206 +1,246 @@
 //! Rows of the two tables in the administration API.
 
-use std::{collections::BTreeMap, marker::PhantomData, sync::Arc};
+use std::{
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
-use base_types::{PoolIdentity, PoolName, RouteName, RowVersion};
-use error_stack::Report;
-use io_platform::{ObjectKey, PlatformError, WriteGuard};
+use base_settings::{OperatorRight, OperatorSettings};
+use base_types::RowVersion;
+use core_router::Event;
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait,
     http::{StatusCode, header},
     writing::Json,
 };
-use serde::{Serialize, de::DeserializeOwned};
 use serde_json::{Value, json};
-use state_tables::{PoolRow, RouteRow, RowFault, check_rows};
+use state_tables::{
+    EditKey, EditRecord, EditRequest, EditTarget, EditVerdict, ObjectPort, RowChange, RowContent,
+    RowKey, RowRecord, StoredObject, TableKind, TableSet, read_audit, submit_edit,
+};
 
-use crate::{
-    admin::{AdminState, write_error},
-    platform::{POOL_PREFIX, ROUTE_PREFIX},
+use crate::admin::{
+    AdminState,
+    port::PlatformPort,
+    rows::verdict::{write_unavailable, write_verdict, write_version},
+    write_error,
 };
 
+mod verdict;
+
 const ROW_BYTES_MAX: usize = 64 * 1024;
+const REASON_BYTES_MAX: usize = 1024;
+const REASON_HEADER: &str = "x-change-reason";
 
 #[derive(Debug, Clone, Copy)]
 pub(super) enum RowAction {
+    List,
     Show,
     Put,
     Delete,
+    Rollback,
 }
 
-pub(super) struct RowHandler<Row> {
-    pub(super) state: Arc<AdminState>,
-    pub(super) action: RowAction,
-    pub(super) row: PhantomData<fn() -> Row>,
+pub(super) struct RowHandler {
+    state: Arc<AdminState>,
+    table: TableKind,
+    action: RowAction,
 }
 
-/// A row of either table as the administration API handles it.
-pub(super) trait AdminRow: Serialize + DeserializeOwned + Send + 'static {
-    const PREFIX: &'static str;
-
-    fn is_named(&self, name: &str) -> bool;
-
-    fn prepare(&mut self, current: Option<Self>)
-    where
-        Self: Sized;
-
-    fn insert(
-        self,
-        routes: &mut BTreeMap<RouteName, RouteRow>,
-        pools: &mut BTreeMap<PoolName, PoolRow>,
-    );
+/// Why a call was refused before it reached the tables.
+enum CallFault {
+    Malformed(Box<str>),
+    Missing(Box<str>),
+    Unavailable,
 }
 
-impl AdminRow for RouteRow {
-    const PREFIX: &'static str = ROUTE_PREFIX;
-
-    fn is_named(&self, name: &str) -> bool {
-        self.name.as_str() == name
-    }
-
-    fn prepare(&mut self, _: Option<Self>) {}
-
-    fn insert(
-        self,
-        routes: &mut BTreeMap<RouteName, RouteRow>,
-        _: &mut BTreeMap<PoolName, PoolRow>,
+#[async_trait]
+impl Handler for RowHandler {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        _: &mut FlowCtrl,
     ) {
-        routes.insert(self.name.clone(), self);
+        let key = self.table.row(&req.param::<String>("name").unwrap_or_default());
+        match self.action {
+            RowAction::List => self.list(res).await,
+            RowAction::Show => self.show(&key, res).await,
+            RowAction::Put | RowAction::Delete | RowAction::Rollback => {
+                self.edit(key, req, depot, res).await;
+            }
+        }
     }
 }
 
-impl AdminRow for PoolRow {
-    const PREFIX: &'static str = POOL_PREFIX;
-
-    fn is_named(&self, name: &str) -> bool {
-        self.name.as_str() == name
+impl RowHandler {
+    pub(super) fn new(state: Arc<AdminState>, table: TableKind, action: RowAction) -> Self {
+        Self { state, table, action }
     }
 
-    /// A pool keeps its identity through edits and gets a new one when it is created.
-    fn prepare(&mut self, current: Option<Self>) {
-        let identity = current.and_then(|row| row.identity);
-        self.identity = identity.or_else(|| Some(PoolIdentity(rand::random())));
+    async fn list(&self, res: &mut Response) {
+        let Ok(listed) = PlatformPort(&self.state.platform).list(self.table.prefix()).await else {
+            return write_unavailable(res);
+        };
+        let rows: Vec<Value> = listed.objects.iter().filter_map(row_body).collect();
+        res.render(Json(json!({ "revision": listed.revision, "rows": rows })));
     }
 
-    fn insert(
-        self,
-        _: &mut BTreeMap<RouteName, RouteRow>,
-        pools: &mut BTreeMap<PoolName, PoolRow>,
-    ) {
-        pools.insert(self.name.clone(), self);
-    }
-}
-
-#[async_trait]
-impl<Row: AdminRow> Handler for RowHandler<Row> {
-    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let name = req.param::<String>("name").unwrap_or_default();
-        let outcome = match self.action {
-            RowAction::Show => self.show(&name, res).await,
-            RowAction::Put => self.put(&name, req, res).await,
-            RowAction::Delete => self.delete(&name, req, res).await,
+    async fn show(&self, key: &RowKey, res: &mut Response) {
+        let Ok(object) = PlatformPort(&self.state.platform).read(&key.object()).await else {
+            return write_unavailable(res);
         };
-        let Err(report) = outcome else { return };
-        match report.current_context() {
-            PlatformError::Conflict => {
-                write_error(res, StatusCode::PRECONDITION_FAILED, "the row has another version");
-            }
-            error => write_error(res, StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
-        }
+        let row = object.as_ref().and_then(|object| {
+            let record: Result<RowRecord, _> = serde_json::from_value(object.value.clone());
+            record.map_or_else(|_| Some(object.value.clone()), |record| record.row)
+        });
+        let (Some(object), Some(row)) = (object, row) else {
+            return write_error(res, StatusCode::NOT_FOUND, "no such row");
+        };
+        write_version(res, object.version);
+        res.render(Json(row));
     }
-}
 
-impl<Row: AdminRow> RowHandler<Row> {
-    async fn show(&self, name: &str, res: &mut Response) -> Result<(), Report<PlatformError>> {
-        match self.state.platform.read(&object_key::<Row>(name)).await? {
-            Some(object) => {
-                write_version(res, object.version);
-                res.render(Json(object.value.unwrap_or(Value::Null)));
-            }
-            None => write_error(res, StatusCode::NOT_FOUND, "no such row"),
-        }
-        Ok(())
+    async fn edit(&self, key: RowKey, req: &mut Request, depot: &Depot, res: &mut Response) {
+        let Ok(operator) = depot.obtain::<OperatorSettings>() else {
+            return write_error(res, StatusCode::UNAUTHORIZED, "no operator");
+        };
+        let request = match self.edit_request(key, operator, req).await {
+            Ok(request) => request,
+            Err(fault) => return fault.write(res),
+        };
+        let verdict = submit_edit(&PlatformPort(&self.state.platform), &request).await;
+        log_verdict(&request, &verdict);
+        self.adopt(&request, &verdict);
+        write_verdict(res, &request, &verdict);
     }
 
-    async fn put(
+    async fn edit_request(
         &self,
-        name: &str,
+        row: RowKey,
+        operator: &OperatorSettings,
         req: &mut Request,
-        res: &mut Response,
-    ) -> Result<(), Report<PlatformError>> {
-        let guard = write_guard(req);
-        let body = req.payload_with_max_size(ROW_BYTES_MAX).await.cloned().unwrap_or_default();
-        let mut row: Row = match serde_json::from_slice(&body) {
-            Ok(row) => row,
-            Err(error) => {
-                write_error(res, StatusCode::BAD_REQUEST, &error.to_string());
-                return Ok(());
+    ) -> Result<EditRequest, CallFault> {
+        let target = edit_target(req)?;
+        let reason = change_reason(req)?;
+        let dry_run = req.query::<bool>("dry_run").unwrap_or_default();
+        let after = self.row_after(&row, req).await?;
+        let known = self.state.handle.query(|core| (core.name().clone(), core.table().clone()));
+        let (router, tables): (_, TableSet) = known.await.ok_or(CallFault::Unavailable)?;
+        Ok(EditRequest {
+            operator: operator.name.clone(),
+            team: operator.team.clone(),
+            any_team: operator.rights.contains(&OperatorRight::AnyTeam),
+            router,
+            at_ms: now_ms(),
+            reason,
+            row,
+            target,
+            after,
+            dry_run,
+            nonce: rand::random(),
+            tables,
+        })
+    }
+
+    async fn row_after(&self, row: &RowKey, req: &mut Request) -> Result<Option<Value>, CallFault> {
+        match self.action {
+            RowAction::Put => read_row(req).await.map(Some),
+            RowAction::Rollback => {
+                let entry = self.rollback_entry(row, req).await?;
+                Ok(entry.after)
             }
-        };
-        if !row.is_named(name) {
-            write_error(res, StatusCode::BAD_REQUEST, "`name` differs from the path");
-            return Ok(());
+            _ => Ok(None),
         }
-        let key = object_key::<Row>(name);
-        let current = self.state.platform.read(&key).await?.and_then(|object| object.value);
-        row.prepare(current.and_then(|value| serde_json::from_value(value).ok()));
-        let value = serde_json::to_value(&row).unwrap_or_default();
-        let faults = self.faults_with(row).await;
-        if !faults.is_empty() {
-            res.status_code(StatusCode::UNPROCESSABLE_ENTITY);
-            let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-            res.render(Json(json!({ "faults": faults })));
-            return Ok(());
+    }
+
+    /// The edit whose row is put in place again.
+    async fn rollback_entry(&self, row: &RowKey, req: &Request) -> Result<EditRecord, CallFault> {
+        let malformed = || CallFault::Malformed("`?to=EDIT` must name an edit of the row".into());
+        let edit: EditKey =
+            req.query::<String>("to").and_then(|to| to.parse().ok()).ok_or_else(malformed)?;
+        let entry = read_audit(&PlatformPort(&self.state.platform), edit.sequence).await;
+        let entry = entry.map_err(|_| CallFault::Unavailable)?;
+        let own = |entry: &EditRecord| entry.edit == edit && *entry.row == *row.object();
+        let entry = entry.filter(own).ok_or_else(|| {
+            CallFault::Missing(format!("the audit trail has no edit {edit} of {row}").into())
+        })?;
+        if entry.after.is_none() {
+            let message = "the edit deleted the row; use DELETE to do so again";
+            return Err(CallFault::Malformed(message.into()));
         }
-        let answer = self.state.platform.write(&key, guard, &value).await?;
-        write_version(res, answer.version);
-        res.render(Json(json!({ "version": answer.version })));
-        Ok(())
+        Ok(entry)
     }
 
-    async fn delete(
-        &self,
-        name: &str,
-        req: &mut Request,
-        res: &mut Response,
-    ) -> Result<(), Report<PlatformError>> {
-        let WriteGuard::Version(version) = write_guard(req) else {
-            write_error(res, StatusCode::PRECONDITION_REQUIRED, "`If-Match` must name the version");
-            return Ok(());
-        };
-        let answer = self.state.platform.delete(&object_key::<Row>(name), version).await?;
-        res.render(Json(json!({ "version": answer.version })));
-        Ok(())
+    /// Puts an accepted row in force here without waiting to hear of it.
+    fn adopt(&self, request: &EditRequest, verdict: &EditVerdict) {
+        let EditVerdict::Accepted { version, after, .. } = verdict else { return };
+        let key = request.row.clone();
+        let content = after.clone().map(|row| RowContent::read(&key, row));
+        let Ok(content) = content.unwrap_or(Ok(RowContent::Tombstone)) else { return };
+        let change = RowChange { key, version: *version, content };
+        self.state.handle.post(Event::RowHeard(change));
     }
+}
 
-    /// Faults that the tables in force would have with the row put in place.
-    async fn faults_with(&self, row: Row) -> Vec<RowFault> {
-        let faults = self.state.handle.query(move |core| {
-            let table = core.table();
-            let mut routes = table.routes().map(|row| (row.name.clone(), row.clone())).collect();
-            let mut pools = table.pools().map(|row| (row.name.clone(), row.clone())).collect();
-            row.insert(&mut routes, &mut pools);
-            check_rows(&routes, &pools)
-        });
-        faults.await.unwrap_or_default()
+impl CallFault {
+    fn write(self, res: &mut Response) {
+        match self {
+            Self::Malformed(message) => write_error(res, StatusCode::BAD_REQUEST, &message),
+            Self::Missing(message) => write_error(res, StatusCode::NOT_FOUND, &message),
+            Self::Unavailable => write_unavailable(res),
+        }
     }
 }
 
-fn object_key<Row: AdminRow>(name: &str) -> ObjectKey {
-    ObjectKey::new(&format!("{}{name}", Row::PREFIX))
+async fn read_row(req: &mut Request) -> Result<Value, CallFault> {
+    let malformed = |error: String| CallFault::Malformed(error.into());
+    let body = req.payload_with_max_size(ROW_BYTES_MAX).await;
+    let body = body.map_err(|error| malformed(error.to_string()))?;
+    serde_json::from_slice(body).map_err(|error| malformed(error.to_string()))
 }
 
-fn write_guard(req: &Request) -> WriteGuard {
-    let version = req
-        .headers()
-        .get(header::IF_MATCH)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.trim_matches('"').parse().ok());
-    version.map_or(WriteGuard::Absent, |version| WriteGuard::Version(RowVersion(version)))
+/// Without `If-Match` the row must not exist; a condition that cannot be read is refused.
+fn edit_target(req: &Request) -> Result<EditTarget, CallFault> {
+    let Some(value) = req.headers().get(header::IF_MATCH) else { return Ok(EditTarget::Absent) };
+    let text = value.to_str().ok().and_then(|text| text.strip_prefix('"')?.strip_suffix('"'));
+    let version = text.and_then(|text| text.parse().ok()).map(RowVersion);
+    let message = "`If-Match` must be one version in double quotes, as `ETag` shows it";
+    version.map(EditTarget::Version).ok_or_else(|| CallFault::Malformed(message.into()))
 }
 
-fn write_version(res: &mut Response, version: RowVersion) {
-    if let Ok(value) = format!("\"{}\"", version.0).parse() {
-        res.headers_mut().insert(header::ETAG, value);
-    }
+fn change_reason(req: &Request) -> Result<Box<str>, CallFault> {
+    let Some(value) = req.headers().get(REASON_HEADER) else { return Ok("".into()) };
+    let text = std::str::from_utf8(value.as_bytes()).ok();
+    let text = text.filter(|text| text.len() <= REASON_BYTES_MAX);
+    let message = format!("`{REASON_HEADER}` must be text of at most {REASON_BYTES_MAX} bytes");
+    text.map(Into::into).ok_or_else(|| CallFault::Malformed(message.into()))
+}
+
+fn row_body(object: &StoredObject) -> Option<Value> {
+    let Ok(record) = serde_json::from_value::<RowRecord>(object.value.clone()) else {
+        let body = json!({ "version": object.version, "edit": null, "row": object.value });
+        return Some(body);
+    };
+    let row = record.row?;
+    Some(json!({ "version": object.version, "edit": record.edit, "row": row }))
+}
+
+fn log_verdict(request: &EditRequest, verdict: &EditVerdict) {
+    let ended = match verdict {
+        EditVerdict::Accepted { edit, version, .. } => {
+            format!("accepted as edit {edit} at version {}", version.0)
+        }
+        EditVerdict::Valid { .. } => "valid, a dry run".to_owned(),
+        EditVerdict::Refused(_) => "refused".to_owned(),
+        EditVerdict::Unavailable | EditVerdict::Busy => "not made".to_owned(),
+        EditVerdict::Unknown { edit } => format!("not known to have been accepted, edit {edit}"),
+    };
+    log::info!("edit of {} by operator `{}`: {ended}", request.row, request.operator);
+}
+
+pub(super) fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/io-router/src/platform.rs
+++ b/crates/io-router/src/platform.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use base_types::{PoolName, RouteName, RowVersion};
+use base_types::RowVersion;
 use core_router::{Event, HostEntry, HostRole, HostState};
 use error_stack::Report;
 use io_platform::{HostRow, ObjectRecord, PlatformClient, PlatformError};
-use state_tables::{RowChange, RowContent, RowKey};
+use state_tables::{RowChange, RowContent, RowKey, TableKind, TableRevision};
 
 use crate::handle::LoopHandle;
 
@@ -14,9 +14,6 @@
 const RETRY_AFTER_FAILURE: Duration = Duration::from_millis(500);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-pub(crate) const ROUTE_PREFIX: &str = "routes/";
-pub(crate) const POOL_PREFIX: &str = "pools/";
-
 /// Reads hosts and tables for as long as the process runs.
 pub(crate) async fn watch_platform(platform: PlatformClient, handle: LoopHandle) {
     tokio::task::spawn_local(poll_hosts(platform.clone(), handle.clone()));
@@ -62,12 +59,17 @@
     platform: &PlatformClient,
     handle: &LoopHandle,
 ) -> Result<RowVersion, Report<PlatformError>> {
-    let routes = platform.list(ROUTE_PREFIX).await?;
-    let pools = platform.list(POOL_PREFIX).await?;
-    post_rows(handle, pools.objects);
-    post_rows(handle, routes.objects);
+    let mut floors = Vec::new();
+    let mut rows = Vec::new();
+    for table in TableKind::ALL {
+        let listed = platform.list(table.prefix()).await?;
+        rows.extend(listed.objects.into_iter().filter_map(row_change));
+        floors.push(TableRevision { table, revision: listed.revision });
+    }
+    let revision = floors.iter().map(|read| read.revision).min().unwrap_or(RowVersion(0));
+    handle.post(Event::TablesListed(floors, rows));
     handle.post(Event::TablesComplete);
-    Ok(routes.revision)
+    Ok(revision)
 }
 
 async fn wait_after(report: &Report<PlatformError>) {
@@ -82,25 +84,12 @@
 }
 
 fn row_change(object: ObjectRecord) -> Option<RowChange> {
-    let key = object.key.as_str();
-    let (key, content) = if let Some(name) = key.strip_prefix(ROUTE_PREFIX) {
-        let row = object.value.map(serde_json::from_value).transpose();
-        (RowKey::Route(RouteName::new(name)), row.map(|row| row.map(RowContent::Route)))
-    } else {
-        let name = key.strip_prefix(POOL_PREFIX)?;
-        let row = object.value.map(serde_json::from_value).transpose();
-        (RowKey::Pool(PoolName::new(name)), row.map(|row| row.map(RowContent::Pool)))
-    };
-    match content {
-        Ok(content) => {
-            let content = content.unwrap_or(RowContent::Tombstone);
-            Some(RowChange { key, version: object.version, content })
-        }
-        Err(error) => {
-            log::error!("row {} is invalid and not adopted: {error}", object.key);
-            None
-        }
+    let key = RowKey::from_object(object.key.as_str())?;
+    let change = RowChange::from_object(key, object.version, object.value);
+    if let RowContent::Invalid(faults) = &change.content {
+        log::error!("{} at version {} is invalid: {faults:?}", change.key, change.version.0);
     }
+    Some(change)
 }
 
 fn host_entry(row: HostRow) -> HostEntry {
--- a/crates/state-tables/src/editor.rs
+++ b/crates/state-tables/src/editor.rs
@@ -27,7 +27,7 @@
 use self::{begin::BeginEnd, request::Draft};
 use crate::{
     EditOutcome, EditRecord, GUARD_OBJECT, GuardRecord, ObjectPort, PortError, RowChange, RowKey,
-    TableKind, TableSet,
+    TableKind, TableRevision, TableSet,
     port::{StoredObject, parse_value, read_again},
 };
 
@@ -108,7 +108,7 @@
             changes.push(RowChange::from_object(key.clone(), object.version, value));
             view.objects.insert(key, object);
         }
-        floors.push((table, listed.revision));
+        floors.push(TableRevision { table, revision: listed.revision });
     }
     view.in_force.adopt_lists(&floors, changes);
     Ok(view)
--- a/crates/state-tables/src/editor/request.rs
+++ b/crates/state-tables/src/editor/request.rs
@@ -1,11 +1,11 @@
 //! What an operator asks for, and the check of it against the platform's rows.
 
-use base_types::{HostName, PoolIdentity, RowVersion, TeamName, message_types};
+use base_types::{HostName, OperatorName, PoolIdentity, RowVersion, TeamName, message_types};
 use serde_json::{Value, json};
 
 use super::TableView;
 use crate::{
-    EditKey, EditRecord, OperatorName, RowContent, RowFault, RowKey, RowRecord, TableSet,
+    EditKey, EditRecord, RowContent, RowFault, RowKey, RowRecord, TableSet,
     port::{StoredObject, parse_value},
 };
 
--- a/crates/state-tables/src/key.rs
+++ b/crates/state-tables/src/key.rs
@@ -19,6 +19,15 @@
 }
 
 value_types! {
+    /// Revision at which a whole table was read.
+    #[derive(Eq)]
+    pub struct TableRevision {
+        /// The table.
+        pub table: TableKind,
+        /// Revision of the read.
+        pub revision: RowVersion,
+    }
+
     /// Key of a row in either table.
     #[derive(Eq, PartialOrd, Ord)]
     pub enum RowKey {
@@ -96,12 +105,12 @@
 }
 
 impl TableFloors {
-    pub(crate) fn raise(&mut self, table: TableKind, revision: RowVersion) {
-        let floor = match table {
+    pub(crate) fn raise(&mut self, read: &TableRevision) {
+        let floor = match read.table {
             TableKind::Routes => &mut self.routes,
             TableKind::Pools => &mut self.pools,
         };
-        *floor = (*floor).max(Some(revision));
+        *floor = (*floor).max(Some(read.revision));
     }
 
     pub(crate) fn get(&self, table: TableKind) -> Option<RowVersion> {
--- a/crates/state-tables/src/lib.rs
+++ b/crates/state-tables/src/lib.rs
@@ -20,11 +20,11 @@
         CurrentRow, EditFate, EditRefusal, EditRequest, EditTarget, EditVerdict, find_edit,
         finish_pending, submit_edit,
     },
-    key::{RowKey, TableKind},
+    key::{RowKey, TableKind, TableRevision},
     port::{ObjectPort, PortError, StoredObject, StoredTable, read_audit},
     record::{
         AUDIT_PREFIX, EditKey, EditKeyError, EditOutcome, EditRecord, GUARD_OBJECT, GuardRecord,
-        OperatorName, RowRecord, audit_object,
+        RowRecord, audit_object,
     },
     rows::{PoolRow, RouteRow, ServiceKind, TableFile, TableFileError},
     table::{HeldRow, RowChange, RowContent, TableSet},
--- a/crates/state-tables/src/record.rs
+++ b/crates/state-tables/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, str::FromStr};
 
-use base_types::{HostName, RowVersion, TeamName, key_types, name_types, value_types};
+use base_types::{HostName, OperatorName, RowVersion, TeamName, key_types, value_types};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 use serde_json::Value;
 
@@ -13,11 +13,6 @@
 /// Prefix of the objects that hold audit entries.
 pub const AUDIT_PREFIX: &str = "audit/";
 
-name_types! {
-    /// Name of an operator.
-    OperatorName;
-}
-
 /// Key of an edit: its place in the order of all edits and a number that no other edit has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EditKey {
--- a/crates/state-tables/src/slot.rs
+++ b/crates/state-tables/src/slot.rs
@@ -6,7 +6,7 @@
 
 const HELD_MAX: usize = 4;
 
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct RowSlot {
     pub(crate) in_force: Option<RowChange>,
     /// Versions above the one in force, in ascending order.
--- a/crates/state-tables/src/table.rs
+++ b/crates/state-tables/src/table.rs
@@ -5,7 +5,7 @@
 use base_types::{PoolName, RouteName, RowVersion, message_types, value_types};
 
 use crate::{
-    PoolRow, RouteRow, RowFault, RowKey, TableKind, check_rows, key::TableFloors, slot::RowSlot,
+    PoolRow, RouteRow, RowFault, RowKey, TableKind, TableRevision, check_rows, key::TableFloors, slot::RowSlot,
 };
 
 value_types! {
@@ -50,7 +50,7 @@
 ///
 /// A later version that would make the rows in force invalid is held until the rows that it
 /// needs arrive; rows may therefore arrive in any order.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct TableSet {
     pub(crate) slots: BTreeMap<RowKey, RowSlot>,
     floors: TableFloors,
@@ -72,23 +72,23 @@
     }
 
     /// Takes whole tables, each read at a revision; rows that they lack were deleted by then.
-    pub fn adopt_lists(&mut self, tables: &[(TableKind, RowVersion)], rows: Vec<RowChange>) {
+    pub fn adopt_lists(&mut self, tables: &[TableRevision], rows: Vec<RowChange>) {
         let listed: BTreeSet<RowKey> = rows.iter().map(|change| change.key.clone()).collect();
         let mut changes = rows;
-        for (table, revision) in tables {
+        for read in tables {
             let missing = self.slots.iter().filter(|(key, slot)| {
-                let older = slot.latest() < Some(*revision);
-                key.table() == *table && older && !listed.contains(*key)
+                let older = slot.latest() < Some(read.revision);
+                key.table() == read.table && older && !listed.contains(*key)
             });
             changes.extend(missing.map(|(key, _)| RowChange {
                 key: key.clone(),
-                version: *revision,
+                version: read.revision,
                 content: RowContent::Tombstone,
             }));
         }
         self.adopt_all(changes);
-        for (table, revision) in tables {
-            self.floors.raise(*table, *revision);
+        for read in tables {
+            self.floors.raise(read);
         }
     }
 
@@ -98,8 +98,8 @@
     }
 
     /// Raises a table's floor to that of a peer whose rows have all been taken.
-    pub fn raise_floor(&mut self, table: TableKind, revision: RowVersion) {
-        self.floors.raise(table, revision);
+    pub fn raise_floor(&mut self, read: &TableRevision) {
+        self.floors.raise(read);
     }
 
     /// Latest version heard of a row or its tombstone, in force or not.
--- a/crates/state-tables/tests/tables.rs
+++ b/crates/state-tables/tests/tables.rs
@@ -81,6 +81,7 @@
 #[test]
 fn the_longest_prefix_wins() {
     let mut table = TableSet::default();
+    table.adopt(pool_change(1));
     let row = TableFile::parse(FILE).unwrap().routes.remove(0);
     for (name, path) in [("all", "/"), ("chat", "/v1/chat"), ("other", "/v1/ch")] {
         let mut row = row.clone();
