--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -1,11 +1,17 @@
 //! Settings of a router process, parsed from TOML into types and checked before anything is bound.
 //!
-//! It reads no files: callers pass the text.
+//! Every fault of a file is found in one go, each with its line, its key and the remedy. The crate
+//! reads no files: callers pass the text and a [`FileReader`] for the key files that it names.
 
+mod fault;
 mod operators;
+mod secret;
+mod section;
 mod settings;
 
 pub use crate::{
+    fault::{SettingsError, SettingsFault},
     operators::{OperatorRight, OperatorSettings, TokenDigest},
-    settings::{RouterSettings, SettingsError},
+    secret::SecretValue,
+    settings::{FileReader, LimitSettings, LogFormat, LogSettings, RouterSettings, TlsSettings},
 };
--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -12,8 +12,9 @@
 pub use crate::{
     codes::{CodeRow, CompletedCode, NotRunCode, OutcomeKind, UnknownCode, code_table},
     names::{
-        AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName, OperatorName,
-        PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TeamName,
+        AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName,
+        OperatorName, PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey,
+        TeamName,
     },
     notices::{AccountLoad, AccountShare, LoadShare, PeerNotice, SuspectNotice, TargetLoad},
     request::{Arrival, Refusal},
--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod config;
 mod dispatch;
+mod explain;
 mod operations;
 mod shares;
 
--- a/crates/io-router/src/admin.rs
+++ b/crates/io-router/src/admin.rs
@@ -26,21 +26,24 @@
         status::StatusHandler,
     },
     handle::LoopHandle,
+    run::LoopClock,
 };
 
 /// What the handlers of the operators' port share.
 pub(crate) struct AdminState {
     handle: LoopHandle,
     platform: PlatformClient,
+    clock: LoopClock,
 }
 
 /// The routes of the operators' port.
 pub(crate) fn operator_router(
     handle: LoopHandle,
     platform: PlatformClient,
+    clock: LoopClock,
     operators: Vec<OperatorSettings>,
 ) -> Router {
-    let state = Arc::new(AdminState { handle, platform });
+    let state = Arc::new(AdminState { handle, platform, clock });
     let list = Arc::new(OperatorList::new(operators));
     let need = |right| Router::new().hoop(AccessHoop::new(list.clone(), right));
     let read = need(OperatorRight::Read)
--- a/crates/io-router/src/admin/access.rs
+++ b/crates/io-router/src/admin/access.rs
@@ -88,7 +88,7 @@
     ) {
         match self.admit(req) {
             Ok(operator) => {
-                depot.inject(operator.clone());
+                depot.insert_typed(operator.clone());
             }
             Err(denial) => {
                 denial.write(res);
--- a/crates/io-router/src/admin/audit.rs
+++ b/crates/io-router/src/admin/audit.rs
@@ -53,7 +53,8 @@
         };
         match find_edit(&PlatformPort(&self.0.platform), edit).await {
             Ok(EditFate::Ended(entry)) => {
-                let accepted = matches!(entry.end, Some(state_tables::EditOutcome::Accepted { .. }));
+                let accepted =
+                    matches!(entry.end, Some(state_tables::EditOutcome::Accepted { .. }));
                 let outcome = if accepted { "accepted" } else { "not-accepted" };
                 res.render(Json(json!({ "outcome": outcome, "entry": entry })));
             }
--- a/crates/io-router/src/admin/explain.rs
+++ b/crates/io-router/src/admin/explain.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use base_types::{AccountName, PoolName, RequestKey, RouteName};
+use base_types::{AccountName, RequestKey, TimePoint};
 use core_router::RouterCore;
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode, writing::Json,
 };
 use serde_json::json;
-use state_tables::RowKey;
+use state_tables::TableKind;
 
 use crate::admin::{AdminState, write_error};
 
@@ -38,8 +38,9 @@
         let name = req.param::<String>("name").unwrap_or_default();
         let subject = self.subject;
         let asked = name.clone();
+        let now = self.state.clock.now();
         let answer = self.state.handle.query(move |core| {
-            let sentences = explain_name(core, subject, &asked);
+            let sentences = explain_name(core, now, subject, &asked);
             (core.name().clone(), sentences)
         });
         let Some((host, sentences)) = answer.await else {
@@ -68,12 +69,17 @@
     }
 }
 
-fn explain_name(core: &RouterCore, subject: ExplainSubject, name: &str) -> Vec<String> {
+fn explain_name(
+    core: &RouterCore,
+    now: TimePoint,
+    subject: ExplainSubject,
+    name: &str,
+) -> Vec<String> {
     match subject {
-        ExplainSubject::Target => core.explain_target(name),
+        ExplainSubject::Target => core.explain_target(now, name),
         ExplainSubject::Account => core.explain_account(&AccountName::new(name)),
-        ExplainSubject::Route => core.explain_row(&RowKey::Route(RouteName::new(name))),
-        ExplainSubject::Pool => core.explain_row(&RowKey::Pool(PoolName::new(name))),
+        ExplainSubject::Route => core.explain_row(&TableKind::Routes.row(name)),
+        ExplainSubject::Pool => core.explain_row(&TableKind::Pools.row(name)),
         ExplainSubject::Request => Vec::new(),
     }
 }
--- a/crates/io-router/src/admin/rows.rs
+++ b/crates/io-router/src/admin/rows.rs
@@ -103,7 +103,7 @@
     }
 
     async fn edit(&self, key: RowKey, req: &mut Request, depot: &Depot, res: &mut Response) {
-        let Ok(operator) = depot.obtain::<OperatorSettings>() else {
+        let Ok(operator) = depot.get_typed::<OperatorSettings>() else {
             return write_error(res, StatusCode::UNAUTHORIZED, "no operator");
         };
         let request = match self.edit_request(key, operator, req).await {
--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -12,7 +12,7 @@
 use http::Method;
 use serde_json::{Value, json};
 
-use crate::{HttpCaller, ports::PortSource, process::ChildProcess};
+use crate::{HttpCaller, operators::operator_settings, ports::PortSource, process::ChildProcess};
 
 const READY_POLL: Duration = Duration::from_millis(20);
 const READY_POLLS_MAX: u32 = 500;
@@ -254,7 +254,9 @@
     ) -> Result<(), Report<FleetError>> {
         let operator = self.routers[router].operator;
         let tag = version.map(|version| format!("\"{version}\""));
-        let headers: Vec<(&str, &str)> = tag.iter().map(|tag| ("if-match", &**tag)).collect();
+        let reason = ("x-change-reason", "the local fleet's own tables");
+        let tag = tag.iter().map(|tag| ("if-match", &**tag));
+        let headers: Vec<(&str, &str)> = tag.chain([reason]).collect();
         let path = format!("/admin/v1/{path}");
         let body = row.to_string();
         let answer = self.caller.call(Method::PUT, operator, &path, &headers, body).await;
@@ -351,8 +353,13 @@
     fn settings_text(&self, router: &RouterProcess) -> String {
         format!(
             "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
-             operator_listen = \"{}\"\nplatform = \"{}\"\n",
-            router.host, router.failure_domain, router.caller, router.operator, self.platform,
+             operator_listen = \"{}\"\nplatform = \"{}\"\n{}",
+            router.host,
+            router.failure_domain,
+            router.caller,
+            router.operator,
+            self.platform,
+            operator_settings(),
         )
     }
 
--- a/crates/state-tables/src/editor.rs
+++ b/crates/state-tables/src/editor.rs
@@ -19,12 +19,12 @@
 mod find;
 mod request;
 
+use self::{begin::BeginEnd, request::Draft};
 pub use self::{
     end::finish_pending,
     find::{EditFate, find_edit},
     request::{CurrentRow, EditRefusal, EditRequest, EditTarget, EditVerdict},
 };
-use self::{begin::BeginEnd, request::Draft};
 use crate::{
     EditOutcome, EditRecord, GUARD_OBJECT, GuardRecord, ObjectPort, PortError, RowChange, RowKey,
     TableKind, TableRevision, TableSet,
--- a/crates/state-tables/src/editor/begin.rs
+++ b/crates/state-tables/src/editor/begin.rs
@@ -11,9 +11,9 @@
 /// How the begin of an edit ended.
 pub(super) enum BeginEnd {
     /// The guard holds the edit.
-    Begun(GuardView),
+    Begun(Box<GuardView>),
     /// The guard held the edit and another router ended it.
-    Ended(EditRecord),
+    Ended(Box<EditRecord>),
     /// Another edit began first; this one never will.
     Outrun,
     /// Nothing was written.
@@ -29,7 +29,9 @@
 ) -> BeginEnd {
     let record = GuardRecord { sequence: edit.edit.sequence, pending: Some(edit.clone()) };
     match write_again(port, GUARD_OBJECT, guard.version, &json!(record)).await {
-        WriteEnd::Written(version) => BeginEnd::Begun(GuardView { version: Some(version), record }),
+        WriteEnd::Written(version) => {
+            BeginEnd::Begun(Box::new(GuardView { version: Some(version), record }))
+        }
         WriteEnd::Unsent => BeginEnd::Unsent,
         WriteEnd::Doubtful => BeginEnd::Unknown,
         WriteEnd::Conflict => match read_back(port, &edit).await {
@@ -43,10 +45,10 @@
 async fn read_back(port: &impl ObjectPort, edit: &EditRecord) -> Result<BeginEnd, PortError> {
     let guard = read_guard(port).await?;
     if guard.record.pending.as_ref().is_some_and(|pending| pending.edit == edit.edit) {
-        return Ok(BeginEnd::Begun(guard));
+        return Ok(BeginEnd::Begun(Box::new(guard)));
     }
     let entry = read_again(port, &audit_object(edit.edit.sequence)).await?;
     let entry: Option<EditRecord> = entry.and_then(|object| parse_value(object.value));
     let entry = entry.filter(|entry| entry.edit == edit.edit);
-    Ok(entry.map_or(BeginEnd::Outrun, BeginEnd::Ended))
+    Ok(entry.map_or(BeginEnd::Outrun, |entry| BeginEnd::Ended(Box::new(entry))))
 }
--- a/crates/state-tables/src/editor/end.rs
+++ b/crates/state-tables/src/editor/end.rs
@@ -29,7 +29,7 @@
 ) -> Result<EditRecord, PortError> {
     let pending = guard.record.pending.clone().ok_or(PortError::Conflict)?;
     let entry = match write_row(port, &pending).await? {
-        RowEnd::Decided(entry) => entry,
+        RowEnd::Decided(entry) => *entry,
         RowEnd::Outcome(outcome) => {
             write_audit(port, EditRecord { end: Some(outcome), ..pending }).await?
         }
@@ -42,7 +42,7 @@
 
 enum RowEnd {
     Outcome(EditOutcome),
-    Decided(EditRecord),
+    Decided(Box<EditRecord>),
 }
 
 async fn write_row(port: &impl ObjectPort, edit: &EditRecord) -> Result<RowEnd, PortError> {
@@ -66,13 +66,12 @@
         return Ok(RowEnd::Outcome(EditOutcome::Accepted { version }));
     }
     let entry = read_audit(port, edit.edit.sequence).await?;
-    Ok(entry.map_or(RowEnd::Outcome(EditOutcome::Overwritten), RowEnd::Decided))
+    Ok(entry.map_or(RowEnd::Outcome(EditOutcome::Overwritten), |entry| {
+        RowEnd::Decided(Box::new(entry))
+    }))
 }
 
-async fn write_audit(
-    port: &impl ObjectPort,
-    entry: EditRecord,
-) -> Result<EditRecord, PortError> {
+async fn write_audit(port: &impl ObjectPort, entry: EditRecord) -> Result<EditRecord, PortError> {
     let key = audit_object(entry.edit.sequence);
     match write_again(port, &key, None, &json!(entry)).await {
         WriteEnd::Written(_) => Ok(entry),
--- a/crates/state-tables/src/editor/find.rs
+++ b/crates/state-tables/src/editor/find.rs
@@ -15,7 +15,7 @@
     /// How an edit ended.
     pub enum EditFate {
         /// Its audit entry says how.
-        Ended(EditRecord),
+        Ended(Box<EditRecord>),
         /// It never began and never will.
         NeverBegan,
     }
@@ -35,7 +35,7 @@
         }
         if let Some(entry) = read_audit(port, edit.sequence).await? {
             let own = entry.edit == edit;
-            return Ok(if own { EditFate::Ended(entry) } else { EditFate::NeverBegan });
+            return Ok(if own { EditFate::Ended(Box::new(entry)) } else { EditFate::NeverBegan });
         }
         if let Some(fate) = fence(port, &guard).await? {
             return Ok(fate);
--- a/crates/state-tables/src/resolve.rs
+++ b/crates/state-tables/src/resolve.rs
@@ -94,9 +94,9 @@
     fn withdraw(&mut self, key: &'a RowKey) {
         let chosen = self.chosen.remove(key);
         let Some(slot) = self.slots.get(key) else { return };
-        let below = slot.candidates().find(|change| {
-            chosen.is_some_and(|chosen| change.version < chosen.version)
-        });
+        let below = slot
+            .candidates()
+            .find(|change| chosen.is_some_and(|chosen| change.version < chosen.version));
         if let Some(change) = below {
             self.chosen.insert(key, change);
         }
@@ -108,7 +108,8 @@
     }
 
     fn missing_pool(&self) -> Option<&'a RowKey> {
-        let pools: BTreeSet<&PoolName> = self.chosen.values().filter_map(|c| pool_name(c)).collect();
+        let pools: BTreeSet<&PoolName> =
+            self.chosen.values().filter_map(|c| pool_name(c)).collect();
         let (route, row) = self.routes().find(|(_, row)| !pools.contains(&row.pool))?;
         let pool = RowKey::Pool(row.pool.clone());
         let deleted = self.chosen.get_key_value(&pool).filter(|(key, _)| self.is_held(key));
--- a/crates/state-tables/src/table.rs
+++ b/crates/state-tables/src/table.rs
@@ -5,7 +5,8 @@
 use base_types::{PoolName, RouteName, RowVersion, message_types, value_types};
 
 use crate::{
-    PoolRow, RouteRow, RowFault, RowKey, TableKind, TableRevision, check_rows, key::TableFloors, slot::RowSlot,
+    PoolRow, RouteRow, RowFault, RowKey, TableKind, TableRevision, check_rows, key::TableFloors,
+    slot::RowSlot,
 };
 
 value_types! {
