--- a/crates/core-router/src/core/explain.rs
+++ b/crates/core-router/src/core/explain.rs
@@ -126,6 +126,7 @@
             Self::Fresh(request) => &request.arrival.account,
             Self::Sent(request) => &request.arrival.account,
             Self::Repeating(request) => &request.arrival.account,
+            Self::Whole(request) => &request.arrival.account,
         }
     }
 
