--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -14,7 +14,7 @@
 use io_wire::keys::FleetAuthority;
 use serde_json::{Value, json};
 
-use crate::{HttpCaller, ports::PortSource, process::ChildProcess};
+use crate::{HttpCaller, operators::operator_settings, ports::PortSource, process::ChildProcess};
 
 const SEEDS: usize = 3;
 const READY_POLL: Duration = Duration::from_millis(20);
@@ -258,7 +258,9 @@
     ) -> Result<(), Report<FleetError>> {
         let operator = self.routers[router].operator;
         let tag = version.map(|version| format!("\"{version}\""));
-        let headers: Vec<(&str, &str)> = tag.iter().map(|tag| ("if-match", &**tag)).collect();
+        let reason = ("x-change-reason", "the local fleet's own tables");
+        let tag = tag.iter().map(|tag| ("if-match", &**tag));
+        let headers: Vec<(&str, &str)> = tag.chain([reason]).collect();
         let path = format!("/admin/v1/{path}");
         let body = row.to_string();
         let answer = self.caller.call(Method::PUT, operator, &path, &headers, body).await;
@@ -356,7 +358,7 @@
         format!(
             "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
              operator_listen = \"{}\"\nplatform = \"{}\"\npeer_listen = \"{}\"\n\
-             peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n",
+             peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n{}",
             router.host,
             router.failure_domain,
             router.caller,
@@ -367,6 +369,7 @@
             self.key_path("authority.crt").display(),
             self.key_path(&format!("{}.crt", router.host)).display(),
             self.key_path(&format!("{}.key", router.host)).display(),
+            operator_settings(),
         )
     }
 
