--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -4,12 +4,14 @@
 //! reads no files: callers pass the text and a [`FileReader`] for the key files that it names.
 
 mod fault;
+mod operators;
 mod secret;
 mod section;
 mod settings;
 
 pub use crate::{
     fault::{SettingsError, SettingsFault},
+    operators::{OperatorRight, OperatorSettings, TokenDigest},
     secret::SecretValue,
     settings::{
         FileReader, LimitSettings, LogFormat, LogSettings, PeerSettings, PeerTlsSettings,
--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -22,7 +22,8 @@
     tls::TlsSettings,
 };
 use crate::{
-    SettingsError,
+    OperatorSettings, SettingsError,
+    operators::read_operators,
     section::{FaultList, SettingsSection},
 };
 
@@ -54,6 +55,8 @@
     pub log: LogSettings,
     /// How the router takes its leave.
     pub stop: StopSettings,
+    /// Operators who may use the administration API.
+    pub operators: Vec<OperatorSettings>,
 }
 
 impl RouterSettings {
@@ -94,6 +97,7 @@
         let limits = LimitSettings::read(root);
         let log = LogSettings::read(root);
         let stop = StopSettings::read(root);
+        let operators = read_operators(root);
         Some(Self {
             host: HostName::new(host?),
             failure_domain: DomainName::new(failure_domain?),
@@ -106,6 +110,7 @@
             limits,
             log,
             stop,
+            operators,
         })
     }
 }
--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -13,7 +13,8 @@
     codes::{CodeRow, CompletedCode, NotRunCode, OutcomeKind, UnknownCode, code_table},
     names::{
         AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName,
-        PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TeamName,
+        OperatorName, PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey,
+        TeamName,
     },
     notices::{AccountLoad, AccountShare, LoadShare, PeerNotice, SuspectNotice, TargetLoad},
     request::{Arrival, Refusal},
--- a/crates/io-router/src/admin/status.rs
+++ b/crates/io-router/src/admin/status.rs
@@ -2,21 +2,16 @@
 
 use std::sync::Arc;
 
-use base_types::RequestKey;
 use core_router::RouterCore;
-use salvo::{
-    Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode, writing::Json,
-};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, writing::Json};
 use serde_json::{Value, json};
+use state_tables::{HeldRow, RowContent};
 
-use crate::admin::{AdminState, write_error};
+use crate::admin::AdminState;
 
 /// Answers `GET /admin/v1/status`.
 pub(super) struct StatusHandler(pub(super) Arc<AdminState>);
 
-/// Answers `GET /admin/v1/explain/{request}`.
-pub(super) struct ExplainHandler(pub(super) Arc<AdminState>);
-
 #[async_trait]
 impl Handler for StatusHandler {
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
@@ -26,35 +21,16 @@
     }
 }
 
-#[async_trait]
-impl Handler for ExplainHandler {
-    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let text = req.param::<String>("request").unwrap_or_default();
-        let Ok(number) = u128::from_str_radix(&text, 16) else {
-            return write_error(
-                res,
-                StatusCode::BAD_REQUEST,
-                "a request id is 32 hexadecimal digits",
-            );
-        };
-        let sentences = self.0.handle.query(move |core| {
-            core.explain(RequestKey(number)).map(|record| record.sentences.clone())
-        });
-        match sentences.await.flatten() {
-            Some(sentences) => res.render(Json(json!({ "request": text, "decisions": sentences }))),
-            None => {
-                write_error(res, StatusCode::NOT_FOUND, "this router remembers no such request")
-            }
-        }
-    }
-}
-
 fn status_body(core: &RouterCore, platform_calls: u64) -> Value {
     let rows: Vec<Value> = core
         .table()
-        .changes()
-        .map(|change| json!({ "key": format!("{:?}", change.key), "version": change.version }))
+        .rows_in_force()
+        .map(|change| {
+            let deleted = change.content == RowContent::Tombstone;
+            json!({ "key": change.key.object(), "version": change.version, "deleted": deleted })
+        })
         .collect();
+    let held: Vec<Value> = core.table().held_rows().map(held_body).collect();
     let targets: Vec<Value> = core
         .targets()
         .map(|target| {
@@ -74,6 +50,17 @@
         "leaving": status.leaving,
         "platform_calls": platform_calls,
         "rows": rows,
+        "rows_held": held,
         "targets": targets,
     })
 }
+
+fn held_body(held: HeldRow) -> Value {
+    let faults: Vec<String> = held.faults.iter().map(ToString::to_string).collect();
+    json!({
+        "key": held.key.object(),
+        "version": held.version,
+        "in_force": held.in_force,
+        "faults": faults,
+    })
+}
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -16,7 +16,7 @@
 use tokio::{sync::mpsc, task::JoinHandle};
 
 use crate::{
-    admin::operator_router,
+    admin::{operator_router, sweep_edits},
     front::caller_router,
     handle::{LoopHandle, LoopInput, LoopInputs},
     ledger::OperationLedger,
@@ -68,9 +68,10 @@
     let platform = PlatformClient::new(settings.platform);
     let (handle, mut inputs) = LoopHandle::new();
     let caller = serve(settings.caller_listen, caller_router(handle.clone(), clock)).await?;
-    let operator = operator_router(handle.clone(), platform.clone());
+    let operator = operator_router(handle.clone(), platform.clone(), clock, settings.operators);
     let operator = serve(settings.operator_listen, operator).await?;
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
+    tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
--- a/crates/local-fleet/src/caller.rs
+++ b/crates/local-fleet/src/caller.rs
@@ -12,6 +12,8 @@
 };
 use serde::de::DeserializeOwned;
 
+use crate::operators::OPERATOR_TOKEN;
+
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Why a call has no answer.
@@ -92,6 +94,8 @@
 impl HttpCaller {
     /// Makes a call and waits for its whole answer.
     ///
+    /// It carries the fleet's operator token unless `headers` name another.
+    ///
     /// # Errors
     ///
     /// Fails when no whole answer comes; the error says whether a byte was sent.
@@ -104,6 +108,9 @@
         body: impl Into<Bytes>,
     ) -> Result<CallAnswer, Report<CallError>> {
         let mut builder = Request::builder().method(method).uri(format!("http://{address}{path}"));
+        if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("authorization")) {
+            builder = builder.header("authorization", format!("Bearer {OPERATOR_TOKEN}"));
+        }
         for (name, value) in headers {
             builder = builder.header(*name, *value);
         }
