Test answers on real sockets and deliver the error event of a broken stream

Cause: the explicit error event of a broken stream never reached its caller: the server drops what it has not written when a body fails, and the failure came in the same poll as the event. Change: a failure comes out one poll later, after the event is written.

--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -10,7 +10,6 @@
 use http::{HeaderMap, header};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
 
 use crate::{
     answer::{write_completed, write_identity, write_refusal, write_stored, write_unknown},
@@ -196,7 +195,7 @@
         res.headers_mut().insert(header::CONTENT_TYPE, value.clone());
     }
     write_identity(res, context.call.request, CompletedCode::Complete.number());
-    res.stream(ReceiverStream::new(relay_answer(context, answer)));
+    res.stream(relay_answer(context, answer));
 }
 
 /// What came first: the end of sending, or another step from the core.
--- a/crates/io-router/src/relay.rs
+++ b/crates/io-router/src/relay.rs
@@ -4,11 +4,16 @@
 //! socket. Event streams are passed on in whole events, so that a resumed stream goes on exactly
 //! after the last event that the caller was given.
 
-use std::time::Duration;
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use base_types::{AttemptKey, Refusal, RequestKey, UnknownCode};
 use bytes::{Bytes, BytesMut};
 use core_router::{AttemptEnd, Event, RequestStep};
+use futures_util::Stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -57,15 +62,39 @@
 ///
 /// Dropping the receiver ends the relay, which closes the target's connection and so cancels the
 /// generation.
-pub(crate) fn relay_answer(
-    context: RelayContext,
-    answer: BegunAnswer,
-) -> mpsc::Receiver<AnswerPiece> {
+pub(crate) fn relay_answer(context: RelayContext, answer: BegunAnswer) -> AnswerPieces {
     let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
     let events = answer.is_event_stream().then(EventBuffer::default);
     let relay = AnswerRelay { context, sender, events };
     tokio::spawn(relay.run(answer));
-    receiver
+    AnswerPieces { receiver, failure: None }
+}
+
+/// Pieces of an answer on their way to the caller.
+///
+/// A failure comes out one poll later than it could, so that the server writes what came before
+/// it; at a failure the server drops whatever it has not written.
+pub(crate) struct AnswerPieces {
+    receiver: mpsc::Receiver<AnswerPiece>,
+    failure: Option<AnswerCutError>,
+}
+
+impl Stream for AnswerPieces {
+    type Item = AnswerPiece;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if let Some(failure) = self.failure.take() {
+            return Poll::Ready(Some(Err(failure)));
+        }
+        match std::task::ready!(self.receiver.poll_recv(context)) {
+            Some(Err(failure)) => {
+                self.failure = Some(failure);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            piece => Poll::Ready(piece),
+        }
+    }
 }
 
 /// Why carrying an answer stopped.
@@ -239,8 +268,8 @@
     fn note(&mut self, whole: &[u8]) {
         let text = String::from_utf8_lossy(whole);
         self.ended |= text.lines().any(|line| line.trim_end() == STREAM_END);
-        let ids = text.lines().filter_map(|line| line.strip_prefix(EVENT_ID));
-        if let Some(id) = ids.last() {
+        let mut ids = text.lines().filter_map(|line| line.strip_prefix(EVENT_ID));
+        if let Some(id) = ids.next_back() {
             self.last_id = Some(id.trim().into());
         }
     }
--- /dev/null
+++ b/crates/io-router/tests/answers/target.rs
@@ -0,0 +1,110 @@
+//! A target that follows a script, byte by byte.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// What a scripted target does with a request.
+#[derive(Debug, Clone)]
+pub(crate) enum TargetStep {
+    /// Sends bytes; `{id}` stands for the request's id.
+    Send(&'static str),
+    /// Waits, so that the router has read what was sent.
+    Pause,
+    /// Closes the connection.
+    Close,
+    /// Sends events without end.
+    Flood,
+}
+
+type Script = fn(request: &str, number: usize) -> Vec<TargetStep>;
+
+const PAUSE: Duration = Duration::from_millis(50);
+const FLOOD_PIECE: [u8; 1024] = [b'x'; 1024];
+
+/// Counts that tests look at.
+#[derive(Debug, Default)]
+pub(crate) struct TargetCounts {
+    pub(crate) requests: AtomicUsize,
+    pub(crate) flooded: AtomicUsize,
+    pub(crate) hung_up: AtomicUsize,
+}
+
+/// Starts a target; its requests are numbered over all connections.
+pub(crate) async fn start_target(address: SocketAddr, script: Script) -> Arc<TargetCounts> {
+    let counts = Arc::new(TargetCounts::default());
+    let listener = TcpListener::bind(address).await.unwrap();
+    let shared = counts.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, script, shared.clone()));
+        }
+    });
+    counts
+}
+
+async fn serve(mut stream: TcpStream, script: Script, counts: Arc<TargetCounts>) {
+    while let Some(request) = read_request(&mut stream).await {
+        let number = counts.requests.fetch_add(1, Ordering::SeqCst);
+        let id = header(&request, "x-request-id").unwrap_or_default().to_owned();
+        for step in script(&request, number) {
+            match step {
+                TargetStep::Send(text) => {
+                    let text = text.replace("{id}", &id);
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                TargetStep::Pause => tokio::time::sleep(PAUSE).await,
+                TargetStep::Close => return,
+                TargetStep::Flood => return flood(stream, &counts).await,
+            }
+        }
+    }
+}
+
+async fn flood(mut stream: TcpStream, counts: &TargetCounts) {
+    loop {
+        let piece = ["400\r\ndata: ", std::str::from_utf8(&FLOOD_PIECE[8..]).unwrap(), "\n\n\r\n"];
+        let piece = piece.concat();
+        if stream.write_all(piece.as_bytes()).await.is_err() {
+            counts.hung_up.fetch_add(1, Ordering::SeqCst);
+            return;
+        }
+        counts.flooded.fetch_add(piece.len(), Ordering::SeqCst);
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = header(&text, "content-length").map_or(0, |text| text.parse().unwrap());
+            if bytes.len() >= end + 4 + length {
+                return Some(text);
+            }
+        }
+        let mut piece = [0; 4096];
+        let count = stream.read(&mut piece).await.ok().filter(|count| *count > 0)?;
+        bytes.extend_from_slice(&piece[..count]);
+    }
+}
+
+pub(crate) fn header<'a>(request: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = request.lines().take_while(|line| !line.is_empty());
+    lines.find_map(|line| {
+        let (found, value) = line.split_once(": ")?;
+        found.eq_ignore_ascii_case(name).then_some(value)
+    })
+}
