Serve the command line, logs, metrics and probes

Cause: the binary ran a router and nothing else; its errors showed places in the code, its logs dropped fields, and a router could be neither probed nor scraped. Ruled out: simplelog, which drops the fields of a record; env_logger is its nearest kin that keeps them. Ad hoc HTTP in the commands; they use the new crate io-operator. Change: commands check, route, pool, explain, audit, status and completions with exit codes 0 to 8; crate io-operator (one connection a call, TLS on demand, never repeats an edit); crate io-telemetry (text or JSON lines with fields, OpenTelemetry instruments); /health, /ready and /metrics on the operators' port; TLS and limits of both ports from settings. Conclusion: an operator sees each fault with file, line, key and remedy.

--- a/crates/base-settings/src/fault.rs
+++ b/crates/base-settings/src/fault.rs
@@ -15,6 +15,15 @@
     pub remedy: Box<str>,
 }
 
+impl SettingsFault {
+    /// The fault with the name of its file, as `FILE:LINE: KEY PROBLEM; REMEDY`.
+    pub fn in_file(&self, file: &str) -> String {
+        let key = if self.key.is_empty() { String::new() } else { format!("`{}` ", self.key) };
+        let line = self.line.map(|line| format!(":{line}")).unwrap_or_default();
+        format!("{file}{line}: {key}{}; {}", self.problem, self.remedy)
+    }
+}
+
 impl fmt::Display for SettingsFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if let Some(line) = self.line {
--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -3,12 +3,14 @@
 //! Every fault of a file is found in one go, each with its line, its key and the remedy. The crate
 //! reads no files: callers pass the text and a [`FileReader`] for the key files that it names.
 
+mod document;
 mod fault;
 mod secret;
 mod section;
 mod settings;
 
 pub use crate::{
+    document::NamedDocument,
     fault::{SettingsError, SettingsFault},
     secret::SecretValue,
     settings::{FileReader, LimitSettings, LogFormat, LogSettings, RouterSettings, TlsSettings},
--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -41,6 +41,13 @@
         self.faults.borrow_mut().push(fault);
     }
 
+    /// Notes the faults of the TOML syntax.
+    pub(crate) fn push_syntax(&self, errors: &[toml::de::Error]) {
+        for error in errors {
+            self.push(error.span(), "", error.message(), "mend the TOML");
+        }
+    }
+
     pub(crate) fn into_faults(self) -> Vec<SettingsFault> {
         self.faults.into_inner()
     }
@@ -180,8 +187,6 @@
     }
 
     /// The tables of an array such as `[[operator]]`, each read whole; one fault for each that fails.
-    // FIXME: nothing in a router's settings is an array yet; operators are the first to come.
-    #[allow(dead_code)]
     pub(crate) fn entries<T: DeserializeOwned>(&self, name: &'static str) -> Vec<T> {
         let Some(value) = self.value(name) else { return Vec::new() };
         let Some(entries) = value.get_ref().as_array() else {
@@ -213,6 +218,17 @@
         self.table.get(name)
     }
 
+    /// Place of a field of the entry that has a name, or of the entry itself.
+    pub(crate) fn entry_span(&self, array: &str, name: &str, field: &str) -> Option<Range<usize>> {
+        let entries = self.table.get(array)?.get_ref().as_array()?;
+        let named = |entry: &&Spanned<DeValue<'i>>| {
+            entry.get_ref().get("name").and_then(|value| value.get_ref().as_str()) == Some(name)
+        };
+        let entry = entries.iter().find(named)?;
+        let field = entry.get_ref().get(field).map(Spanned::span);
+        Some(field.unwrap_or_else(|| entry.span()))
+    }
+
     fn entry<T: DeserializeOwned>(&self, name: &str, entry: ValueSpan<'a, 'i>) -> Option<T> {
         match T::deserialize(ValueDeserializer::from(entry.clone())) {
             Ok(entry) => Some(entry),
--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -59,9 +59,7 @@
     pub fn parse(text: &str, files: &dyn FileReader) -> Result<Self, Report<SettingsError>> {
         let (root, syntax) = DeTable::parse_recoverable(text);
         let faults = FaultList::new(text);
-        for error in &syntax {
-            faults.push(error.span(), "", error.message(), "mend the TOML");
-        }
+        faults.push_syntax(&syntax);
         let section = SettingsSection::root(root.get_ref(), &faults);
         let settings = Self::read(&section, files);
         check_listens(&section);
--- a/crates/base-settings/src/settings/limits.rs
+++ b/crates/base-settings/src/settings/limits.rs
@@ -10,6 +10,7 @@
 const HEADER_BYTES_MAX: u64 = 1024 * 1024;
 const HEADER_WAIT_MS: u64 = 10_000;
 const BODY_WAIT_MS: u64 = 30_000;
+const WRITE_WAIT_MS: u64 = 60_000;
 const WAIT_MS_MAX: u64 = 600_000;
 const CONNECTIONS: u64 = 4096;
 const CONNECTIONS_MAX: u64 = 1_000_000;
@@ -25,6 +26,8 @@
     pub header_wait: Duration,
     /// Time within which the body of a request must have come.
     pub body_wait: Duration,
+    /// Time for which a caller may take no byte of its answer.
+    pub write_wait: Duration,
     /// Connections of callers that are open at once.
     pub connections: usize,
 }
@@ -41,6 +44,7 @@
             header_bytes: size("header_bytes", HEADER_BYTES, HEADER_BYTES_MAX),
             header_wait: wait("header_wait_ms", HEADER_WAIT_MS),
             body_wait: wait("body_wait_ms", BODY_WAIT_MS),
+            write_wait: wait("write_wait_ms", WRITE_WAIT_MS),
             connections: size("connections", CONNECTIONS, CONNECTIONS_MAX),
         };
         section.finish();
@@ -55,6 +59,7 @@
             header_bytes: HEADER_BYTES as usize,
             header_wait: Duration::from_millis(HEADER_WAIT_MS),
             body_wait: Duration::from_millis(BODY_WAIT_MS),
+            write_wait: Duration::from_millis(WRITE_WAIT_MS),
             connections: CONNECTIONS as usize,
         }
     }
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -20,7 +20,6 @@
     run::LoopClock,
 };
 
-const BODY_BYTES_MAX: usize = 4 * 1024 * 1024;
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(600);
 const OPERATION_BYTES_MAX: usize = 128;
 
@@ -29,12 +28,14 @@
     handle: LoopHandle,
     clock: LoopClock,
     clients: TargetClients,
+    body_bytes_max: usize,
 }
 
 /// The routes of the callers' port.
-pub(crate) fn caller_router(handle: LoopHandle, clock: LoopClock) -> Router {
+pub(crate) fn caller_router(handle: LoopHandle, clock: LoopClock, body_bytes_max: usize) -> Router {
     let entry = EntryHandler(handle.clone());
-    let front = Arc::new(CallerFront { handle, clock, clients: TargetClients::new() });
+    let clients = TargetClients::new();
+    let front = Arc::new(CallerFront { handle, clock, clients, body_bytes_max });
     Router::new()
         .push(Router::with_path("/v1/entry").get(entry))
         .push(Router::with_path("{**path}").goal(CallHandler(front)))
@@ -46,7 +47,7 @@
 impl Handler for CallHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let request = RequestKey(rand::random());
-        let call = match read_call(req, request).await {
+        let call = match read_call(req, request, self.0.body_bytes_max).await {
             Ok(call) => call,
             Err(code) => {
                 let now = self.0.clock.now();
@@ -196,8 +197,12 @@
     Decided(Option<RequestStep>),
 }
 
-async fn read_call(req: &mut Request, request: RequestKey) -> Result<CallerRequest, NotRunCode> {
-    let body = req.payload_with_max_size(BODY_BYTES_MAX).await;
+async fn read_call(
+    req: &mut Request,
+    request: RequestKey,
+    body_bytes_max: usize,
+) -> Result<CallerRequest, NotRunCode> {
+    let body = req.payload_with_max_size(body_bytes_max).await;
     let body = match body {
         Ok(body) => body.clone(),
         Err(salvo::http::ParseError::PayloadTooLarge) => return Err(NotRunCode::BodyTooLarge),
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -10,8 +10,10 @@
 mod front;
 mod handle;
 mod ledger;
+mod observe;
 mod platform;
 mod prompt;
 mod run;
+mod serve;
 
 pub use crate::run::{RunError, run_router};
--- /dev/null
+++ b/crates/io-router/src/observe.rs
@@ -0,0 +1,139 @@
+//! What a router shows to probes and scrapes, and the count of the requests it answers.
+
+use std::{sync::Arc, time::Instant};
+
+use core_router::RouterCore;
+use io_platform::PlatformClient;
+use io_telemetry::{FleetGauges, RequestSample, RouterMetrics, TargetGauge};
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
+    http::{HeaderValue, StatusCode, header},
+    writing::Json,
+};
+use serde_json::json;
+
+use crate::{
+    answer::{REQUEST_ID, RESULT_CODE},
+    handle::LoopHandle,
+};
+
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+
+/// What the handlers of probes and scrapes share.
+pub(crate) struct ObserveState {
+    pub(crate) handle: LoopHandle,
+    pub(crate) platform: PlatformClient,
+    pub(crate) metrics: Arc<RouterMetrics>,
+}
+
+/// The routes `/health`, `/ready` and `/metrics` of the operators' port; none needs a token.
+pub(crate) fn observe_router(state: ObserveState) -> Router {
+    let state = Arc::new(state);
+    Router::new()
+        .push(Router::with_path("health").get(HealthHandler(state.clone())))
+        .push(Router::with_path("ready").get(ReadyHandler(state.clone())))
+        .push(Router::with_path("metrics").get(MetricsHandler(state)))
+}
+
+/// Counts and logs each request whose answer begins.
+pub(crate) struct RequestHoop(pub(crate) Arc<RouterMetrics>);
+
+struct HealthHandler(Arc<ObserveState>);
+
+struct ReadyHandler(Arc<ObserveState>);
+
+struct MetricsHandler(Arc<ObserveState>);
+
+#[async_trait]
+impl Handler for RequestHoop {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let arrived = Instant::now();
+        ctrl.call_next(req, depot, res).await;
+        let text =
+            |name| res.headers().get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        let Some(code) = text(RESULT_CODE).and_then(|text| text.parse().ok()) else { return };
+        let elapsed = arrived.elapsed();
+        self.0.count_request(RequestSample { code, elapsed });
+        log::debug!(
+            request = text(REQUEST_ID).unwrap_or_default(),
+            code,
+            began_us = elapsed.as_micros() as u64;
+            "answer began"
+        );
+    }
+}
+
+#[async_trait]
+impl Handler for HealthHandler {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let alive = self.0.handle.query(|_| ()).await.is_some();
+        write_probe(res, alive, if alive { "the router runs" } else { "the router has ended" });
+    }
+}
+
+#[async_trait]
+impl Handler for ReadyHandler {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let obstacle = self.0.handle.query(unready_reason).await;
+        match obstacle.unwrap_or(Some("the router has ended")) {
+            None => write_probe(res, true, "the router takes new work"),
+            Some(reason) => write_probe(res, false, reason),
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for MetricsHandler {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let state = &self.0;
+        let calls = state.platform.calls();
+        let gauges = state.handle.query(move |core| fleet_gauges(core, calls)).await;
+        let scraped = gauges.and_then(|gauges| state.metrics.scrape(&gauges).ok());
+        let Some(text) = scraped else {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        };
+        res.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(METRICS_TYPE));
+        res.body(text);
+    }
+}
+
+/// Why the router takes no new work; `None` when it does.
+fn unready_reason(core: &RouterCore) -> Option<&'static str> {
+    let status = core.status();
+    if status.leaving {
+        return Some("the router is shutting down");
+    }
+    if !status.tables_complete {
+        return Some("the router has no tables yet");
+    }
+    None
+}
+
+fn fleet_gauges(core: &RouterCore, platform_calls: u64) -> FleetGauges {
+    let target = |target: &core_router::TargetRecord| TargetGauge {
+        name: target.name.clone(),
+        own_in_flight: u64::from(target.own_in_flight),
+        open: target.open,
+    };
+    FleetGauges {
+        requests_in_flight: core.status().requests as u64,
+        ready: unready_reason(core).is_none(),
+        rows: core.table().changes().count() as u64,
+        platform_calls,
+        targets: core.targets().map(target).collect(),
+    }
+}
+
+fn write_probe(res: &mut Response, good: bool, reason: &str) {
+    if !good {
+        res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    res.render(Json(json!({ "ok": good, "reason": reason })));
+}
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -1,13 +1,14 @@
 //! The loop that owns the core, and the start of a router process.
 
-use std::{collections::BTreeMap, fmt, rc::Rc, time::Instant};
+use std::{collections::BTreeMap, fmt, rc::Rc, sync::Arc, time::Instant};
 
 use base_settings::RouterSettings;
 use base_types::{RequestKey, TimePoint};
 use core_router::{Effect, Event, RequestStep, RouterCore};
 use error_stack::{Report, ResultExt};
 use io_platform::PlatformClient;
-use salvo::{Listener, Router, Server, conn::TcpListener};
+use io_telemetry::RouterMetrics;
+use salvo::Router;
 use tokio::sync::mpsc;
 
 use crate::{
@@ -15,7 +16,9 @@
     front::caller_router,
     handle::{LoopHandle, LoopInput},
     ledger::OperationLedger,
+    observe::{ObserveState, RequestHoop, observe_router},
     platform::watch_platform,
+    serve::serve,
 };
 
 /// The router could not start or ended early.
@@ -61,9 +64,16 @@
     let clock = LoopClock { start: Instant::now() };
     let platform = PlatformClient::new(settings.platform);
     let (handle, inputs) = LoopHandle::new();
-    let caller = serve(settings.caller_listen, caller_router(handle.clone(), clock)).await?;
-    let operator = operator_router(handle.clone(), platform.clone());
-    let operator = serve(settings.operator_listen, operator).await?;
+    let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
+    let limits = &settings.limits;
+    let front = caller_router(handle.clone(), clock, limits.body_bytes);
+    let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
+    let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
+    let observe = ObserveState { handle: handle.clone(), platform: platform.clone(), metrics };
+    let admin = operator_router(handle.clone(), platform.clone());
+    let admin = Router::new().push(observe_router(observe)).push(admin);
+    let operator =
+        serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
@@ -76,21 +86,6 @@
     Ok(())
 }
 
-async fn serve(
-    address: std::net::SocketAddr,
-    router: Router,
-) -> Result<salvo::server::ServerHandle, Report<RunError>> {
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .change_context(RunError)
-        .attach_with(|| format!("cannot listen on {address}"))?;
-    let server = Server::new(acceptor);
-    let handle = server.handle();
-    tokio::spawn(server.serve(router));
-    Ok(handle)
-}
-
 async fn stop_on_signal(handle: LoopHandle) {
     use tokio::signal::unix::{SignalKind, signal};
     let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
--- /dev/null
+++ b/crates/io-router/src/serve.rs
@@ -0,0 +1,54 @@
+//! Listening ports, with or without TLS, and what one connection may use.
+
+use std::net::SocketAddr;
+
+use base_settings::{LimitSettings, TlsSettings};
+use error_stack::{Report, ResultExt};
+use salvo::{
+    Listener, Router, Server,
+    conn::{
+        Acceptor, TcpListener,
+        rustls::{Keycert, RustlsConfig},
+    },
+    fuse::FuseConfig,
+    server::ServerHandle,
+};
+
+use crate::RunError;
+
+/// Serves a router of handlers on a listening port until its handle stops it.
+pub(crate) async fn serve(
+    address: SocketAddr,
+    tls: Option<&TlsSettings>,
+    limits: &LimitSettings,
+    router: Router,
+) -> Result<ServerHandle, Report<RunError>> {
+    let listener = TcpListener::new(address);
+    let refused = || format!("cannot listen on {address}");
+    let Some(tls) = tls else {
+        let acceptor = listener.try_bind().await.change_context(RunError).attach_with(refused)?;
+        return Ok(spawn_server(acceptor, limits, router));
+    };
+    let keycert = Keycert::new().cert(tls.certificates.as_ref()).key(tls.key.reveal().as_ref());
+    let acceptor = listener.rustls(RustlsConfig::new(keycert)).try_bind().await;
+    let acceptor = acceptor.change_context(RunError).attach_with(refused)?;
+    Ok(spawn_server(acceptor, limits, router))
+}
+
+fn spawn_server<A: Acceptor + Send + 'static>(
+    acceptor: A,
+    limits: &LimitSettings,
+    router: Router,
+) -> ServerHandle {
+    let fuse = FuseConfig::default()
+        .with_tls_handshake_timeout(limits.header_wait)
+        .with_http1_header_timeout(limits.header_wait)
+        .with_request_body_timeout(limits.body_wait)
+        .with_write_stall_timeout(limits.write_wait);
+    let server = Server::new(acceptor).fuse_config(fuse);
+    let mut server = server.max_connections(limits.connections);
+    server.http1_mut().max_buf_size(limits.header_bytes);
+    let handle = server.handle();
+    tokio::spawn(server.serve(router));
+    handle
+}
--- /dev/null
+++ b/crates/io-telemetry/src/logs.rs
@@ -0,0 +1,80 @@
+//! Log lines with fields.
+
+use std::io::Write;
+
+use base_settings::{LogFormat, LogSettings};
+use env_logger::{Builder, Target};
+use log::{
+    Record,
+    kv::{Error, Key, Value, VisitSource},
+};
+use serde_json::Map;
+use time::{OffsetDateTime, format_description::well_known::Rfc3339};
+
+/// Starts logging to standard error; a logger that was started before stays in force.
+pub fn start_logs(settings: &LogSettings) {
+    let format = settings.format;
+    let started = Builder::new()
+        .filter_level(settings.level)
+        .target(Target::Stderr)
+        .format(move |out, record| {
+            let now = OffsetDateTime::now_utc().format(&Rfc3339).unwrap_or_default();
+            writeln!(out, "{}", format_record(format, &now, record))
+        })
+        .try_init();
+    if started.is_err() {
+        log::warn!("logging was started before");
+    }
+}
+
+/// One record as one line, whatever its message and fields hold.
+pub fn format_record(format: LogFormat, time: &str, record: &Record<'_>) -> String {
+    let mut fields = FieldMap(Map::new());
+    // The visitor itself never fails.
+    let _ = record.key_values().visit(&mut fields);
+    match format {
+        LogFormat::Json => json_line(time, record, fields.0),
+        LogFormat::Text => text_line(time, record, &fields.0),
+    }
+}
+
+struct FieldMap(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for FieldMap {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let number = value.to_u64().map(serde_json::Value::from);
+        let value = number.unwrap_or_else(|| value.to_string().into());
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
+
+fn json_line(
+    time: &str,
+    record: &Record<'_>,
+    mut fields: Map<String, serde_json::Value>,
+) -> String {
+    fields.insert("time".to_owned(), time.into());
+    fields.insert("level".to_owned(), record.level().as_str().into());
+    fields.insert("module".to_owned(), record.target().into());
+    fields.insert("message".to_owned(), record.args().to_string().into());
+    serde_json::Value::Object(fields).to_string()
+}
+
+fn text_line(time: &str, record: &Record<'_>, fields: &Map<String, serde_json::Value>) -> String {
+    let message = record.args().to_string().escape_debug().to_string().replace("\\\"", "\"");
+    let mut line = format!("{time} {} {} {message}", record.level(), record.target());
+    for (key, value) in fields {
+        line.push_str(&format!(" {key}={}", field_text(value)));
+    }
+    line
+}
+
+/// Plain words stand as they are; text with other characters is quoted.
+fn field_text(value: &serde_json::Value) -> String {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
+    match value.as_str() {
+        Some(text) if !text.is_empty() && text.chars().all(plain) => text.to_owned(),
+        _ => value.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/io-telemetry/tests/telemetry.rs
@@ -0,0 +1,78 @@
+//! Log lines keep their fields and stay one line; metrics are read in Prometheus's text form.
+
+use std::time::Duration;
+
+use base_settings::{LogFormat, SecretValue};
+use base_types::{HostName, test_cases};
+use io_telemetry::{FleetGauges, RequestSample, RouterMetrics, TargetGauge, format_record};
+use log::{Level, Record};
+
+fn check_line(format: LogFormat, message: &str, value: &str, expected: &str) {
+    let fields = [("host", value)];
+    let line = format_record(
+        format,
+        "T",
+        &Record::builder()
+            .level(Level::Info)
+            .target("io")
+            .args(format_args!("{message}"))
+            .key_values(&fields)
+            .build(),
+    );
+    assert_eq!(line, expected);
+}
+
+test_cases! {
+    check_line:
+    plain_fields_stand_bare(LogFormat::Text, "started", "router-0", "T INFO io started host=router-0");
+    other_fields_are_quoted(LogFormat::Text, "started", "a b=c", "T INFO io started host=\"a b=c\"");
+    a_line_break_cannot_forge_a_line(
+        LogFormat::Text, "a\nT INFO io forged", "x\ny", r#"T INFO io a\nT INFO io forged host="x\ny""#,
+    );
+    json_is_one_object(
+        LogFormat::Json,
+        "a\nb",
+        "x",
+        r#"{"host":"x","level":"INFO","message":"a\nb","module":"io","time":"T"}"#,
+    );
+}
+
+#[test]
+fn a_secret_is_not_logged() {
+    let secret = SecretValue::new("token-of-an-operator");
+    let fields = [("token", format!("{secret:?}"))];
+    let line = format_record(
+        LogFormat::Text,
+        "T",
+        &Record::builder().args(format_args!("{secret:?}")).key_values(&fields).build(),
+    );
+    assert!(!line.contains("token-of-an-operator"), "{line}");
+}
+
+#[test]
+fn a_scrape_shows_counts_and_state() {
+    let metrics = RouterMetrics::new().unwrap();
+    for code in [2000, 2000, 1003] {
+        metrics.count_request(RequestSample { code, elapsed: Duration::from_millis(3) });
+    }
+    let target = TargetGauge { name: HostName::new("engine-1"), own_in_flight: 4, open: true };
+    let gauges = FleetGauges {
+        requests_in_flight: 7,
+        ready: true,
+        rows: 2,
+        platform_calls: 9,
+        targets: vec![target],
+    };
+    let text = metrics.scrape(&gauges).unwrap();
+    for line in [
+        "knapweedport_requests_total{code=\"2000\"} 2",
+        "knapweedport_requests_total{code=\"1003\"} 1",
+        "knapweedport_answer_begin_seconds_count 3",
+        "knapweedport_requests_in_flight 7",
+        "knapweedport_ready 1",
+        "knapweedport_platform_calls 9",
+        "knapweedport_target_own_in_flight{target=\"engine-1\"} 4",
+    ] {
+        assert!(text.lines().any(|other| other == line), "no `{line}` in\n{text}");
+    }
+}
--- /dev/null
+++ b/crates/knapweedport/src/commands.rs
@@ -0,0 +1,45 @@
+//! The commands.
+
+mod check;
+mod remote;
+mod router;
+mod rows;
+mod views;
+
+use error_stack::{Report, ResultExt};
+use io_operator::RowTable;
+
+use crate::{
+    arguments::{Command, print_completions},
+    exit::CommandError,
+};
+
+type CommandResult = Result<(), Report<CommandError>>;
+
+/// Runs a command to its end.
+pub(crate) fn run_command(command: Command) -> CommandResult {
+    match command {
+        Command::Router { settings } => router::run(&settings),
+        Command::Check { settings, tables } => check::run(&settings, &tables),
+        Command::Route(command) => block_on(rows::run(RowTable::Routes, command)),
+        Command::Pool(command) => block_on(rows::run(RowTable::Pools, command)),
+        Command::Explain { remote_options, request } => {
+            block_on(views::explain(&remote_options, &request))
+        }
+        Command::Audit { remote_options, row } => {
+            block_on(views::audit(&remote_options, row.as_deref()))
+        }
+        Command::Status { remote_options } => block_on(views::status(&remote_options)),
+        Command::Completions { shell } => {
+            print_completions(&shell);
+            let report = Report::new(CommandError::NotFound);
+            Err(report.attach(format!("no shell `{shell}`; use bash, zsh, fish or elvish")))
+        }
+    }
+}
+
+/// Runs a future on a runtime of one thread.
+fn block_on(command: impl Future<Output = CommandResult>) -> CommandResult {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.change_context(CommandError::Failed)?.block_on(command)
+}
--- a/crates/knapweedport/src/files.rs
+++ b/crates/knapweedport/src/files.rs
@@ -1,8 +1,11 @@
 //! Reading files that arguments and settings name.
 
-use std::{fs, path::Path};
+use std::{fs, io::Read, path::Path};
 
 use base_settings::FileReader;
+use error_stack::{Report, ResultExt};
+
+use crate::exit::CommandError;
 
 /// Files on disk, relative to the folder of the settings file that names them.
 pub(crate) struct DiskFiles<'a> {
@@ -21,3 +24,15 @@
         bytes.map(Vec::into_boxed_slice).map_err(|error| error.to_string().into())
     }
 }
+
+/// Reads a text file; `-` is standard input.
+pub(crate) fn read_text(path: &Path) -> Result<String, Report<CommandError>> {
+    let read = if path == Path::new("-") {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        fs::read_to_string(path)
+    };
+    read.change_context(CommandError::Failed)
+        .attach_with(|| format!("cannot read {}", path.display()))
+}
--- /dev/null
+++ b/crates/knapweedport/tests/command.rs
@@ -0,0 +1,121 @@
+//! The command's exit codes and what it shows, as an operator sees them.
+
+use std::{
+    fs,
+    path::PathBuf,
+    process::{Command, Output},
+};
+
+use base_types::test_cases;
+use insta::assert_snapshot;
+
+const SETTINGS: &str = r#"host = "router-0"
+failure_domain = "domain-0"
+caller_listen = "127.0.0.1:8080"
+operator_listen = "127.0.0.1:8080"
+platfrom = "127.0.0.1:9000"
+"#;
+
+const TABLES: &str = r#"[[pool]]
+name = "assistant"
+team = "renewals"
+group = "assistant"
+kind = "engine"
+repeatable = true
+max_load_ratio = 0.5
+
+[[route]]
+name = "chat"
+team = "renewals"
+path = "/v1/chat"
+pool = "assistant"
+colour = 1
+
+[[route]]
+name = "pay"
+team = "x y"
+path = "pay"
+pool = "none"
+"#;
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_knapweedport"))
+        .args(arguments)
+        .env_clear()
+        .current_dir(env!("CARGO_TARGET_TMPDIR"))
+        .output()
+        .unwrap()
+}
+
+fn write(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+fn check_code(arguments: &[&str], code: i32) {
+    let output = run(arguments);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    assert_eq!(output.stderr.is_empty(), code == 0, "{output:?}");
+}
+
+test_cases! {
+    check_code:
+    the_version(&["--version"], 0);
+    help(&["--help"], 0);
+    help_of_a_command(&["pool", "put", "--help"], 0);
+    a_completion_script(&["completions", "bash"], 0);
+    no_such_shell(&["completions", "ksh"], 7);
+    no_such_command(&["frob"], 2);
+    no_command(&[], 2);
+    a_check_of_nothing(&["check"], 1);
+    a_file_that_is_not_there(&["check", "--tables", "none.toml"], 1);
+    a_router_that_cannot_be_reached(&["status", "--router", "127.0.0.1:1"], 4);
+    a_router_without_settings(&["router", "--settings", "none.toml"], 1);
+}
+
+#[test]
+fn the_help_names_every_command_examples_and_exit_codes() {
+    assert_snapshot!(String::from_utf8(run(&["--help"]).stdout).unwrap());
+}
+
+#[test]
+fn check_names_each_fault_with_file_line_key_and_remedy() {
+    write("faulty-settings.toml", SETTINGS);
+    write("faulty-tables.toml", TABLES);
+    let arguments =
+        ["check", "--settings", "faulty-settings.toml", "--tables", "faulty-tables.toml"];
+    let output = run(&arguments);
+    assert_eq!(output.status.code(), Some(3));
+    assert_snapshot!(String::from_utf8(output.stderr).unwrap());
+}
+
+#[test]
+fn rows_may_refer_to_rows_of_another_file() {
+    let (pool, routes) = TABLES.split_once("\n\n").unwrap();
+    let route = routes.split_once("colour").unwrap().0;
+    write("pools.toml", &pool.replace("0.5", "1.5"));
+    write("routes.toml", route);
+    check_code(&["check", "--tables", "pools.toml", "--tables", "routes.toml"], 0);
+}
+
+#[test]
+fn a_router_with_faulty_settings_binds_nothing() {
+    write("faulty-router.toml", SETTINGS);
+    check_code(&["router", "--settings", "faulty-router.toml"], 3);
+}
+
+#[test]
+fn an_error_shows_no_place_in_the_code() {
+    let output = run(&["status", "--router", "127.0.0.1:1"]);
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(!text.contains(".rs") && !text.contains("backtrace"), "{text}");
+}
+
+#[test]
+fn put_takes_a_file_with_one_row_of_the_table() {
+    write("two-rows.toml", &TABLES.replace("colour = 1", ""));
+    let put = ["put", "--router", "127.0.0.1:1", "--reason", "test", "--file", "two-rows.toml"];
+    let arguments: Vec<&str> = [&["pool"][..], &put].concat();
+    check_code(&arguments, 3);
+}
