--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -13,5 +13,8 @@
     document::NamedDocument,
     fault::{SettingsError, SettingsFault},
     secret::SecretValue,
-    settings::{FileReader, LimitSettings, LogFormat, LogSettings, RouterSettings, TlsSettings},
+    settings::{
+        FileReader, LimitSettings, LogFormat, LogSettings, PeerSettings, PeerTlsSettings,
+        RouterSettings, TlsSettings,
+    },
 };
--- a/crates/history-check/tests/outcomes/router.rs
+++ b/crates/history-check/tests/outcomes/router.rs
@@ -182,6 +182,7 @@
         role: HostRole::Target,
         group: "payments".into(),
         address: format!("127.0.0.1:{index}").into(),
+        peer: None,
         failure_domain: DomainName::new("domain"),
         state: HostState::Live,
     });
--- a/crates/knapweedport/src/arguments.rs
+++ b/crates/knapweedport/src/arguments.rs
@@ -71,6 +71,16 @@
         #[bpaf(external)]
         remote_options: RemoteOptions,
     },
+    /// Makes a fleet authority and certificates of hosts; key files are readable by their owner only.
+    #[bpaf(command)]
+    Keys {
+        /// Folder to write to; an authority that is there is used again.
+        #[bpaf(argument("FOLDER"))]
+        out: PathBuf,
+        /// Names of the hosts.
+        #[bpaf(positional("HOST"), some("name at least one host"))]
+        hosts: Vec<String>,
+    },
     /// Prints a completion script for a shell: bash, zsh, fish or elvish.
     #[bpaf(command)]
     Completions {
--- a/crates/knapweedport/src/commands.rs
+++ b/crates/knapweedport/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod check;
+mod keys;
 mod remote;
 mod router;
 mod rows;
@@ -30,6 +31,7 @@
             block_on(views::audit(&remote_options, row.as_deref()))
         }
         Command::Status { remote_options } => block_on(views::status(&remote_options)),
+        Command::Keys { out, hosts } => keys::run(&out, &hosts),
         Command::Completions { shell } => {
             print_completions(&shell);
             let report = Report::new(CommandError::NotFound);
--- a/crates/knapweedport/tests/command.rs
+++ b/crates/knapweedport/tests/command.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs,
+    os::unix::fs::PermissionsExt,
     path::PathBuf,
     process::{Command, Output},
 };
@@ -119,3 +120,21 @@
     let arguments: Vec<&str> = [&["pool"][..], &put].concat();
     check_code(&arguments, 3);
 }
+
+#[test]
+fn keys_are_made_once_and_readable_by_their_owner_only() {
+    let folder = write("keys", "").with_file_name(format!("keys-{}", std::process::id()));
+    let out = folder.display().to_string();
+    check_code(&["keys", "--out", &out, "router-0"], 0);
+    check_code(&["keys", "--out", &out, "router-1"], 0);
+    for (name, mode) in
+        [("ca-key", 0o600), ("ca", 0o644), ("router-0-key", 0o600), ("router-1", 0o644)]
+    {
+        let file = fs::metadata(folder.join(format!("{name}.pem"))).unwrap();
+        assert_eq!(file.permissions().mode() & 0o777, mode, "{name}");
+    }
+    check_code(&["keys", "--out", &out, "router-1"], 1);
+    let shown = run(&["keys", "--out", &out, "router-2"]);
+    assert!(!String::from_utf8_lossy(&shown.stdout).contains("PRIVATE"));
+    fs::remove_dir_all(folder).unwrap();
+}
