--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -2,9 +2,10 @@
 
 use std::{cell::RefCell, net::SocketAddr, ops::Range};
 
+use serde::de::DeserializeOwned;
 use toml::{
     Spanned,
-    de::{DeTable, DeValue},
+    de::{DeTable, DeValue, ValueDeserializer},
 };
 
 use crate::SettingsFault;
@@ -40,6 +41,13 @@
         self.faults.borrow_mut().push(fault);
     }
 
+    /// Notes the faults of the TOML syntax.
+    pub(crate) fn push_syntax(&self, errors: &[toml::de::Error]) {
+        for error in errors {
+            self.push(error.span(), "", error.message(), "mend the TOML");
+        }
+    }
+
     pub(crate) fn into_faults(self) -> Vec<SettingsFault> {
         self.faults.into_inner()
     }
@@ -230,6 +238,17 @@
         default
     }
 
+    /// The tables of an array such as `[[operator]]`, each read whole; one fault for each that fails.
+    pub(crate) fn entries<T: DeserializeOwned>(&self, name: &'static str) -> Vec<T> {
+        let Some(value) = self.value(name) else { return Vec::new() };
+        let Some(entries) = value.get_ref().as_array() else {
+            let remedy = format!("write each as [[{}]]", self.key(name));
+            self.wrong_type(name, value, "an array of tables", &remedy);
+            return Vec::new();
+        };
+        entries.iter().filter_map(|entry| self.entry(name, entry)).collect()
+    }
+
     /// Notes every key that was never asked for.
     pub(crate) fn finish(self) {
         for name in self.table.keys() {
@@ -251,6 +270,28 @@
         self.table.get(name)
     }
 
+    /// Place of a field of the entry that has a name, or of the entry itself.
+    pub(crate) fn entry_span(&self, array: &str, name: &str, field: &str) -> Option<Range<usize>> {
+        let entries = self.table.get(array)?.get_ref().as_array()?;
+        let named = |entry: &&Spanned<DeValue<'i>>| {
+            entry.get_ref().get("name").and_then(|value| value.get_ref().as_str()) == Some(name)
+        };
+        let entry = entries.iter().find(named)?;
+        let field = entry.get_ref().get(field).map(Spanned::span);
+        Some(field.unwrap_or_else(|| entry.span()))
+    }
+
+    fn entry<T: DeserializeOwned>(&self, name: &str, entry: ValueSpan<'a, 'i>) -> Option<T> {
+        match T::deserialize(ValueDeserializer::from(entry.clone())) {
+            Ok(entry) => Some(entry),
+            Err(error) => {
+                let span = error.span().unwrap_or_else(|| entry.span());
+                self.faults.push(Some(span), &self.key(name), error.message(), "mend the entry");
+                None
+            }
+        }
+    }
+
     fn parse_address(&self, name: &str, text: &str) -> Option<SocketAddr> {
         let Ok(address) = text.parse::<SocketAddr>() else {
             let problem = format!("is \"{text}\", which is no IP address with a port");
