Measure the routers' decisions in virtual time

Cause: choices of the routing policy need figures on reuse, skew and control traffic, with routers that each see a late sliver.

Ruled out: real processes (wall time, ports, no seed) and a model of machines. The crate drives `RouterCore` itself by its events and effects; baselines are routers behind the same seam with the same views.

Change: crate `measure` and `cargo xtask measure`. Engines have slots, service time by tokens and a prefix cache in limited memory. The pace of load shares can be set, as the measurement varies it.

--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -7,6 +7,8 @@
 mod operations;
 mod shares;
 
+pub use crate::core::shares::SharePace;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -75,6 +77,12 @@
         }
     }
 
+    /// The same router at another pace of its load shares.
+    pub fn with_share_pace(mut self, pace: SharePace) -> Self {
+        self.share.pace = pace;
+        self
+    }
+
     /// Takes an event and returns what is to be done.
     pub fn on_event(&mut self, now: TimePoint, event: Event) -> Vec<Effect> {
         match event {
--- a/crates/core-router/src/core/shares.rs
+++ b/crates/core-router/src/core/shares.rs
@@ -2,19 +2,33 @@
 
 use std::time::Duration;
 
-use base_types::{LoadShare, PeerNotice, TargetLoad, TimePoint};
+use base_types::{LoadShare, PeerNotice, TargetLoad, TimePoint, key_types};
 
 use crate::{Effect, core::RouterCore};
 
-/// Least time between two shares of one router.
 const SHARE_EVERY: Duration = Duration::from_millis(500);
 
 /// When an unchanged share that names load is said again, so that it does not expire.
 const SHARE_AGAIN: Duration = Duration::from_secs(1);
 
+key_types! {
+    /// How often a router tells its load.
+    pub struct SharePace {
+        /// Least time between two shares.
+        pub every: Duration,
+    }
+}
+
+impl Default for SharePace {
+    fn default() -> Self {
+        Self { every: SHARE_EVERY }
+    }
+}
+
 /// What this router has told the others of its load.
 #[derive(Debug)]
 pub(super) struct OwnShare {
+    pub(super) pace: SharePace,
     sequence: u64,
     earliest: TimePoint,
     latest: TimePoint,
@@ -23,7 +37,13 @@
 
 impl Default for OwnShare {
     fn default() -> Self {
-        Self { sequence: 0, earliest: TimePoint(0), latest: TimePoint::NEVER, changed: false }
+        Self {
+            pace: SharePace::default(),
+            sequence: 0,
+            earliest: TimePoint(0),
+            latest: TimePoint::NEVER,
+            changed: false,
+        }
     }
 }
 
@@ -35,7 +55,7 @@
 
     fn told(&mut self, now: TimePoint, loads: &[TargetLoad]) {
         self.sequence += 1;
-        self.earliest = now.after(SHARE_EVERY);
+        self.earliest = now.after(self.pace.every);
         self.latest = if loads.is_empty() { TimePoint::NEVER } else { now.after(SHARE_AGAIN) };
         self.changed = false;
     }
--- a/crates/core-router/src/lib.rs
+++ b/crates/core-router/src/lib.rs
@@ -10,7 +10,7 @@
 mod targets;
 
 pub use crate::{
-    core::{CoreStatus, RouterCore},
+    core::{CoreStatus, RouterCore, SharePace},
     decision::DecisionRecord,
     event::{
         AttemptEnd, ClaimOutcome, Effect, Event, HostEntry, HostRole, HostState, OperationClaim,
--- /dev/null
+++ b/crates/measure/src/suite.rs
@@ -0,0 +1,267 @@
+//! The scenarios of the measurement, run on a few threads, and their tables.
+
+use std::{
+    fmt::{self, Write},
+    path::Path,
+    sync::Mutex,
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+
+use crate::{
+    CurvePoint, FaultKind, FaultPlan, ModuleSetting, PolicyKind, RunFigures, ScenarioPlan,
+    render_curve, run_scenario,
+};
+
+const WORKERS: usize = 4;
+const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.0 };
+const REUSE_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.75, reuse_bias: 1.0 };
+
+/// The results could not be written.
+#[derive(Debug)]
+pub struct SuiteError;
+
+impl fmt::Display for SuiteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the results could not be written")
+    }
+}
+
+impl std::error::Error for SuiteError {}
+
+/// One line of the tables.
+struct MeasuredRow {
+    plan: ScenarioPlan,
+    policy: PolicyKind,
+    figures: RunFigures,
+}
+
+/// Runs scenarios whose name holds a text, prints their tables and writes CSV and plots.
+///
+/// # Errors
+///
+/// Fails when a file cannot be written.
+pub fn run_suite(seed: u64, only: &str, folder: Option<&Path>) -> Result<(), Report<SuiteError>> {
+    let plans: Vec<_> =
+        scenarios(seed).into_iter().filter(|plan| plan.name.contains(only)).collect();
+    let mut jobs = Vec::new();
+    for plan in &plans {
+        for policy in policies(plan) {
+            jobs.push((plan.clone(), policy));
+        }
+    }
+    let rows = run_jobs(jobs);
+    println!("{}", header());
+    for row in &rows {
+        println!("{}", line(row));
+    }
+    let Some(folder) = folder else { return Ok(()) };
+    write_files(folder, seed, &rows)
+}
+
+fn policies(plan: &ScenarioPlan) -> Vec<PolicyKind> {
+    let mut policies = PolicyKind::BASELINES.to_vec();
+    if plan.name.starts_with("curve") {
+        for step in 0..=8 {
+            let reuse_bias = f64::from(step) / 8.0;
+            policies.push(PolicyKind::Module(ModuleSetting { max_load_ratio: 1.75, reuse_bias }));
+        }
+        return policies;
+    }
+    policies.push(PolicyKind::Module(SKEW_FIRST));
+    policies.push(PolicyKind::Module(REUSE_FIRST));
+    policies
+}
+
+fn scenarios(seed: u64) -> Vec<ScenarioPlan> {
+    let mut plans = Vec::new();
+    for (deployment, base) in
+        [("agency", ScenarioPlan::agency(seed)), ("kameeldoring", ScenarioPlan::kameeldoring(seed))]
+    {
+        for in_flight in [4, 16, 64] {
+            for view_ms in [100, 500] {
+                let name = format!("steady {deployment} {in_flight} in flight {view_ms} ms");
+                plans.push(ScenarioPlan {
+                    in_flight,
+                    slots: in_flight * 4,
+                    view_age: Duration::from_millis(view_ms),
+                    ..base.clone().named(&name)
+                });
+            }
+        }
+        plans.extend(faulty(deployment, &base));
+        plans.push(base.clone().named(&format!("curve {deployment}")));
+    }
+    plans
+}
+
+fn faulty(deployment: &str, base: &ScenarioPlan) -> Vec<ScenarioPlan> {
+    let at = |seconds: u64, kind| FaultPlan { at: Duration::from_secs(seconds), kind };
+    let flaps = (0..8).flat_map(|flap| {
+        let begin = 65 + flap * 12;
+        [at(begin, FaultKind::Down(3)), at(begin + 3, FaultKind::Up(3))]
+    });
+    let two_flap = (0..8).flat_map(|flap| {
+        let begin = 70 + flap * 12;
+        [at(begin, FaultKind::Down(5)), at(begin + 4, FaultKind::Up(5))]
+    });
+    let surge = FaultKind::SurgeBegin { accounts: 2, factor: 4 };
+    let churn = vec![
+        at(70, FaultKind::Leave(1)),
+        at(85, FaultKind::Join(0)),
+        at(110, FaultKind::Leave(2)),
+        at(125, FaultKind::Join(0)),
+    ];
+    let plan = |name: &str, faults| ScenarioPlan {
+        faults,
+        ..base.clone().named(&format!("{name} {deployment}"))
+    };
+    vec![
+        plan("mark", vec![at(80, FaultKind::Mark)]),
+        plan("leave", vec![at(80, FaultKind::Leave(4))]),
+        plan("join", vec![at(80, FaultKind::Join(0))]),
+        plan("flaps", flaps.chain(two_flap).collect()),
+        plan("churn", churn),
+        plan("surge", vec![at(80, surge), at(110, FaultKind::SurgeEnd)]),
+        plan(
+            "half fail",
+            vec![at(80, FaultKind::FailBegin(base.targets / 2)), at(110, FaultKind::FailEnd)],
+        ),
+        ScenarioPlan {
+            view_lag: Duration::from_millis(1000),
+            ..base.clone().named(&format!("late views {deployment}"))
+        },
+        ScenarioPlan { routers: 28, ..base.clone().named(&format!("28 routers {deployment}")) },
+    ]
+}
+
+/// Runs jobs on a few threads; each is a pure function of its plan.
+fn run_jobs(jobs: Vec<(ScenarioPlan, PolicyKind)>) -> Vec<MeasuredRow> {
+    let next = Mutex::new(jobs.into_iter().enumerate());
+    let done = Mutex::new(std::collections::BTreeMap::new());
+    std::thread::scope(|scope| {
+        for _ in 0..WORKERS {
+            scope.spawn(|| {
+                while let Some((index, (plan, policy))) = take(&next) {
+                    let figures = run_scenario(&plan, policy);
+                    let row = MeasuredRow { plan, policy, figures };
+                    if let Ok(mut done) = done.lock() {
+                        done.insert(index, row);
+                    }
+                }
+            });
+        }
+    });
+    done.into_inner().unwrap_or_default().into_values().collect()
+}
+
+fn take<T>(next: &Mutex<impl Iterator<Item = T>>) -> Option<T> {
+    next.lock().ok()?.next()
+}
+
+fn header() -> String {
+    format!(
+        "{:36} {:21} {:>6} {:>5} {:>5} {:>5} {:>5} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7}",
+        "scenario",
+        "policy",
+        "reuse",
+        "p50",
+        "p99",
+        "p99.9",
+        "max",
+        "over",
+        "tok99",
+        "load",
+        "refuse",
+        "tries",
+        "moved",
+        "first",
+        "bytes",
+        "lat99"
+    )
+}
+
+fn line(row: &MeasuredRow) -> String {
+    let figures = &row.figures;
+    let requests = figures.requests.max(1) as f64;
+    format!(
+        "{:36} {:21} {:6.3} {:5.2} {:5.2} {:5.2} {:5.2} {:6.4} {:6.2} {:7.2} {:6.4} {:6.3} {:6.3} {:6.3} {:6.0} {:7.2}",
+        row.plan.name,
+        row.policy.name(),
+        figures.reuse,
+        figures.skew.p50,
+        figures.skew.p99,
+        figures.skew.p999,
+        figures.skew.max,
+        figures.over_bound,
+        figures.token_skew.p99,
+        figures.in_flight,
+        (figures.refused + figures.unknown) as f64 / requests,
+        figures.attempts as f64 / requests,
+        figures.moved as f64 / figures.returned.max(1) as f64,
+        figures.first_moved as f64 / figures.first_returned.max(1) as f64,
+        figures.control_bytes,
+        figures.quiet_latency.p99,
+    )
+}
+
+fn write_files(folder: &Path, seed: u64, rows: &[MeasuredRow]) -> Result<(), Report<SuiteError>> {
+    std::fs::create_dir_all(folder).change_context(SuiteError)?;
+    let mut csv = String::from(
+        "seed,scenario,policy,reuse,skew_p50,skew_p99,skew_p999,skew_max,over_bound,token_skew_p99,in_flight,requests,completed,refused,unknown,attempts,moved,returned,first_moved,first_returned,control_bytes_per_router_second,quiet_latency_p99_s,surging_latency_p99_s\n",
+    );
+    for row in rows {
+        let f = &row.figures;
+        let _ = writeln!(
+            csv,
+            "{seed},{},{},{:.4},{:.3},{:.3},{:.3},{:.3},{:.5},{:.3},{:.2},{},{},{},{},{},{},{},{},{},{:.0},{:.3},{:.3}",
+            row.plan.name,
+            row.policy.name(),
+            f.reuse,
+            f.skew.p50,
+            f.skew.p99,
+            f.skew.p999,
+            f.skew.max,
+            f.over_bound,
+            f.token_skew.p99,
+            f.in_flight,
+            f.requests,
+            f.completed,
+            f.refused,
+            f.unknown,
+            f.attempts,
+            f.moved,
+            f.returned,
+            f.first_moved,
+            f.first_returned,
+            f.control_bytes,
+            f.quiet_latency.p99,
+            f.surging_latency.p99,
+        );
+    }
+    std::fs::write(folder.join("routing.csv"), csv).change_context(SuiteError)?;
+    for deployment in ["agency", "kameeldoring"] {
+        let name = format!("curve {deployment}");
+        let points: Vec<_> =
+            rows.iter().filter(|row| *row.plan.name == *name).map(curve_point).collect();
+        if points.is_empty() {
+            continue;
+        }
+        let title = format!("Reuse against skew, {deployment}, seed {seed}");
+        let file = folder.join(format!("routing-{deployment}.svg"));
+        std::fs::write(file, render_curve(&title, &points)).change_context(SuiteError)?;
+    }
+    Ok(())
+}
+
+fn curve_point(row: &MeasuredRow) -> CurvePoint {
+    let module = matches!(row.policy, PolicyKind::Module(_));
+    let name = row.policy.name();
+    CurvePoint {
+        series: if module { "module".into() } else { name.clone() },
+        label: name,
+        skew: row.figures.skew.p99,
+        reuse: row.figures.reuse,
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -21,12 +21,20 @@
         /// Leaves the fleet up until a line is read from standard input.
         keep: bool,
     },
+    /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
+    #[bpaf(command)]
+    Measure {
+        /// Arguments of the measurement.
+        #[bpaf(positional("ARGUMENT"), many)]
+        arguments: Vec<String>,
+    },
 }
 
 fn main() -> ExitCode {
     let ended = match task().run() {
         Task::Ci => ci::run_ci(),
         Task::Demo { keep } => demo::run_demo(keep),
+        Task::Measure { arguments } => steps::run_measure(&arguments),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/xtask/src/steps.rs
+++ b/xtask/src/steps.rs
@@ -27,6 +27,13 @@
     Err(Report::new(TaskError).attach(format!("cargo {} failed", arguments.join(" "))))
 }
 
+/// Builds and runs the measurement.
+pub(crate) fn run_measure(arguments: &[String]) -> Result<(), Report<TaskError>> {
+    let mut all = vec!["run", "--locked", "--release", "--quiet", "--package", "measure", "--"];
+    all.extend(arguments.iter().map(String::as_str));
+    cargo(&all)
+}
+
 /// Folder of the binaries that a profile builds.
 pub(crate) fn program_folder(profile: &str) -> Result<PathBuf, Report<TaskError>> {
     let own = std::env::current_exe().change_context(TaskError)?;
