Give each chat two home targets

Cause: bounded rendezvous moves a chat to a cold target whenever its own is at the bound, and leaves load uneven below it.

Ruled out: power of two random choices for what spills, as each spill lands on another cold target; remembered holders, as rendezvous gives the same two without memory at any router.

Change: a chat's homes are its first two targets in rendezvous order. It goes to the first while that is below a soft threshold, else to the less loaded of both ("power of both choices", Nasir et al., 2015). `reuse_bias` of the pool sets the threshold from the mean (0) to the bound (1).

--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -69,13 +69,15 @@
         let query = ChoiceQuery {
             affinity: affinity(arrival, pool),
             max_load_ratio: pool.max_load_ratio,
+            reuse_bias: pool.reuse_bias,
             tried,
         };
         let choice = choose_target(&query, &views)?;
         let record = self.targets.record(choice.target)?;
         let reason = match choice.reason {
-            ChoiceReason::Preferred => "it is first in the preference order",
-            ChoiceReason::Bounded => "preferred targets were at their bound",
+            ChoiceReason::Preferred => "it is the first home of the chat",
+            ChoiceReason::SecondHome => "it is the second home of the chat and the first is busier",
+            ChoiceReason::Bounded => "both homes of the chat are at their bound",
         };
         let sentence = format!(
             "Chose target `{}` of {} in pool `{}`: {reason} (load {}, bound {}).",
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -87,6 +87,7 @@
         kind: ServiceKind::Engine,
         repeatable: true,
         max_load_ratio: setting.max_load_ratio,
+        reuse_bias: setting.reuse_bias,
         target_slots: plan.slots,
         prefix_bytes: 1024,
         identity: None,
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -1,4 +1,9 @@
-//! Choice of a target by affinity under a bound on load (Mirrokni et al., 2016).
+//! Choice of a target by affinity under a bound on load.
+//!
+//! Each affinity has two home targets, its first two in rendezvous order, and takes the less
+//! loaded one when the first is above a soft threshold ("power of both choices", Nasir et al.,
+//! 2015). Both homes hold most of a chat's cache, so that going back and forth costs little.
+//! No target goes beyond the bound (Mirrokni et al., 2016).
 
 use base_types::{TargetKey, key_types, message_types};
 
@@ -21,9 +26,11 @@
 
     /// Why a target was chosen.
     pub enum ChoiceReason {
-        /// First in the preference order of the affinity.
+        /// First home of the affinity.
         Preferred,
-        /// Preferred targets were at their load bound.
+        /// Second home; the first was busier and above the soft threshold.
+        SecondHome,
+        /// Both homes were at their load bound.
         Bounded,
     }
 
@@ -45,6 +52,8 @@
         pub affinity: u64,
         /// Multiple of the mean load that no target may exceed.
         pub max_load_ratio: f64,
+        /// Place between even load (0) and kept caches (1).
+        pub reuse_bias: f64,
         /// Targets that this request has tried.
         pub tried: &'query [TargetKey],
     }
@@ -52,38 +61,71 @@
 
 /// Chooses a target, or none when each is closed, tried or at its bound.
 pub fn choose_target(query: &ChoiceQuery<'_>, views: &[TargetView]) -> Option<TargetChoice> {
-    let bound = load_bound(query.max_load_ratio, views);
-    let eligible =
-        |view: &&TargetView| view.open && view.slots > 0 && !query.tried.contains(&view.target);
-    let preferred = best_view(query.affinity, views.iter().filter(eligible))?;
-    if fits(preferred, bound) {
-        return Some(TargetChoice {
-            target: preferred.target,
-            reason: ChoiceReason::Preferred,
-            bound,
-        });
-    }
-    let fitting = views.iter().filter(eligible).filter(|view| fits(view, bound));
-    let view = best_view(query.affinity, fitting)?;
-    Some(TargetChoice { target: view.target, reason: ChoiceReason::Bounded, bound })
+    let open = views.iter().filter(|view| view.open && view.slots > 0);
+    let levels = LoadLevels::of(query, open.clone());
+    let mut order: Vec<_> = open
+        .filter(|view| !query.tried.contains(&view.target))
+        .map(|view| (rendezvous_score(query.affinity, view.hash, view.slots), view))
+        .collect();
+    order.sort_by(|(left, _), (right, _)| right.total_cmp(left));
+    let homes = order.len().min(2);
+    let (homes, others) = order.split_at(homes);
+    let chosen = choose_home(homes, &levels).or_else(|| choose_other(others, &levels));
+    let (view, reason) = chosen?;
+    Some(TargetChoice { target: view.target, reason, bound: levels.bound })
 }
 
-fn load_bound(max_load_ratio: f64, views: &[TargetView]) -> u32 {
-    let open = views.iter().filter(|view| view.open && view.slots > 0);
-    let (count, load) =
-        open.fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load)));
-    let mean = load as f64 / f64::from(count.max(1));
-    (mean * max_load_ratio).ceil() as u32
+/// Levels of load that a choice compares with.
+#[derive(Debug, Clone, Copy)]
+struct LoadLevels {
+    bound: u32,
+    threshold: f64,
+}
+
+impl LoadLevels {
+    fn of<'view>(query: &ChoiceQuery<'_>, open: impl Iterator<Item = &'view TargetView>) -> Self {
+        let (count, load) =
+            open.fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load)));
+        let mean = load as f64 / f64::from(count.max(1));
+        let bound = (mean * query.max_load_ratio).ceil() as u32;
+        let threshold = mean * (1.0 + (query.max_load_ratio - 1.0) * query.reuse_bias);
+        Self { bound, threshold }
+    }
+
+    fn fits(&self, view: &TargetView) -> bool {
+        view.load < self.bound.min(view.slots)
+    }
 }
 
-fn fits(view: &TargetView, bound: u32) -> bool {
-    view.load < bound.min(view.slots)
+type ScoredView<'view> = (f64, &'view TargetView);
+
+fn choose_home<'view>(
+    homes: &[ScoredView<'view>],
+    levels: &LoadLevels,
+) -> Option<(&'view TargetView, ChoiceReason)> {
+    let first = homes.first().map(|(_, view)| *view).filter(|view| levels.fits(view));
+    let second = homes.get(1).map(|(_, view)| *view).filter(|view| levels.fits(view));
+    match (first, second) {
+        (Some(first), Some(second)) => {
+            let low = f64::from(first.load) < levels.threshold;
+            if low || first.load <= second.load {
+                Some((first, ChoiceReason::Preferred))
+            } else {
+                Some((second, ChoiceReason::SecondHome))
+            }
+        }
+        (Some(first), None) => Some((first, ChoiceReason::Preferred)),
+        (None, Some(second)) => Some((second, ChoiceReason::SecondHome)),
+        (None, None) => None,
+    }
 }
 
-fn best_view<'view>(
-    affinity: u64,
-    views: impl Iterator<Item = &'view TargetView>,
-) -> Option<&'view TargetView> {
-    let score = |view: &TargetView| rendezvous_score(affinity, view.hash, view.slots);
-    views.max_by(|left, right| score(left).total_cmp(&score(right)))
+/// The less loaded of the next two targets in rendezvous order that are below the bound.
+fn choose_other<'view>(
+    others: &[ScoredView<'view>],
+    levels: &LoadLevels,
+) -> Option<(&'view TargetView, ChoiceReason)> {
+    let fitting = others.iter().map(|(_, view)| *view).filter(|view| levels.fits(view));
+    let view = fitting.take(2).min_by_key(|view| view.load)?;
+    Some((view, ChoiceReason::Bounded))
 }
--- a/crates/policy-routing/tests/choice.rs
+++ b/crates/policy-routing/tests/choice.rs
@@ -19,7 +19,7 @@
 }
 
 fn query(affinity: u64) -> ChoiceQuery<'static> {
-    ChoiceQuery { affinity, max_load_ratio: 1.5, tried: &[] }
+    ChoiceQuery { affinity, max_load_ratio: 1.5, reuse_bias: 0.5, tried: &[] }
 }
 
 fn check_within_bound(loads: &[u32], open: &[bool], found: bool) {
--- a/crates/state-tables/src/check.rs
+++ b/crates/state-tables/src/check.rs
@@ -77,6 +77,9 @@
         let remedy = format!("must lie between {LOAD_RATIO_MIN} and {LOAD_RATIO_MAX}");
         faults.push(fault(key("max_load_ratio"), &remedy));
     }
+    if !(0.0..=1.0).contains(&row.reuse_bias) {
+        faults.push(fault(key("reuse_bias"), "must lie between 0 and 1"));
+    }
     if row.target_slots == 0 {
         faults.push(fault(key("target_slots"), "must be above zero"));
     }
--- a/crates/state-tables/src/rows.rs
+++ b/crates/state-tables/src/rows.rs
@@ -50,6 +50,9 @@
         /// Multiple of the mean load that no target may exceed.
         #[serde(default = "default_load_ratio")]
         pub max_load_ratio: f64,
+        /// Place between even load (0) and kept prompt caches (1).
+        #[serde(default = "default_reuse_bias")]
+        pub reuse_bias: f64,
         /// Requests that one target runs at once.
         #[serde(default = "default_target_slots")]
         pub target_slots: u32,
@@ -101,6 +104,10 @@
     1.5
 }
 
+fn default_reuse_bias() -> f64 {
+    0.5
+}
+
 fn default_target_slots() -> u32 {
     16
 }
