Scale the soft threshold with the noise of the load

Cause: a threshold as a share of the mean is loose at 64 in flight and tight at 4.

Ruled out: one setting a pool size, which operators would have to tune with traffic.

Change: the threshold lies `reuse_bias` times three standard deviations of a Poisson load above the mean.

--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -15,8 +15,8 @@
 };
 
 const WORKERS: usize = 4;
-const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.0 };
-const REUSE_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.75, reuse_bias: 1.0 };
+const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.2 };
+const REUSE_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.75, reuse_bias: 0.35 };
 
 /// The results could not be written.
 #[derive(Debug)]
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -9,6 +9,10 @@
 
 use crate::rendezvous_score;
 
+/// Soft threshold of the first home at the greatest bias, in standard deviations of a Poisson load
+/// above the mean.
+const THRESHOLD_DEVIATIONS: f64 = 3.0;
+
 key_types! {
     /// What a router knows of one target when it chooses.
     pub struct TargetView {
@@ -88,7 +92,7 @@
             open.fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load)));
         let mean = load as f64 / f64::from(count.max(1));
         let bound = (mean * query.max_load_ratio).ceil() as u32;
-        let threshold = mean * (1.0 + (query.max_load_ratio - 1.0) * query.reuse_bias);
+        let threshold = mean + query.reuse_bias * THRESHOLD_DEVIATIONS * mean.sqrt();
         Self { bound, threshold }
     }
 
