Dither the soft threshold by chat

Cause: all chats of a target change homes at the same load, so that routers with late views swing together between two targets.

Ruled out: a random draw each time, which would spread every chat's history over both homes; the offset is fixed by the chat, so that the same chats move and others stay.

Change: the soft threshold is multiplied by twice a number from 0 to 1 that the chat's hash fixes.

--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -7,7 +7,7 @@
 
 use base_types::{TargetKey, key_types, message_types};
 
-use crate::rendezvous_score;
+use crate::{rendezvous_score, unit_hash};
 
 /// Soft threshold of the first home at the greatest bias, in standard deviations of a Poisson load
 /// above the mean.
@@ -92,7 +92,8 @@
             open.fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load)));
         let mean = load as f64 / f64::from(count.max(1));
         let bound = (mean * query.max_load_ratio).ceil() as u32;
-        let threshold = mean + query.reuse_bias * THRESHOLD_DEVIATIONS * mean.sqrt();
+        let dither = 2.0 * unit_hash(query.affinity);
+        let threshold = mean + query.reuse_bias * dither * THRESHOLD_DEVIATIONS * mean.sqrt();
         Self { bound, threshold }
     }
 
--- a/crates/policy-routing/src/lib.rs
+++ b/crates/policy-routing/src/lib.rs
@@ -9,6 +9,6 @@
 
 pub use crate::{
     choice::{ChoiceQuery, ChoiceReason, TargetChoice, TargetView, choose_target},
-    rendezvous::{affinity_hash, rendezvous_score},
+    rendezvous::{affinity_hash, rendezvous_score, unit_hash},
     shares::{PeerLoads, SHARE_LIFE},
 };
