Share the room below the bound between routers as credits

Ruled out: a lower bound inside, which costs reuse at every router and holds no sum; exact counts at one router a target, a hop for each request and a home to move when that router dies.

Change: each router may add its share of the room that the last shares left; what does not divide goes to another run of routers for each target, so that the allowances add up to the bound.

--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -70,6 +70,7 @@
             affinity: affinity(arrival, pool),
             max_load_ratio: pool.max_load_ratio,
             reuse_bias: pool.reuse_bias,
+            place: self.peer_loads.place(&self.name),
             tried,
         };
         let choice = choose_target(&query, &views)?;
@@ -132,7 +133,7 @@
 
     pub(super) fn on_load(&mut self, target: TargetKey, report: LoadReport) {
         // Shares of the routers count alike for all targets; a report is the fallback.
-        if self.peer_loads.routers() > 0 {
+        if !self.peer_loads.is_empty() {
             return;
         }
         let Some(record) = self.targets.record_mut(target) else { return };
--- a/crates/core-router/src/core/shares.rs
+++ b/crates/core-router/src/core/shares.rs
@@ -83,7 +83,7 @@
         if !self.share.next_deadline().passed(now) {
             return;
         }
-        let loads = self.targets.own_loads();
+        let loads = self.targets.tell_loads();
         self.share.told(now, &loads);
         let share = LoadShare { router: self.name.clone(), sequence: self.share.sequence, loads };
         self.effects.push(Effect::Notify(PeerNotice::Load(share)));
--- a/crates/core-router/src/targets.rs
+++ b/crates/core-router/src/targets.rs
@@ -34,6 +34,8 @@
         pub open: bool,
         /// Requests of this router in flight on the target.
         pub own_in_flight: u32,
+        /// Requests of this router in flight when it last told the others.
+        pub told_in_flight: u32,
         /// Requests of others in flight on the target, from their shares or its last report.
         pub others_in_flight: u32,
         /// Point until which the target gets no work after a refused connection.
@@ -79,8 +81,11 @@
         }
     }
 
-    /// What this router has in flight, target by target.
-    pub(crate) fn own_loads(&self) -> Vec<TargetLoad> {
+    /// What this router has in flight, target by target, to be told to the others now.
+    pub(crate) fn tell_loads(&mut self) -> Vec<TargetLoad> {
+        for record in &mut self.records {
+            record.told_in_flight = record.own_in_flight;
+        }
         let busy = self.records.iter().filter(|record| record.own_in_flight > 0);
         let load = |record: &TargetRecord| TargetLoad {
             target: record.hash,
@@ -118,6 +123,7 @@
             failure_domain: host.failure_domain.clone(),
             open,
             own_in_flight: 0,
+            told_in_flight: 0,
             others_in_flight: 0,
             held_until: TimePoint(0),
             hash: affinity_hash(host.name.as_str().as_bytes()),
@@ -129,7 +135,9 @@
             target,
             hash: self.hash,
             slots,
-            load: self.own_in_flight.saturating_add(self.others_in_flight),
+            own: self.own_in_flight,
+            told: self.told_in_flight,
+            others: self.others_in_flight,
             open: self.open && self.held_until.passed(now),
         }
     }
--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -15,7 +15,7 @@
 };
 
 const WORKERS: usize = 4;
-const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.2 };
+const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.15 };
 const REUSE_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.75, reuse_bias: 0.35 };
 
 /// The results could not be written.
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -22,12 +22,24 @@
         pub hash: u64,
         /// Requests that the target runs at once; zero takes no work.
         pub slots: u32,
-        /// Estimated load in requests in flight.
-        pub load: u32,
+        /// Requests of this router in flight.
+        pub own: u32,
+        /// Requests of this router in flight when it last told the others.
+        pub told: u32,
+        /// Requests of others in flight, as far as heard.
+        pub others: u32,
         /// Whether the target takes new work.
         pub open: bool,
     }
 
+    /// A router's place among those that share a pool's room.
+    pub struct FleetPlace {
+        /// Routers that share it, this one counted.
+        pub routers: u32,
+        /// Index of this router in the order of names.
+        pub index: u32,
+    }
+
     /// Why a target was chosen.
     pub enum ChoiceReason {
         /// First home of the affinity.
@@ -58,11 +70,34 @@
         pub max_load_ratio: f64,
         /// Place between even load (0) and kept caches (1).
         pub reuse_bias: f64,
+        /// This router's place among those that use the pool.
+        pub place: FleetPlace,
         /// Targets that this request has tried.
         pub tried: &'query [TargetKey],
     }
 }
 
+impl TargetView {
+    /// Estimated load in requests in flight.
+    pub fn load(&self) -> u32 {
+        self.own.saturating_add(self.others)
+    }
+
+    /// Requests that this router may have in flight until it hears the next shares.
+    ///
+    /// The room below the bound, as told last, is divided among the routers; what does not divide
+    /// goes to as many of them, another run of them for each target. The sum of all allowances is
+    /// the bound, so that routers which do not see each other's latest requests keep it together.
+    fn allowance(&self, bound: u32, place: FleetPlace) -> u32 {
+        let routers = place.routers.max(1);
+        let room = bound.saturating_sub(self.told.saturating_add(self.others));
+        let offset = (self.hash % u64::from(routers)) as u32;
+        let rank = (place.index + offset) % routers;
+        let extra = u32::from(rank < room % routers);
+        self.told.saturating_add(room / routers + extra)
+    }
+}
+
 /// Chooses a target, or none when each is closed, tried or at its bound.
 pub fn choose_target(query: &ChoiceQuery<'_>, views: &[TargetView]) -> Option<TargetChoice> {
     let open = views.iter().filter(|view| view.open && view.slots > 0);
@@ -84,21 +119,23 @@
 struct LoadLevels {
     bound: u32,
     threshold: f64,
+    place: FleetPlace,
 }
 
 impl LoadLevels {
     fn of<'view>(query: &ChoiceQuery<'_>, open: impl Iterator<Item = &'view TargetView>) -> Self {
-        let (count, load) =
-            open.fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load)));
+        let (count, load) = open
+            .fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load())));
         let mean = load as f64 / f64::from(count.max(1));
         let bound = (mean * query.max_load_ratio).ceil() as u32;
         let dither = 2.0 * unit_hash(query.affinity);
         let threshold = mean + query.reuse_bias * dither * THRESHOLD_DEVIATIONS * mean.sqrt();
-        Self { bound, threshold }
+        Self { bound, threshold, place: query.place }
     }
 
     fn fits(&self, view: &TargetView) -> bool {
-        view.load < self.bound.min(view.slots)
+        let bound = self.bound.min(view.slots);
+        view.load() < bound && view.own < view.allowance(bound, self.place)
     }
 }
 
@@ -112,8 +149,8 @@
     let second = homes.get(1).map(|(_, view)| *view).filter(|view| levels.fits(view));
     match (first, second) {
         (Some(first), Some(second)) => {
-            let low = f64::from(first.load) < levels.threshold;
-            if low || first.load <= second.load {
+            let low = f64::from(first.load()) < levels.threshold;
+            if low || first.load() <= second.load() {
                 Some((first, ChoiceReason::Preferred))
             } else {
                 Some((second, ChoiceReason::SecondHome))
@@ -131,6 +168,6 @@
     levels: &LoadLevels,
 ) -> Option<(&'view TargetView, ChoiceReason)> {
     let fitting = others.iter().map(|(_, view)| *view).filter(|view| levels.fits(view));
-    let view = fitting.take(2).min_by_key(|view| view.load)?;
+    let view = fitting.take(2).min_by_key(|view| view.load())?;
     Some((view, ChoiceReason::Bounded))
 }
--- a/crates/policy-routing/src/lib.rs
+++ b/crates/policy-routing/src/lib.rs
@@ -8,7 +8,7 @@
 mod shares;
 
 pub use crate::{
-    choice::{ChoiceQuery, ChoiceReason, TargetChoice, TargetView, choose_target},
+    choice::{ChoiceQuery, ChoiceReason, FleetPlace, TargetChoice, TargetView, choose_target},
     rendezvous::{affinity_hash, rendezvous_score, unit_hash},
     shares::{PeerLoads, SHARE_LIFE},
 };
--- a/crates/policy-routing/src/shares.rs
+++ b/crates/policy-routing/src/shares.rs
@@ -7,6 +7,8 @@
 
 use base_types::{HostName, LoadShare, TimePoint};
 
+use crate::FleetPlace;
+
 /// How long a share counts when its router is not heard again.
 pub const SHARE_LIFE: Duration = Duration::from_secs(3);
 
@@ -63,9 +65,15 @@
         u32::try_from(sum).unwrap_or(u32::MAX)
     }
 
-    /// Routers whose share counts now.
-    pub fn routers(&self) -> usize {
-        self.shares.len()
+    /// Whether any share counts now.
+    pub fn is_empty(&self) -> bool {
+        self.shares.is_empty()
+    }
+
+    /// The place of a router among those whose share counts now.
+    pub fn place(&self, router: &HostName) -> FleetPlace {
+        let before = self.shares.range::<HostName, _>(..router).count();
+        FleetPlace { routers: self.shares.len() as u32 + 1, index: before as u32 }
     }
 
     /// The point at which the next share expires.
--- a/crates/policy-routing/tests/choice.rs
+++ b/crates/policy-routing/tests/choice.rs
@@ -1,7 +1,7 @@
 //! Target choice keeps affinity, the bound and closed targets.
 
 use base_types::{TargetKey, test_cases};
-use policy_routing::{ChoiceQuery, TargetView, affinity_hash, choose_target};
+use policy_routing::{ChoiceQuery, FleetPlace, TargetView, affinity_hash, choose_target};
 
 fn views(loads: &[u32], open: &[bool]) -> Vec<TargetView> {
     loads
@@ -12,14 +12,22 @@
             target: TargetKey(index as u32),
             hash: affinity_hash(format!("target-{index}").as_bytes()),
             slots: 16,
-            load: *load,
+            own: 0,
+            told: 0,
+            others: *load,
             open: *open,
         })
         .collect()
 }
 
 fn query(affinity: u64) -> ChoiceQuery<'static> {
-    ChoiceQuery { affinity, max_load_ratio: 1.5, reuse_bias: 0.5, tried: &[] }
+    ChoiceQuery {
+        affinity,
+        max_load_ratio: 1.5,
+        reuse_bias: 0.5,
+        place: FleetPlace { routers: 1, index: 0 },
+        tried: &[],
+    }
 }
 
 fn check_within_bound(loads: &[u32], open: &[bool], found: bool) {
