Share half as much room again as credits

Cause: whole credits that sum to the bound leave most of it unused, and at 4 in flight most routers had none.

Change: 1.5 credits a request of room; below a mean load of 8 each router may add one to a target with room.

--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -13,6 +13,13 @@
 /// above the mean.
 const THRESHOLD_DEVIATIONS: f64 = 3.0;
 
+/// Requests that routers together may add for each request of room.
+const CREDITS_A_ROOM: f64 = 1.5;
+
+/// Mean load in requests below which credits would be fractions of a request; each router may then
+/// add one to a target that has room.
+const COARSE_MEAN: f64 = 8.0;
+
 key_types! {
     /// What a router knows of one target when it chooses.
     pub struct TargetView {
@@ -86,15 +93,19 @@
     /// Requests that this router may have in flight until it hears the next shares.
     ///
     /// The room below the bound, as told last, is divided among the routers; what does not divide
-    /// goes to as many of them, another run of them for each target. The sum of all allowances is
-    /// the bound, so that routers which do not see each other's latest requests keep it together.
-    fn allowance(&self, bound: u32, place: FleetPlace) -> u32 {
+    /// goes to as many of them, another run of them for each target. Routers that do not see each
+    /// other's latest requests keep the bound together, as not all use their whole credit at once.
+    fn allowance(&self, levels: &LoadLevels) -> u32 {
+        let place = levels.place;
         let routers = place.routers.max(1);
-        let room = bound.saturating_sub(self.told.saturating_add(self.others));
+        let room =
+            levels.bound.min(self.slots).saturating_sub(self.told.saturating_add(self.others));
+        let credits = (f64::from(room) * CREDITS_A_ROOM) as u32;
         let offset = (self.hash % u64::from(routers)) as u32;
         let rank = (place.index + offset) % routers;
-        let extra = u32::from(rank < room % routers);
-        self.told.saturating_add(room / routers + extra)
+        let extra = u32::from(rank < credits % routers);
+        let least = u32::from(levels.coarse && room > 0);
+        self.told.saturating_add((credits / routers + extra).max(least))
     }
 }
 
@@ -119,6 +130,7 @@
 struct LoadLevels {
     bound: u32,
     threshold: f64,
+    coarse: bool,
     place: FleetPlace,
 }
 
@@ -130,12 +142,12 @@
         let bound = (mean * query.max_load_ratio).ceil() as u32;
         let dither = 2.0 * unit_hash(query.affinity);
         let threshold = mean + query.reuse_bias * dither * THRESHOLD_DEVIATIONS * mean.sqrt();
-        Self { bound, threshold, place: query.place }
+        Self { bound, threshold, coarse: mean < COARSE_MEAN, place: query.place }
     }
 
     fn fits(&self, view: &TargetView) -> bool {
         let bound = self.bound.min(view.slots);
-        view.load() < bound && view.own < view.allowance(bound, self.place)
+        view.load() < bound && view.own < view.allowance(self)
     }
 }
 
