--- a/crates/measure/src/run.rs
+++ b/crates/measure/src/run.rs
@@ -326,6 +326,7 @@
         group: target_group(),
         address: index.to_string().into(),
         failure_domain: DomainName::new(&format!("domain-{}", index % 4)),
+        peer: None,
         state: if leaving { HostState::Leaving } else { HostState::Live },
     }
 }
