--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -10,10 +10,12 @@
 mod front;
 mod handle;
 mod ledger;
+mod observe;
 mod platform;
 mod prompt;
 mod relay;
 mod run;
+mod serve;
 mod shutdown;
 
 pub use crate::run::{RunError, run_router};
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -3,7 +3,8 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     fmt,
-    time::Instant,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
 use base_settings::{RouterSettings, StopSettings};
@@ -11,17 +12,20 @@
 use core_router::{Effect, Event, RequestStep, RouterCore};
 use error_stack::{Report, ResultExt};
 use io_platform::PlatformClient;
-use salvo::{Listener, Router, Server, conn::TcpListener, server::ServerHandle};
+use io_telemetry::RouterMetrics;
+use salvo::Router;
 use state_ledger::LedgerOrder;
-use tokio::{sync::mpsc, task::JoinHandle};
+use tokio::sync::mpsc;
 
 use crate::{
     admin::{operator_router, sweep_edits},
     front::caller_router,
     handle::{LoopHandle, LoopInput, LoopInputs},
     ledger::OperationLedger,
+    observe::{ObserveState, RequestHoop, observe_router},
     platform::watch_platform,
-    shutdown::{FLUSH_WAIT, LeaveState, log_cut, stop_on_signal},
+    serve::{ServerTask, serve},
+    shutdown::{LeaveState, log_cut, stop_on_signal},
 };
 
 /// The router could not start or ended early.
@@ -67,9 +71,16 @@
     let clock = LoopClock { start: Instant::now() };
     let platform = PlatformClient::new(settings.platform);
     let (handle, mut inputs) = LoopHandle::new();
-    let caller = serve(settings.caller_listen, caller_router(handle.clone(), clock)).await?;
-    let operator = operator_router(handle.clone(), platform.clone(), clock, settings.operators);
-    let operator = serve(settings.operator_listen, operator).await?;
+    let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
+    let limits = &settings.limits;
+    let front = caller_router(handle.clone(), clock, limits.body_bytes);
+    let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
+    let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
+    let observe = ObserveState { handle: handle.clone(), platform: platform.clone(), metrics };
+    let admin = operator_router(handle.clone(), platform.clone(), clock, settings.operators);
+    let admin = Router::new().push(observe_router(observe)).push(admin);
+    let operator =
+        serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
     tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
@@ -85,39 +96,19 @@
         leave: LeaveState::Staying,
     };
     core_loop.run(&mut inputs).await;
-    core_loop.run_until(&mut inputs, flush_servers(caller, operator)).await;
+    let wait = core_loop.leave.flush_wait(clock.now());
+    core_loop.run_until(&mut inputs, flush_servers(caller, operator, wait)).await;
     log::info!("router stopped");
     Ok(())
 }
 
 /// Closes the ports and waits until the last bytes of all answers are written.
-async fn flush_servers(caller: ServerTask, operator: ServerTask) {
-    caller.handle.stop_graceful(FLUSH_WAIT);
-    operator.handle.stop_graceful(FLUSH_WAIT);
+async fn flush_servers(caller: ServerTask, operator: ServerTask, wait: Duration) {
+    caller.handle.stop_graceful(wait);
+    operator.handle.stop_graceful(wait);
     let _ = tokio::join!(caller.task, operator.task);
 }
 
-/// A port that is being served.
-struct ServerTask {
-    handle: ServerHandle,
-    task: JoinHandle<()>,
-}
-
-async fn serve(
-    address: std::net::SocketAddr,
-    router: Router,
-) -> Result<ServerTask, Report<RunError>> {
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .change_context(RunError)
-        .attach_with(|| format!("cannot listen on {address}"))?;
-    let server = Server::new(acceptor);
-    let handle = server.handle();
-    let task = tokio::spawn(server.serve(router));
-    Ok(ServerTask { handle, task })
-}
-
 struct CoreLoop {
     core: RouterCore,
     clock: LoopClock,
--- a/crates/io-router/src/shutdown.rs
+++ b/crates/io-router/src/shutdown.rs
@@ -14,7 +14,7 @@
 use crate::{answer::request_text, handle::LoopHandle};
 
 /// Records and last bytes of requests that were cut off are given this long.
-pub(crate) const FLUSH_WAIT: Duration = Duration::from_secs(2);
+const FLUSH_WAIT: Duration = Duration::from_secs(2);
 
 /// Points in time of a router that is leaving.
 #[derive(Debug, Clone, Copy)]
@@ -47,6 +47,14 @@
         }
     }
 
+    /// How long the last bytes of answers may take to be written.
+    pub(crate) fn flush_wait(self, now: TimePoint) -> Duration {
+        match self {
+            Self::Leaving(_, drain) => drain.since(now).max(FLUSH_WAIT),
+            Self::Staying | Self::Forced(_) => FLUSH_WAIT,
+        }
+    }
+
     /// Whether the requests that are left are cut off now.
     pub(crate) fn must_force(self, now: TimePoint) -> bool {
         matches!(self, Self::Leaving(_, drain) if drain.passed(now))
--- a/crates/knapweedport/src/files.rs
+++ b/crates/knapweedport/src/files.rs
@@ -1,8 +1,19 @@
-//! Reading files that arguments and settings name.
+//! Reading files that arguments and settings name, and writing key files.
 
-use std::{fs, path::Path};
+use std::{
+    fs,
+    io::{Read, Write},
+    os::unix::fs::OpenOptionsExt,
+    path::Path,
+};
 
 use base_settings::FileReader;
+use error_stack::{Report, ResultExt};
+
+use crate::exit::CommandError;
+
+const SECRET_MODE: u32 = 0o600;
+const PUBLIC_MODE: u32 = 0o644;
 
 /// Files on disk, relative to the folder of the settings file that names them.
 pub(crate) struct DiskFiles<'a> {
@@ -21,3 +32,32 @@
         bytes.map(Vec::into_boxed_slice).map_err(|error| error.to_string().into())
     }
 }
+
+/// Reads a text file; `-` is standard input.
+pub(crate) fn read_text(path: &Path) -> Result<String, Report<CommandError>> {
+    let read = if path == Path::new("-") {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        fs::read_to_string(path)
+    };
+    read.change_context(CommandError::Failed)
+        .attach_with(|| format!("cannot read {}", path.display()))
+}
+
+/// Writes a file that only its owner may read; refuses to replace one.
+pub(crate) fn write_secret(path: &Path, text: &str) -> Result<(), Report<CommandError>> {
+    write_new(path, text, SECRET_MODE)
+}
+
+/// Writes a file that everybody may read; refuses to replace one.
+pub(crate) fn write_public(path: &Path, text: &str) -> Result<(), Report<CommandError>> {
+    write_new(path, text, PUBLIC_MODE)
+}
+
+fn write_new(path: &Path, text: &str, mode: u32) -> Result<(), Report<CommandError>> {
+    let file = fs::OpenOptions::new().write(true).create_new(true).mode(mode).open(path);
+    file.and_then(|mut file| file.write_all(text.as_bytes()))
+        .change_context(CommandError::Failed)
+        .attach_with(|| format!("cannot write {}", path.display()))
+}
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -1,8 +1,24 @@
-//! Choice of a target by affinity under a bound on load (Mirrokni et al., 2016).
+//! Choice of a target by affinity under a bound on load.
+//!
+//! Each affinity has two home targets, its first two in rendezvous order, and takes the less
+//! loaded one when the first is above a soft threshold ("power of both choices", Nasir et al.,
+//! 2015). Both homes hold most of a chat's cache, so that going back and forth costs little.
+//! No target goes beyond the bound (Mirrokni et al., 2016).
 
 use base_types::{TargetKey, key_types, message_types};
 
-use crate::rendezvous_score;
+use crate::{rendezvous_score, unit_hash};
+
+/// Soft threshold of the first home at the greatest bias, in standard deviations of a Poisson load
+/// above the mean.
+const THRESHOLD_DEVIATIONS: f64 = 3.0;
+
+/// Requests that routers together may add for each request of room.
+const CREDITS_A_ROOM: f64 = 1.5;
+
+/// Mean load in requests below which credits would be fractions of a request; each router may then
+/// add one to a target that has room.
+const COARSE_MEAN: f64 = 8.0;
 
 key_types! {
     /// What a router knows of one target when it chooses.
@@ -13,17 +29,31 @@
         pub hash: u64,
         /// Requests that the target runs at once; zero takes no work.
         pub slots: u32,
-        /// Estimated load in requests in flight.
-        pub load: u32,
+        /// Requests of this router in flight.
+        pub own: u32,
+        /// Requests of this router in flight when it last told the others.
+        pub told: u32,
+        /// Requests of others in flight, as far as heard.
+        pub others: u32,
         /// Whether the target takes new work.
         pub open: bool,
     }
 
+    /// A router's place among those that share a pool's room.
+    pub struct FleetPlace {
+        /// Routers that share it, this one counted.
+        pub routers: u32,
+        /// Index of this router in the order of names.
+        pub index: u32,
+    }
+
     /// Why a target was chosen.
     pub enum ChoiceReason {
-        /// First in the preference order of the affinity.
+        /// First home of the affinity.
         Preferred,
-        /// Preferred targets were at their load bound.
+        /// Second home; the first was busier and above the soft threshold.
+        SecondHome,
+        /// Both homes were at their load bound.
         Bounded,
     }
 
@@ -45,45 +75,111 @@
         pub affinity: u64,
         /// Multiple of the mean load that no target may exceed.
         pub max_load_ratio: f64,
+        /// Place between even load (0) and kept caches (1).
+        pub reuse_bias: f64,
+        /// This router's place among those that use the pool.
+        pub place: FleetPlace,
         /// Targets that this request has tried.
         pub tried: &'query [TargetKey],
     }
 }
 
-/// Chooses a target, or none when each is closed, tried or at its bound.
-pub fn choose_target(query: &ChoiceQuery<'_>, views: &[TargetView]) -> Option<TargetChoice> {
-    let bound = load_bound(query.max_load_ratio, views);
-    let eligible =
-        |view: &&TargetView| view.open && view.slots > 0 && !query.tried.contains(&view.target);
-    let preferred = best_view(query.affinity, views.iter().filter(eligible))?;
-    if fits(preferred, bound) {
-        return Some(TargetChoice {
-            target: preferred.target,
-            reason: ChoiceReason::Preferred,
-            bound,
-        });
+impl TargetView {
+    /// Estimated load in requests in flight.
+    pub fn load(&self) -> u32 {
+        self.own.saturating_add(self.others)
+    }
+
+    /// Requests that this router may have in flight until it hears the next shares.
+    ///
+    /// The room below the bound, as told last, is divided among the routers; what does not divide
+    /// goes to as many of them, another run of them for each target. Routers that do not see each
+    /// other's latest requests keep the bound together, as not all use their whole credit at once.
+    fn allowance(&self, levels: &LoadLevels) -> u32 {
+        let place = levels.place;
+        let routers = place.routers.max(1);
+        let room =
+            levels.bound.min(self.slots).saturating_sub(self.told.saturating_add(self.others));
+        let credits = (f64::from(room) * CREDITS_A_ROOM) as u32;
+        let offset = (self.hash % u64::from(routers)) as u32;
+        let rank = (place.index + offset) % routers;
+        let extra = u32::from(rank < credits % routers);
+        let least = u32::from(levels.coarse && room > 0);
+        self.told.saturating_add((credits / routers + extra).max(least))
     }
-    let fitting = views.iter().filter(eligible).filter(|view| fits(view, bound));
-    let view = best_view(query.affinity, fitting)?;
-    Some(TargetChoice { target: view.target, reason: ChoiceReason::Bounded, bound })
 }
 
-fn load_bound(max_load_ratio: f64, views: &[TargetView]) -> u32 {
+/// Chooses a target, or none when each is closed, tried or at its bound.
+pub fn choose_target(query: &ChoiceQuery<'_>, views: &[TargetView]) -> Option<TargetChoice> {
     let open = views.iter().filter(|view| view.open && view.slots > 0);
-    let (count, load) =
-        open.fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load)));
-    let mean = load as f64 / f64::from(count.max(1));
-    (mean * max_load_ratio).ceil() as u32
+    let levels = LoadLevels::of(query, open.clone());
+    let mut order: Vec<_> = open
+        .filter(|view| !query.tried.contains(&view.target))
+        .map(|view| (rendezvous_score(query.affinity, view.hash, view.slots), view))
+        .collect();
+    order.sort_by(|(left, _), (right, _)| right.total_cmp(left));
+    let homes = order.len().min(2);
+    let (homes, others) = order.split_at(homes);
+    let chosen = choose_home(homes, &levels).or_else(|| choose_other(others, &levels));
+    let (view, reason) = chosen?;
+    Some(TargetChoice { target: view.target, reason, bound: levels.bound })
+}
+
+/// Levels of load that a choice compares with.
+#[derive(Debug, Clone, Copy)]
+struct LoadLevels {
+    bound: u32,
+    threshold: f64,
+    coarse: bool,
+    place: FleetPlace,
+}
+
+impl LoadLevels {
+    fn of<'view>(query: &ChoiceQuery<'_>, open: impl Iterator<Item = &'view TargetView>) -> Self {
+        let (count, load) = open
+            .fold((0u32, 1u64), |(count, load), view| (count + 1, load + u64::from(view.load())));
+        let mean = load as f64 / f64::from(count.max(1));
+        let bound = (mean * query.max_load_ratio).ceil() as u32;
+        let dither = 2.0 * unit_hash(query.affinity);
+        let threshold = mean + query.reuse_bias * dither * THRESHOLD_DEVIATIONS * mean.sqrt();
+        Self { bound, threshold, coarse: mean < COARSE_MEAN, place: query.place }
+    }
+
+    fn fits(&self, view: &TargetView) -> bool {
+        let bound = self.bound.min(view.slots);
+        view.load() < bound && view.own < view.allowance(self)
+    }
 }
 
-fn fits(view: &TargetView, bound: u32) -> bool {
-    view.load < bound.min(view.slots)
+type ScoredView<'view> = (f64, &'view TargetView);
+
+fn choose_home<'view>(
+    homes: &[ScoredView<'view>],
+    levels: &LoadLevels,
+) -> Option<(&'view TargetView, ChoiceReason)> {
+    let first = homes.first().map(|(_, view)| *view).filter(|view| levels.fits(view));
+    let second = homes.get(1).map(|(_, view)| *view).filter(|view| levels.fits(view));
+    match (first, second) {
+        (Some(first), Some(second)) => {
+            let low = f64::from(first.load()) < levels.threshold;
+            if low || first.load() <= second.load() {
+                Some((first, ChoiceReason::Preferred))
+            } else {
+                Some((second, ChoiceReason::SecondHome))
+            }
+        }
+        (Some(first), None) => Some((first, ChoiceReason::Preferred)),
+        (None, Some(second)) => Some((second, ChoiceReason::SecondHome)),
+        (None, None) => None,
+    }
 }
 
-fn best_view<'view>(
-    affinity: u64,
-    views: impl Iterator<Item = &'view TargetView>,
-) -> Option<&'view TargetView> {
-    let score = |view: &TargetView| rendezvous_score(affinity, view.hash, view.slots);
-    views.max_by(|left, right| score(left).total_cmp(&score(right)))
+/// The less loaded of the next two targets in rendezvous order that are below the bound.
+fn choose_other<'view>(
+    others: &[ScoredView<'view>],
+    levels: &LoadLevels,
+) -> Option<(&'view TargetView, ChoiceReason)> {
+    let fitting = others.iter().map(|(_, view)| *view).filter(|view| levels.fits(view));
+    let view = fitting.take(2).min_by_key(|view| view.load())?;
+    Some((view, ChoiceReason::Bounded))
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -34,6 +34,13 @@
         /// Tortures a build whose ledger does not wait for its claims; this must fail.
         broken: bool,
     },
+    /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
+    #[bpaf(command)]
+    Measure {
+        /// Arguments of the measurement.
+        #[bpaf(positional("ARGUMENT"), many)]
+        arguments: Vec<String>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -43,6 +50,7 @@
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
         Task::Demo { keep } => demo::run_demo(keep),
+        Task::Measure { arguments } => steps::run_measure(&arguments),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
