--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod document;
 mod fault;
+mod operators;
 mod secret;
 mod section;
 mod settings;
@@ -12,6 +13,7 @@
 pub use crate::{
     document::NamedDocument,
     fault::{SettingsError, SettingsFault},
+    operators::{OperatorRight, OperatorSettings, TokenDigest},
     secret::SecretValue,
     settings::{
         FileReader, LimitSettings, LogFormat, LogSettings, PeerSettings, PeerTlsSettings,
--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -113,6 +113,43 @@
         self.section(name)
     }
 
+    /// The tables of an array, each written as `[[name]]`; none when the file has no such array.
+    pub(crate) fn sections(&self, name: &'static str) -> Vec<Self> {
+        let mut sections = Vec::new();
+        for (index, item) in self.items(name).enumerate() {
+            let Some(table) = item.get_ref().as_table() else {
+                let remedy = format!("write each as [[{}]]", self.key(name));
+                self.wrong_type(name, item, "a table", &remedy);
+                continue;
+            };
+            let path = format!("{}[{index}]", self.key(name)).into();
+            let known = RefCell::default();
+            sections.push(Self { path, table, faults: self.faults, known });
+        }
+        sections
+    }
+
+    /// The texts of an array; none when the file has no such array.
+    pub(crate) fn texts(&self, name: &'static str) -> Vec<&'a str> {
+        let mut texts = Vec::new();
+        for item in self.items(name) {
+            match item.get_ref().as_str() {
+                Some(text) => texts.push(text),
+                None => self.wrong_type(name, item, "text", "put it in double quotes"),
+            }
+        }
+        texts
+    }
+
+    fn items(&self, name: &'static str) -> impl Iterator<Item = ValueSpan<'a, 'i>> {
+        let value = self.value(name);
+        let items = value.and_then(|value| value.get_ref().as_array());
+        if let (Some(value), None) = (value, items) {
+            self.wrong_type(name, value, "an array", "write its items between `[` and `]`");
+        }
+        items.into_iter().flat_map(|items| items.iter())
+    }
+
     /// A text without a look at its faults, for checks of keys that were read before.
     pub(crate) fn peek_text(&self, name: &str) -> Option<&'a str> {
         self.table.get(name)?.get_ref().as_str()
@@ -162,13 +199,7 @@
 
     /// IP addresses and ports in an array that may be absent.
     pub(crate) fn addresses(&self, name: &'static str) -> Vec<SocketAddr> {
-        let Some(value) = self.value(name) else { return Vec::new() };
-        let Some(entries) = value.get_ref().as_array() else {
-            self.wrong_type(name, value, "an array", "write it like [\"192.0.2.7:8080\"]");
-            return Vec::new();
-        };
-        let texts = entries.iter().map(|entry| entry.get_ref().as_str().unwrap_or_default());
-        texts.filter_map(|text| self.parse_address(name, text)).collect()
+        self.texts(name).into_iter().filter_map(|text| self.parse_address(name, text)).collect()
     }
 
     /// A whole number above zero and at most `max`.
--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -20,7 +20,8 @@
     tls::TlsSettings,
 };
 use crate::{
-    SettingsError,
+    OperatorSettings, SettingsError,
+    operators::read_operators,
     section::{FaultList, SettingsSection},
 };
 
@@ -50,6 +51,8 @@
     pub limits: LimitSettings,
     /// What is logged and how.
     pub log: LogSettings,
+    /// Operators who may use the administration API.
+    pub operators: Vec<OperatorSettings>,
 }
 
 impl RouterSettings {
@@ -87,6 +90,7 @@
         let operator_tls = TlsSettings::read(root, "operator_tls", files);
         let limits = LimitSettings::read(root);
         let log = LogSettings::read(root);
+        let operators = read_operators(root);
         Some(Self {
             host: HostName::new(host?),
             failure_domain: DomainName::new(failure_domain?),
@@ -98,6 +102,7 @@
             operator_tls,
             limits,
             log,
+            operators,
         })
     }
 }
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    admin::operator_router,
+    admin::{operator_router, sweep_edits},
     front::caller_router,
     handle::{LoopHandle, LoopInput},
     ledger::OperationLedger,
@@ -72,15 +72,16 @@
     let (handle, inputs) = LoopHandle::new();
     let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
     let limits = &settings.limits;
-    let front = caller_router(handle.clone(), clock, limits.body_bytes);
+    let front = caller_router(handle.clone(), clock, limits.clone());
     let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
     let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
     let observe = ObserveState { handle: handle.clone(), platform: platform.clone(), metrics };
-    let admin = operator_router(handle.clone(), platform.clone());
+    let admin = operator_router(handle.clone(), platform.clone(), clock, settings.operators);
     let admin = Router::new().push(observe_router(observe)).push(admin);
     let operator =
         serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
+    tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
