--- a/crates/io-router/src/serve.rs
+++ b/crates/io-router/src/serve.rs
@@ -40,10 +40,12 @@
     limits: &LimitSettings,
     router: Router,
 ) -> ServerHandle {
+    // Callers' bodies have a deadline of their own with a result code; this gap ends all others.
+    let body_gap = limits.body_wait * 2;
     let fuse = FuseConfig::default()
         .with_tls_handshake_timeout(limits.header_wait)
         .with_http1_header_timeout(limits.header_wait)
-        .with_request_body_timeout(limits.body_wait)
+        .with_request_body_timeout(body_gap)
         .with_write_stall_timeout(limits.write_wait);
     let server = Server::new(acceptor).fuse_config(fuse);
     let mut server = server.max_connections(limits.connections);
--- a/crates/local-fleet/src/lib.rs
+++ b/crates/local-fleet/src/lib.rs
@@ -15,5 +15,6 @@
     chat::{ChatAnswer, ChatFault, ChatPrompt},
     fleet::{FleetError, FleetPlan, LocalFleet, RouterProcess, TargetProcess},
     operators::{OPERATOR_TOKEN, PAYMENTS_TOKEN, READER_TOKEN, RENEWALS_TOKEN},
+    ports::PortSource,
     process::ChildProcess,
 };
--- a/crates/local-fleet/src/ports.rs
+++ b/crates/local-fleet/src/ports.rs
@@ -13,17 +13,18 @@
 
 /// Hands out free ports of loopback, each at most once.
 #[derive(Debug)]
-pub(crate) struct PortSource {
+pub struct PortSource {
     offset: u32,
 }
 
 impl PortSource {
     /// Starts at a place that depends on this process, so that two fleets rarely meet.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         Self { offset: std::process::id().wrapping_mul(397) % PORT_SPAN }
     }
 
-    pub(crate) fn take(&mut self) -> SocketAddr {
+    /// The next free address of loopback.
+    pub fn take(&mut self) -> SocketAddr {
         loop {
             let taken = u32::from(PORTS_TAKEN.fetch_add(1, Ordering::Relaxed));
             let offset = (self.offset + taken) % PORT_SPAN;
