--- a/crates/io-router/tests/ports/fleet.rs
+++ b/crates/io-router/tests/ports/fleet.rs
@@ -56,7 +56,7 @@
 
 impl SmallFleet {
     fn start() -> Self {
-        let mut ports = PortSource::new();
+        let mut ports = PortSource::default();
         let [platform, engine, service] = [ports.take(), ports.take(), ports.take()];
         spawn(move || async move { drop(fakes::run_platform(platform, Duration::ZERO).await) });
         spawn(
--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -148,7 +148,7 @@
     /// Fails when a process does not start or does not answer in time.
     pub async fn start(plan: FleetPlan) -> Result<Self, Report<FleetError>> {
         fs::create_dir_all(&plan.workdir).change_context(FleetError)?;
-        let mut ports = PortSource::new();
+        let mut ports = PortSource::default();
         let mut fleet = Self::lay_out(plan, &mut ports);
         fleet.write_keys()?;
         fleet.start_platform()?;
--- a/crates/local-fleet/src/ports.rs
+++ b/crates/local-fleet/src/ports.rs
@@ -17,12 +17,14 @@
     offset: u32,
 }
 
-impl PortSource {
+impl Default for PortSource {
     /// Starts at a place that depends on this process, so that two fleets rarely meet.
-    pub fn new() -> Self {
+    fn default() -> Self {
         Self { offset: std::process::id().wrapping_mul(397) % PORT_SPAN }
     }
+}
 
+impl PortSource {
     /// The next free address of loopback.
     pub fn take(&mut self) -> SocketAddr {
         loop {
