--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -13,5 +13,8 @@
     fault::{SettingsError, SettingsFault},
     operators::{OperatorRight, OperatorSettings, TokenDigest},
     secret::SecretValue,
-    settings::{FileReader, LimitSettings, LogFormat, LogSettings, RouterSettings, TlsSettings},
+    settings::{
+        FileReader, LimitSettings, LogFormat, LogSettings, PeerSettings, PeerTlsSettings,
+        RouterSettings, TlsSettings,
+    },
 };
--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -133,6 +133,16 @@
         items.into_iter().flat_map(|items| items.iter())
     }
 
+    /// A table below this one that must be there.
+    pub(crate) fn required_section(&self, name: &'static str) -> Option<Self> {
+        if !self.table.contains_key(name) {
+            self.known.borrow_mut().push(name);
+            let key = self.key(name);
+            self.faults.push(None, &key, "is missing", format!("add the table [{key}]"));
+        }
+        self.section(name)
+    }
+
     /// A text without a look at its faults, for checks of keys that were read before.
     pub(crate) fn peek_text(&self, name: &str) -> Option<&'a str> {
         self.table.get(name)?.get_ref().as_str()
@@ -180,6 +190,17 @@
         self.parse_address(name, text)
     }
 
+    /// IP addresses and ports in an array that may be absent.
+    pub(crate) fn addresses(&self, name: &'static str) -> Vec<SocketAddr> {
+        let Some(value) = self.value(name) else { return Vec::new() };
+        let Some(entries) = value.get_ref().as_array() else {
+            self.wrong_type(name, value, "an array", "write it like [\"192.0.2.7:8080\"]");
+            return Vec::new();
+        };
+        let texts = entries.iter().map(|entry| entry.get_ref().as_str().unwrap_or_default());
+        texts.filter_map(|text| self.parse_address(name, text)).collect()
+    }
+
     /// A whole number above zero and at most `max`.
     pub(crate) fn limit(&self, name: &'static str, default: u64, max: u64) -> u64 {
         let Some(value) = self.value(name) else { return default };
--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -3,6 +3,7 @@
 mod files;
 mod limits;
 mod logs;
+mod peers;
 mod tls;
 
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
     files::FileReader,
     limits::LimitSettings,
     logs::{LogFormat, LogSettings},
+    peers::{PeerSettings, PeerTlsSettings},
     tls::TlsSettings,
 };
 use crate::{
@@ -39,6 +41,8 @@
     pub operator_listen: SocketAddr,
     /// Address of the platform's API.
     pub platform: SocketAddr,
+    /// Links to the other routers.
+    pub peers: PeerSettings,
     /// TLS of the callers' port; absent for plain HTTP.
     pub caller_tls: Option<TlsSettings>,
     /// TLS of the operators' port; absent for plain HTTP.
@@ -83,6 +87,7 @@
         let caller_listen = root.required_address("caller_listen");
         let operator_listen = root.required_address("operator_listen");
         let platform = root.required_address("platform");
+        let peers = PeerSettings::read(root, files);
         let caller_tls = TlsSettings::read(root, "caller_tls", files);
         let operator_tls = TlsSettings::read(root, "operator_tls", files);
         let limits = LimitSettings::read(root);
@@ -94,6 +99,7 @@
             caller_listen: caller_listen?,
             operator_listen: operator_listen?,
             platform: platform?,
+            peers: peers?,
             caller_tls,
             operator_tls,
             limits,
