--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every fault of a file is found in one go, each with its line, its key and the remedy. The crate
 //! reads no files: callers pass the text and a [`FileReader`] for the key files that it names.
 
+mod document;
 mod fault;
 mod operators;
 mod secret;
@@ -10,6 +11,7 @@
 mod settings;
 
 pub use crate::{
+    document::NamedDocument,
     fault::{SettingsError, SettingsFault},
     operators::{OperatorRight, OperatorSettings, TokenDigest},
     secret::SecretValue,
--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -41,6 +41,13 @@
         self.faults.borrow_mut().push(fault);
     }
 
+    /// Notes the faults of the TOML syntax.
+    pub(crate) fn push_syntax(&self, errors: &[toml::de::Error]) {
+        for error in errors {
+            self.push(error.span(), "", error.message(), "mend the TOML");
+        }
+    }
+
     pub(crate) fn into_faults(self) -> Vec<SettingsFault> {
         self.faults.into_inner()
     }
@@ -96,6 +103,16 @@
         Some(Self { path, table, faults: self.faults, known: RefCell::default() })
     }
 
+    /// A table below this one that must be there.
+    pub(crate) fn required_section(&self, name: &'static str) -> Option<Self> {
+        if !self.table.contains_key(name) {
+            self.known.borrow_mut().push(name);
+            let key = self.key(name);
+            self.faults.push(None, &key, "is missing", format!("add the table [{key}]"));
+        }
+        self.section(name)
+    }
+
     /// The tables of an array, each written as `[[name]]`; none when the file has no such array.
     pub(crate) fn sections(&self, name: &'static str) -> Vec<Self> {
         let mut sections = Vec::new();
@@ -133,16 +150,6 @@
         items.into_iter().flat_map(|items| items.iter())
     }
 
-    /// A table below this one that must be there.
-    pub(crate) fn required_section(&self, name: &'static str) -> Option<Self> {
-        if !self.table.contains_key(name) {
-            self.known.borrow_mut().push(name);
-            let key = self.key(name);
-            self.faults.push(None, &key, "is missing", format!("add the table [{key}]"));
-        }
-        self.section(name)
-    }
-
     /// A text without a look at its faults, for checks of keys that were read before.
     pub(crate) fn peek_text(&self, name: &str) -> Option<&'a str> {
         self.table.get(name)?.get_ref().as_str()
@@ -192,13 +199,7 @@
 
     /// IP addresses and ports in an array that may be absent.
     pub(crate) fn addresses(&self, name: &'static str) -> Vec<SocketAddr> {
-        let Some(value) = self.value(name) else { return Vec::new() };
-        let Some(entries) = value.get_ref().as_array() else {
-            self.wrong_type(name, value, "an array", "write it like [\"192.0.2.7:8080\"]");
-            return Vec::new();
-        };
-        let texts = entries.iter().map(|entry| entry.get_ref().as_str().unwrap_or_default());
-        texts.filter_map(|text| self.parse_address(name, text)).collect()
+        self.texts(name).into_iter().filter_map(|text| self.parse_address(name, text)).collect()
     }
 
     /// A whole number above zero and at most `max`.
@@ -238,8 +239,6 @@
     }
 
     /// The tables of an array such as `[[operator]]`, each read whole; one fault for each that fails.
-    // FIXME: nothing in a router's settings is an array yet; operators are the first to come.
-    #[allow(dead_code)]
     pub(crate) fn entries<T: DeserializeOwned>(&self, name: &'static str) -> Vec<T> {
         let Some(value) = self.value(name) else { return Vec::new() };
         let Some(entries) = value.get_ref().as_array() else {
@@ -271,6 +270,17 @@
         self.table.get(name)
     }
 
+    /// Place of a field of the entry that has a name, or of the entry itself.
+    pub(crate) fn entry_span(&self, array: &str, name: &str, field: &str) -> Option<Range<usize>> {
+        let entries = self.table.get(array)?.get_ref().as_array()?;
+        let named = |entry: &&Spanned<DeValue<'i>>| {
+            entry.get_ref().get("name").and_then(|value| value.get_ref().as_str()) == Some(name)
+        };
+        let entry = entries.iter().find(named)?;
+        let field = entry.get_ref().get(field).map(Spanned::span);
+        Some(field.unwrap_or_else(|| entry.span()))
+    }
+
     fn entry<T: DeserializeOwned>(&self, name: &str, entry: ValueSpan<'a, 'i>) -> Option<T> {
         match T::deserialize(ValueDeserializer::from(entry.clone())) {
             Ok(entry) => Some(entry),
