List and settle open operations, and forget old ones

Cause: an operation whose outcome is unknown stayed so for ever, and nothing was ever forgotten. Change: GET /admin/v1/operations/{pool} lists open operations, POST .../settle settles one as run or not run with operator and reason kept in its record; a claim is open only 12 minutes after it was written, when its attempt cannot live.

--- a/crates/io-router/src/admin.rs
+++ b/crates/io-router/src/admin.rs
@@ -3,6 +3,7 @@
 mod access;
 mod audit;
 mod explain;
+mod operations;
 mod port;
 mod rows;
 mod status;
@@ -22,6 +23,7 @@
         access::{AccessHoop, OperatorList},
         audit::{AuditHandler, EditHandler, HistoryHandler},
         explain::{ExplainHandler, ExplainSubject},
+        operations::{OperationsHandler, SettleHandler},
         rows::{RowAction, RowHandler},
         status::StatusHandler,
     },
@@ -49,14 +51,17 @@
     let read = need(OperatorRight::Read)
         .push(Router::with_path("status").get(StatusHandler(state.clone())))
         .push(Router::with_path("audit").get(AuditHandler(state.clone())))
+        .push(Router::with_path("operations/{pool}").get(OperationsHandler(state.clone())))
         .push(explain_router(&state));
+    let settle = need(OperatorRight::Settle)
+        .push(Router::with_path("operations/{pool}/settle").post(SettleHandler(state.clone())));
     let edit = need(OperatorRight::Edit)
         .push(Router::with_path("edits/{edit}").get(EditHandler(state.clone())));
     let tables = [("routes", TableKind::Routes), ("pools", TableKind::Pools)];
     let (read, edit) = tables.into_iter().fold((read, edit), |(read, edit), (path, table)| {
         (read.push(read_router(&state, path, table)), edit.push(edit_router(&state, path, table)))
     });
-    Router::with_path("admin/v1").push(read).push(edit)
+    Router::with_path("admin/v1").push(read).push(settle).push(edit)
 }
 
 fn read_router(state: &Arc<AdminState>, path: &str, table: TableKind) -> Router {
--- /dev/null
+++ b/crates/io-router/src/admin/operations.rs
@@ -0,0 +1,188 @@
+//! Operations whose outcome is open, and operators who settle them.
+
+use std::sync::Arc;
+
+use base_settings::OperatorSettings;
+use base_types::{OperationName, PoolName, RowVersion, value_types};
+use error_stack::Report;
+use io_platform::{ObjectKey, ObjectRecord, PlatformClient, PlatformError, WriteGuard};
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode, writing::Json,
+};
+use serde_json::{Value, json};
+use state_ledger::{
+    OperationRecord, OperationState, SettledOutcome, Settlement, operation_part, operation_path,
+};
+
+use crate::{
+    admin::{AdminState, write_error},
+    ledger::{parse_record, wall_time},
+    retention::RETENTION,
+};
+
+const BODY_BYTES_MAX: usize = 64 * 1024;
+const UNANSWERED: &str = "the platform did not answer; read the operation again before another try";
+const NOT_OPEN: &str = "the outcome of the operation is not open; a claim is open 12 minutes after \
+                        it was written";
+
+/// Answers `GET /admin/v1/operations/{pool}`: open operations, or with `state=settled` those that
+/// operators settled. `part=00` to `part=ff` reads one of 256 parts.
+pub(super) struct OperationsHandler(pub(super) Arc<AdminState>);
+
+/// Answers `POST /admin/v1/operations/{pool}/settle`.
+pub(super) struct SettleHandler(pub(super) Arc<AdminState>);
+
+value_types! {
+    /// What an operator sends to settle an operation.
+    #[serde(deny_unknown_fields)]
+    struct SettleOrder {
+        operation: OperationName,
+        outcome: SettledOutcome,
+        reason: Box<str>,
+    }
+}
+
+enum SettleError {
+    Missing,
+    NotOpen,
+    Conflict,
+    Unanswered,
+}
+
+#[async_trait]
+impl Handler for OperationsHandler {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let pool = PoolName::new(&req.param::<String>("pool").unwrap_or_default());
+        let part = req.query::<String>("part").map(|part| u8::from_str_radix(&part, 16));
+        let prefix = match part {
+            Some(Ok(part)) => operation_part(&pool, part),
+            Some(Err(_)) => {
+                let message = "a part is two hexadecimal digits";
+                return write_error(res, StatusCode::BAD_REQUEST, message);
+            }
+            None => format!("operations/{pool}/"),
+        };
+        let settled = req.query::<String>("state").is_some_and(|state| state == "settled");
+        match self.0.platform.list(&prefix).await {
+            Ok(list) => res.render(Json(operations_body(&list.objects, settled))),
+            Err(_) => write_error(res, StatusCode::SERVICE_UNAVAILABLE, UNANSWERED),
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for SettleHandler {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        let Ok(operator) = depot.get_typed::<OperatorSettings>() else {
+            return write_error(res, StatusCode::UNAUTHORIZED, "no operator");
+        };
+        let pool = PoolName::new(&req.param::<String>("pool").unwrap_or_default());
+        let body = req.payload_with_max_size(BODY_BYTES_MAX).await.cloned().unwrap_or_default();
+        let order = match serde_json::from_slice::<SettleOrder>(&body) {
+            Ok(order) if !order.reason.trim().is_empty() => order,
+            Ok(_) => return write_error(res, StatusCode::BAD_REQUEST, "say the reason"),
+            Err(error) => return write_error(res, StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        match self.settle(&pool, order, operator.name.as_str()).await {
+            Ok(record) => res.render(Json(operation_body(&record))),
+            Err(error) => error.write(res),
+        }
+    }
+}
+
+impl SettleHandler {
+    async fn settle(
+        &self,
+        pool: &PoolName,
+        order: SettleOrder,
+        operator: &str,
+    ) -> Result<OperationRecord, SettleError> {
+        let platform = &self.0.platform;
+        let key = ObjectKey::new(&operation_path(pool, &order.operation));
+        let (version, record) = read_operation(platform, &key).await?;
+        let SettleOrder { outcome, reason, .. } = order;
+        let settlement = Settlement { outcome, operator: operator.into(), reason };
+        let host = self.0.handle.query(|core| core.name().clone()).await;
+        let host = host.ok_or(SettleError::Unanswered)?;
+        let settled = record.settle(settlement, &host, wall_time());
+        let settled = settled.ok_or(SettleError::NotOpen)?;
+        let written = platform.write(&key, WriteGuard::Version(version), &settled).await;
+        match written {
+            Ok(_) => {}
+            Err(report) => confirm(platform, &key, &settled, &report).await?,
+        }
+        log::info!(operation = settled.operation.as_str(), operator = operator; "operation settled");
+        Ok(settled)
+    }
+}
+
+impl SettleError {
+    fn write(self, res: &mut Response) {
+        let (status, message) = match self {
+            Self::Missing => (StatusCode::NOT_FOUND, "no such operation is kept"),
+            Self::NotOpen => (StatusCode::CONFLICT, NOT_OPEN),
+            Self::Conflict => (StatusCode::CONFLICT, "the operation changed meanwhile"),
+            Self::Unanswered => (StatusCode::SERVICE_UNAVAILABLE, UNANSWERED),
+        };
+        write_error(res, status, message);
+    }
+}
+
+async fn read_operation(
+    platform: &PlatformClient,
+    key: &ObjectKey,
+) -> Result<(RowVersion, OperationRecord), SettleError> {
+    let object = platform.read(key).await.map_err(|_| SettleError::Unanswered)?;
+    let object = object.ok_or(SettleError::Missing)?;
+    let record = parse_record(&object).ok_or(SettleError::Missing)?;
+    Ok((object.version, record))
+}
+
+/// A write whose answer was lost is read back.
+async fn confirm(
+    platform: &PlatformClient,
+    key: &ObjectKey,
+    settled: &OperationRecord,
+    report: &Report<PlatformError>,
+) -> Result<(), SettleError> {
+    if *report.current_context() == PlatformError::Conflict {
+        return Err(SettleError::Conflict);
+    }
+    let (_, record) = read_operation(platform, key).await?;
+    if record == *settled { Ok(()) } else { Err(SettleError::Unanswered) }
+}
+
+fn operations_body(objects: &[ObjectRecord], settled: bool) -> Value {
+    let now = wall_time();
+    let wanted = |record: &OperationRecord| match record.state {
+        OperationState::Settled(_) => settled,
+        _ => !settled && record.is_open(now),
+    };
+    let records = objects.iter().filter_map(parse_record).filter(wanted);
+    let operations: Vec<Value> = records.map(|record| operation_body(&record)).collect();
+    json!({ "operations": operations, "retention_seconds": RETENTION.as_secs() })
+}
+
+fn operation_body(record: &OperationRecord) -> Value {
+    let (state, settlement) = match &record.state {
+        OperationState::Claimed => ("claimed", None),
+        OperationState::Released => ("released", None),
+        OperationState::Unsettled => ("unsettled", None),
+        OperationState::Completed(_) => ("completed", None),
+        OperationState::Settled(settlement) => ("settled", Some(settlement)),
+    };
+    json!({
+        "operation": record.operation,
+        "pool": record.pool,
+        "state": state,
+        "host": record.host,
+        "written_unix_ms": record.written,
+        "settlement": settlement,
+    })
+}
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod prompt;
 mod relay;
+mod retention;
 mod run;
 mod serve;
 mod shutdown;
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -24,6 +24,7 @@
     ledger::OperationLedger,
     observe::{ObserveState, RequestHoop, observe_router},
     platform::watch_platform,
+    retention::sweep_operations,
     serve::{ServerTask, serve},
     shutdown::{LeaveState, log_cut, stop_on_signal},
 };
@@ -83,6 +84,7 @@
         serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
     tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
+    tokio::task::spawn_local(sweep_operations(platform.clone(), handle.clone()));
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
--- a/crates/state-ledger/src/record.rs
+++ b/crates/state-ledger/src/record.rs
@@ -6,6 +6,10 @@
 
 use crate::{OperationClaim, StoredAnswer};
 
+/// Longest time that an attempt may hold a claim without recording its outcome, in milliseconds:
+/// the callers' longest deadline and the wait for a late answer.
+const CLAIM_MS_MAX: u64 = 720_000;
+
 key_types! {
     /// Milliseconds since the Unix epoch, for people and for retention; never used for safety.
     #[serde(transparent)]
@@ -90,6 +94,26 @@
         }
     }
 
+    /// Whether the outcome is open: nobody has recorded it, and no live attempt will.
+    ///
+    /// A claim is open once it is older than the longest time that an attempt may take.
+    pub fn is_open(&self, now: WallTime) -> bool {
+        match self.state {
+            OperationState::Unsettled => true,
+            OperationState::Claimed => self.written.0 + CLAIM_MS_MAX < now.0,
+            _ => false,
+        }
+    }
+
+    /// The record after an operator settled it; `None` when the outcome is not open.
+    pub fn settle(&self, settlement: Settlement, host: &HostName, now: WallTime) -> Option<Self> {
+        if !self.is_open(now) {
+            return None;
+        }
+        let state = OperationState::Settled(settlement);
+        Some(Self { host: host.clone(), written: now, state, ..self.clone() })
+    }
+
     /// Whether the record may be forgotten: it is final and older than `oldest`.
     pub fn expired(&self, oldest: WallTime) -> bool {
         let open = matches!(self.state, OperationState::Claimed | OperationState::Unsettled);
@@ -103,6 +127,11 @@
     format!("operations/{pool}/{:032x}", digest.0).into()
 }
 
+/// Prefix of the paths of one of 256 parts of a pool's operations.
+pub fn operation_part(pool: &PoolName, part: u8) -> String {
+    format!("operations/{pool}/{part:02x}")
+}
+
 /// Keys of 128 bits as hexadecimal text, because JSON readers round large numbers.
 mod hex_text {
     use base_types::{AttemptKey, ContentDigest};
