--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -43,6 +43,8 @@
     engines: usize,
     services: usize,
     host_lag: Duration,
+    linger: Duration,
+    drain: Duration,
 }
 
 impl FleetPlan {
@@ -58,6 +60,8 @@
             engines: 12,
             services: 4,
             host_lag: Duration::from_millis(500),
+            linger: Duration::from_secs(12),
+            drain: Duration::from_secs(600),
         }
     }
 
@@ -90,6 +94,18 @@
     pub fn host_lag(self, host_lag: Duration) -> Self {
         Self { host_lag, ..self }
     }
+
+    /// Sets how long a leaving router serves new callers.
+    #[must_use]
+    pub fn linger(self, linger: Duration) -> Self {
+        Self { linger, ..self }
+    }
+
+    /// Sets after how long a leaving router cuts off what is left.
+    #[must_use]
+    pub fn drain(self, drain: Duration) -> Self {
+        Self { drain, ..self }
+    }
 }
 
 /// A router process and its addresses.
@@ -382,7 +398,8 @@
         format!(
             "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
              operator_listen = \"{}\"\nplatform = \"{}\"\npeer_listen = \"{}\"\n\
-             peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n{}",
+             peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n\n\
+             [stop]\nlinger_ms = {}\ndrain_ms = {}\n{}",
             router.host,
             router.failure_domain,
             router.caller,
@@ -393,6 +410,8 @@
             self.key_path("authority.crt").display(),
             self.key_path(&format!("{}.crt", router.host)).display(),
             self.key_path(&format!("{}.key", router.host)).display(),
+            self.plan.linger.as_millis(),
+            self.plan.drain.as_millis(),
             operator_settings(),
         )
     }
--- /dev/null
+++ b/crates/local-fleet/tests/shutdown.rs
@@ -0,0 +1,109 @@
+//! A router that is asked to stop, on real processes.
+
+use std::{fs, path::PathBuf, time::Duration};
+
+use fakes::FaultOrder;
+use http::Method;
+use local_fleet::{ChatPrompt, FleetPlan, LocalFleet};
+
+const POLL: Duration = Duration::from_millis(50);
+const POLLS_MAX: u32 = 400;
+const LINGER: Duration = Duration::from_millis(1500);
+
+fn programs() -> PathBuf {
+    let own = std::env::current_exe().unwrap();
+    own.parent().and_then(|folder| folder.parent()).unwrap().to_owned()
+}
+
+async fn start(name: &str, drain: Duration) -> (LocalFleet, PathBuf) {
+    let workdir = programs().join("shutdown-tests").join(name);
+    let _ = fs::remove_dir_all(&workdir);
+    let plan = FleetPlan::new(&programs(), &workdir).routers(2).engines(1).services(1);
+    let fleet = LocalFleet::start(plan.linger(LINGER).drain(drain)).await.unwrap();
+    fleet.put_tables().await.unwrap();
+    (fleet, workdir)
+}
+
+/// A chat that streams for about `tokens` times 5 ms.
+async fn chat(fleet: &LocalFleet, tokens: u32) -> Result<bool, String> {
+    let prompt = ChatPrompt { text: "A long letter.".into(), tokens };
+    let path = "/v1/chat/completions";
+    let router = fleet.routers[0].caller;
+    let answer = fleet.caller().call(Method::POST, router, path, &[], prompt.body()).await;
+    answer.map(|answer| prompt.check(&answer).is_ok()).map_err(|report| report.to_string())
+}
+
+async fn pay(fleet: &LocalFleet, operation: &str) -> u16 {
+    let headers = [("idempotency-key", operation)];
+    let router = fleet.routers[0].caller;
+    let answer = fleet.caller().call(Method::POST, router, "/pay", &headers, "amount").await;
+    answer.map(|answer| answer.code()).unwrap_or_default()
+}
+
+async fn wait_ended(fleet: &mut LocalFleet) {
+    let process = fleet.routers[0].process.as_mut().unwrap();
+    for _ in 0..POLLS_MAX {
+        if let Some(status) = process.ended() {
+            assert!(status.success(), "{status}");
+            return;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    panic!("the router did not end");
+}
+
+#[tokio::test]
+async fn a_leaving_router_cuts_off_nothing_and_serves_older_answers() {
+    let (mut fleet, _) = start("drain", Duration::from_secs(60)).await;
+    let slow = FaultOrder { lag_ms: 2500, ..FaultOrder::default() };
+    fleet.order_faults(fleet.services[0].address, &slow).await.unwrap();
+    let terminate = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.routers[0].process.as_ref().unwrap().terminate();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        chat(&fleet, 4).await
+    };
+    let (long, paid, late) = tokio::join!(chat(&fleet, 600), pay(&fleet, "slow"), terminate);
+    assert_eq!((long, paid, late), (Ok(true), 2000, Ok(true)));
+    wait_ended(&mut fleet).await;
+}
+
+#[tokio::test]
+async fn an_idle_leaving_router_serves_those_who_come_with_an_older_answer() {
+    let (mut fleet, _) = start("linger", Duration::from_secs(60)).await;
+    fleet.routers[0].process.as_ref().unwrap().terminate();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!((chat(&fleet, 4).await, pay(&fleet, "late").await), (Ok(true), 2000));
+    wait_ended(&mut fleet).await;
+}
+
+#[tokio::test]
+async fn a_second_signal_ends_the_router_with_each_cut_request_accounted_for() {
+    let (mut fleet, workdir) = start("forced", Duration::from_secs(60)).await;
+    let slow = FaultOrder { lag_ms: 30_000, ..FaultOrder::default() };
+    fleet.order_faults(fleet.services[0].address, &slow).await.unwrap();
+    let terminate = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fleet.routers[0].process.as_ref().unwrap().terminate();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.routers[0].process.as_ref().unwrap().terminate();
+    };
+    let (long, paid, ()) = tokio::join!(chat(&fleet, 6000), pay(&fleet, "cut"), terminate);
+    assert!(long.is_err(), "{long:?}");
+    assert_eq!(paid, 3006);
+    wait_ended(&mut fleet).await;
+    let log = fs::read_to_string(workdir.join("router-0.log")).unwrap();
+    assert_eq!(log.matches("request cut off by the end of the router").count(), 2, "{log}");
+}
+
+#[tokio::test]
+async fn the_drain_deadline_ends_the_router() {
+    let (mut fleet, _) = start("deadline", Duration::from_millis(1000)).await;
+    let terminate = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.routers[0].process.as_ref().unwrap().terminate();
+    };
+    let (long, ()) = tokio::join!(chat(&fleet, 6000), terminate);
+    assert!(long.is_err(), "{long:?}");
+    wait_ended(&mut fleet).await;
+}
