--- a/xtask/src/steps.rs
+++ b/xtask/src/steps.rs
@@ -18,8 +18,17 @@
 
 /// Runs cargo with arguments and fails when it does.
 pub(crate) fn cargo(arguments: &[&str]) -> Result<(), Report<TaskError>> {
+    cargo_with(arguments, &[])
+}
+
+/// Runs cargo with arguments and environment variables and fails when it does.
+pub(crate) fn cargo_with(
+    arguments: &[&str],
+    variables: &[(&str, &str)],
+) -> Result<(), Report<TaskError>> {
     println!("==> cargo {}", arguments.join(" "));
-    let status = Command::new(env!("CARGO")).args(arguments).status();
+    let mut command = Command::new(env!("CARGO"));
+    let status = command.args(arguments).envs(variables.iter().copied()).status();
     let status = status.change_context(TaskError)?;
     if status.success() {
         return Ok(());
