--- a/crates/io-router/tests/ports/fleet.rs
+++ b/crates/io-router/tests/ports/fleet.rs
@@ -58,13 +58,15 @@
     fn start() -> Self {
         let mut ports = PortSource::default();
         let [platform, engine, service] = [ports.take(), ports.take(), ports.take()];
-        spawn(move || async move { drop(fakes::run_platform(platform, Duration::ZERO).await) });
         spawn(
-            move || async move { drop(fakes::run_engine(engine, Duration::from_millis(1)).await) },
+            move || async move { drop(fakes::run_platform(platform, Duration::ZERO, None).await) },
         );
         spawn(
-            move || async move { drop(fakes::run_service(service, Duration::from_millis(1)).await) },
+            move || async move { drop(fakes::run_engine(engine, Duration::from_millis(1)).await) },
         );
+        spawn(move || async move {
+            drop(fakes::run_service(service, Duration::from_millis(1), None).await)
+        });
         let authority = FleetAuthority::generate().unwrap();
         let router =
             |tls: &str, ports: &mut PortSource| start_router(&authority, platform, tls, ports);
--- a/crates/state-tables/src/editor.rs
+++ b/crates/state-tables/src/editor.rs
@@ -50,7 +50,7 @@
             }
             continue;
         }
-        let Ok(tables) = read_tables(port, &request.tables).await else {
+        let Ok(tables) = read_tables(port).await else {
             return EditVerdict::Unavailable;
         };
         let draft = match Draft::new(request, &tables) {
@@ -94,10 +94,17 @@
     pub(crate) objects: std::collections::BTreeMap<RowKey, StoredObject>,
 }
 
-/// Reads both tables; `known` has the valid rows in place of which invalid ones were written.
-async fn read_tables(port: &impl ObjectPort, known: &TableSet) -> Result<TableView, PortError> {
+impl TableView {
+    /// Whether the object of a row holds a row or a tombstone that can be in force.
+    pub(crate) fn is_settled(&self, key: &RowKey) -> bool {
+        self.in_force.in_force(key).map(|change| change.version) == self.in_force.version(key)
+    }
+}
+
+/// Reads both tables. What a router has heard before is left out, as it may lag behind.
+async fn read_tables(port: &impl ObjectPort) -> Result<TableView, PortError> {
     let mut view =
-        TableView { in_force: known.clone(), objects: std::collections::BTreeMap::new() };
+        TableView { in_force: TableSet::default(), objects: std::collections::BTreeMap::new() };
     let mut changes = Vec::new();
     let mut floors = Vec::new();
     for table in TableKind::ALL {
