Close the check with counts of tests

Cause: the check printed how many tests passed only when all did, in words that other readers of its output cannot count. Ruled out: printing all test output, which hides the verdict. Change: one line with tests passed and failed, whatever the end. Conclusion: a reader sees the counts also when something fails.

--- a/xtask/src/ci/tests.rs
+++ b/xtask/src/ci/tests.rs
@@ -28,8 +28,8 @@
         String::from_utf8_lossy(&output.stdout),
         String::from_utf8_lossy(&output.stderr),
     );
+    println!("tests: {} passed, {} failed", count(&text, "passed"), count(&text, "failed"));
     if output.status.success() {
-        println!("    {} tests passed", count_passed(&text));
         return Ok(Vec::new());
     }
     let log = program_folder("ci-tests.log")?;
@@ -63,7 +63,12 @@
     text.lines().filter_map(|line| line.trim_start_matches('.').strip_suffix(FAILED_MARK)).collect()
 }
 
-fn count_passed(text: &str) -> usize {
-    let results = text.lines().filter_map(|line| line.strip_prefix("test result: ok. "));
-    results.filter_map(|line| line.split(' ').next()?.parse::<usize>().ok()).sum()
+/// Sum of a word's counts over all lines of results.
+fn count(text: &str, word: &str) -> usize {
+    let results = text.lines().filter(|line| line.starts_with("test result: "));
+    let counts = results.flat_map(|line| line.split([';', '.'])).filter_map(|part| {
+        let (number, rest) = part.trim().split_once(' ')?;
+        (rest == word).then_some(number)
+    });
+    counts.filter_map(|number| number.parse::<usize>().ok()).sum()
 }
