--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -24,6 +24,7 @@
     ledger::OperationLedger,
     observe::{ObserveState, RequestHoop, observe_router},
     platform::watch_platform,
+    retention::sweep_operations,
     serve::{ServerTask, serve},
     shutdown::{LeaveState, log_cut, stop_on_signal},
 };
@@ -73,7 +74,7 @@
     let (handle, mut inputs) = LoopHandle::new();
     let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
     let limits = &settings.limits;
-    let front = caller_router(handle.clone(), clock, limits.body_bytes);
+    let front = caller_router(handle.clone(), clock, limits.clone());
     let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
     let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
     let observe = ObserveState { handle: handle.clone(), platform: platform.clone(), metrics };
@@ -83,6 +84,7 @@
         serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
     tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
+    tokio::task::spawn_local(sweep_operations(platform.clone(), handle.clone()));
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
--- a/crates/local-fleet/src/ports.rs
+++ b/crates/local-fleet/src/ports.rs
@@ -25,7 +25,7 @@
 }
 
 impl PortSource {
-    /// The next free port.
+    /// The next free address of loopback.
     pub fn take(&mut self) -> SocketAddr {
         loop {
             let taken = u32::from(PORTS_TAKEN.fetch_add(1, Ordering::Relaxed));
