--- a/crates/state-tables/tests/fuzz.rs
+++ b/crates/state-tables/tests/fuzz.rs
@@ -88,6 +88,8 @@
     GuardUnconditional;
     RowsUnconditional;
     RowsTakenBackwards;
+    FloorsForgotten;
+    AuditDropped;
 }
 
 prop_state_machine! {
@@ -97,7 +99,8 @@
     fn edits_and_rows_in_force_agree_with_the_oracle(sequential STEPS => TablesTest<Sound>);
 }
 
-fn check_caught<V: Variant>() {
+/// Checks that a variant fails, and for the reason expected of it.
+fn check_caught<V: Variant>(reason: &str) {
     let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new(config.clone());
     let strategy = StepMachine::sequential_strategy(STEPS);
@@ -105,25 +108,36 @@
         TablesTest::<V>::test_sequential(config.clone(), state, steps, counter);
         Ok(())
     });
-    assert!(ended.is_err(), "the broken variant was not caught");
+    let error = ended.expect_err("the broken variant was not caught").to_string();
+    assert!(error.contains(reason), "{error}");
 }
 
 #[test]
 fn a_lost_answer_taken_for_a_failure_is_caught() {
-    check_caught::<LostAnswersTrusted>();
+    check_caught::<LostAnswersTrusted>("was refused");
 }
 
 #[test]
 fn edits_without_an_order_are_caught() {
-    check_caught::<GuardUnconditional>();
+    check_caught::<GuardUnconditional>("an edit was answered by another");
 }
 
 #[test]
 fn rows_written_without_a_condition_are_caught() {
-    check_caught::<RowsUnconditional>();
+    check_caught::<RowsUnconditional>("is not as its last edit left it");
 }
 
 #[test]
 fn rows_taken_backwards_are_caught() {
-    check_caught::<RowsTakenBackwards>();
+    check_caught::<RowsTakenBackwards>("went backwards");
+}
+
+#[test]
+fn deleted_rows_that_return_are_caught() {
+    check_caught::<FloorsForgotten>("came back");
+}
+
+#[test]
+fn accepted_edits_without_an_audit_entry_are_caught() {
+    check_caught::<AuditDropped>("an audit entry is missing");
 }
--- a/crates/state-tables/tests/fuzz/bench.rs
+++ b/crates/state-tables/tests/fuzz/bench.rs
@@ -1,14 +1,19 @@
 //! Editors and routers round the platform, driven step by step.
 
-use std::{collections::BTreeMap, future::Future, pin::Pin, task::Context};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    future::Future,
+    pin::Pin,
+    task::Context,
+};
 
 use base_types::{HostName, OperatorName, RowVersion, TeamName};
 use futures_util::task::noop_waker;
 use proptest::prelude::*;
 use serde_json::{Value, json};
 use state_tables::{
-    EditFate, EditKey, EditRequest, EditTarget, EditVerdict, PortError, RowChange, RowKey,
-    RowRecord, TableKind, TableRevision, TableSet, find_edit, finish_pending, submit_edit,
+    EditFate, EditKey, EditRequest, EditTarget, EditVerdict, PortError, RowChange, RowContent,
+    RowKey, RowRecord, TableKind, TableRevision, TableSet, find_edit, finish_pending, submit_edit,
 };
 
 use crate::{
@@ -103,6 +108,7 @@
     oracle: Oracle,
     routers: Vec<TableSet>,
     floors: Vec<BTreeMap<RowKey, RowVersion>>,
+    gone: Vec<BTreeMap<RowKey, RowVersion>>,
 }
 
 impl Bench {
@@ -116,6 +122,7 @@
             oracle: Oracle::default(),
             routers: vec![TableSet::default(); ROUTERS],
             floors: vec![BTreeMap::new(); ROUTERS],
+            gone: vec![BTreeMap::new(); ROUTERS],
         }
     }
 
@@ -267,7 +274,7 @@
         match end {
             TaskEnd::Edit(EditVerdict::Unknown { edit }) => self.unknown.push(edit),
             TaskEnd::Edit(EditVerdict::Accepted { edit, version, .. }) => {
-                assert_eq!(edit.nonce, nonce);
+                assert_eq!(edit.nonce, nonce, "an edit was answered by another");
                 self.oracle.hear(nonce, Word::Accepted(version));
             }
             TaskEnd::Edit(_) => self.oracle.hear(nonce, Word::NotAccepted),
@@ -311,8 +318,21 @@
             }));
             reads.push(TableRevision { table, revision: listed.revision });
         }
+        let removed = state.log.iter().filter(|entry| !state.objects.contains_key(&entry.key));
+        let removed = removed.filter_map(|entry| RowKey::from_object(&entry.key));
+        let removed: BTreeSet<RowKey> = removed.collect();
+        let revision = state.revision();
         drop(state);
-        self.routers[router % ROUTERS].adopt_lists(&reads, rows);
+        let router = router % ROUTERS;
+        let table = &mut self.routers[router];
+        if self.breakage == Breakage::FloorsForgotten {
+            table.adopt_all(rows);
+        } else {
+            table.adopt_lists(&reads, rows);
+        }
+        // A pool removed past the protocol stays in force for as long as a route needs it.
+        let gone = removed.into_iter().filter(|key| !is_in_force(table, key));
+        self.gone[router] = gone.map(|key| (key, revision)).collect();
     }
 
     /// A router that starts anew reads the platform before it hears of anything.
@@ -337,8 +357,15 @@
         self.platform.write_past(&key.object(), value);
     }
 
-    /// The version in force of a row never falls on a router that keeps running.
+    /// The version in force of a row never falls on a router that keeps running, and a row that a
+    /// read of the platform lacked comes back only at a later version.
     fn note_in_force(&mut self) {
+        for (table, gone) in self.routers.iter().zip(&self.gone) {
+            for (key, revision) in gone {
+                let later = table.in_force(key).is_some_and(|change| change.version > *revision);
+                assert!(later || !is_in_force(table, key), "{key} came back");
+            }
+        }
         for (table, floors) in self.routers.iter().zip(&mut self.floors) {
             for change in table.rows_in_force() {
                 let floor = floors.entry(change.key.clone()).or_insert(change.version);
@@ -352,6 +379,10 @@
     }
 }
 
+fn is_in_force(table: &TableSet, key: &RowKey) -> bool {
+    table.in_force(key).is_some_and(|change| change.content != RowContent::Tombstone)
+}
+
 fn row_change(entry: &LogEntry) -> Option<RowChange> {
     let key = RowKey::from_object(&entry.key)?;
     Some(RowChange::from_object(key, entry.version, entry.value.clone()))
--- a/crates/state-tables/tests/fuzz/sim.rs
+++ b/crates/state-tables/tests/fuzz/sim.rs
@@ -10,7 +10,9 @@
 
 use base_types::RowVersion;
 use serde_json::Value;
-use state_tables::{GUARD_OBJECT, ObjectPort, PortError, RowKey, StoredObject, StoredTable};
+use state_tables::{
+    AUDIT_PREFIX, GUARD_OBJECT, ObjectPort, PortError, RowKey, StoredObject, StoredTable,
+};
 
 /// What is broken on purpose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +26,10 @@
     RowsUnconditional,
     /// Routers take whatever they hear.
     RowsTakenBackwards,
+    /// Routers that start forget at which revision they read the tables.
+    FloorsForgotten,
+    /// The platform confirms audit entries and does not keep them.
+    AuditDropped,
 }
 
 /// What becomes of a waiting call.
@@ -171,6 +177,9 @@
                 if current != expected && !self.ignores_condition(&key) {
                     return SimReply::Failed(PortError::Conflict);
                 }
+                if self.breakage == Breakage::AuditDropped && key.starts_with(AUDIT_PREFIX) {
+                    return SimReply::Written(self.revision());
+                }
                 SimReply::Written(self.put(&key, Some(value)))
             }
         }
