Remember which targets served a chat

Cause: a target that joins takes a share of all chats from warm caches, and a new chat, which no target holds, was placed as strictly as an old one.

Ruled out: remembering at routers only; callers that change routers would be unknown.

Change: a chat's homes are the two targets that served it last, by a placement token that its caller may send back (`x-placement`) or by the router's memory of 65,536 chats, else its first two in rendezvous order. A chat that begins goes to the less loaded home.

--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -6,6 +6,7 @@
 mod macros;
 mod names;
 mod notices;
+mod placement;
 mod request;
 mod time;
 
@@ -16,6 +17,7 @@
         PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TeamName,
     },
     notices::{AccountLoad, AccountShare, LoadShare, PeerNotice, SuspectNotice, TargetLoad},
+    placement::{PlacementError, PlacementToken},
     request::{Arrival, Refusal},
     time::TimePoint,
 };
--- a/crates/base-types/src/request.rs
+++ b/crates/base-types/src/request.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 
 use crate::{
-    AccountName, ChatName, ContentDigest, NotRunCode, OperationName, RequestKey, TimePoint,
-    UnknownCode, key_types, message_types,
+    AccountName, ChatName, ContentDigest, NotRunCode, OperationName, PlacementToken, RequestKey,
+    TimePoint, UnknownCode, key_types, message_types,
 };
 
 message_types! {
@@ -18,6 +18,10 @@
         pub account: AccountName,
         /// Chat that the request belongs to.
         pub chat: Option<ChatName>,
+        /// Placement of the chat that the caller sent back.
+        pub placement: Option<PlacementToken>,
+        /// Whether the request begins its chat, so that no target holds any of it.
+        pub chat_begins: bool,
         /// Idempotency key.
         pub operation: Option<OperationName>,
         /// Digest of the body.
--- /dev/null
+++ b/crates/base-types/tests/placement.rs
@@ -0,0 +1,32 @@
+//! Placement tokens survive their text form, and other text is refused.
+
+use base_types::{PlacementToken, test_cases};
+
+fn check_text(text: &str, expected: Option<PlacementToken>) {
+    let parsed = text.parse::<PlacementToken>().ok();
+    assert_eq!(parsed, expected);
+    if let Some(token) = parsed {
+        assert_eq!(token.to_string(), text);
+    }
+}
+
+test_cases! {
+    check_text:
+    two_targets(
+        "00000000000000ff-0000000000000001",
+        Some(PlacementToken { last: 255, before: 1 }),
+    );
+    empty("", None);
+    one_part("00000000000000ff", None);
+    too_short("ff-1", None);
+    a_sign("+0000000000000ff-0000000000000001", None);
+    not_ascii("00000000000000fé-0000000000000001", None);
+}
+
+#[test]
+fn a_move_keeps_the_target_before() {
+    let token = PlacementToken::first(1).sent_to(2);
+    assert_eq!(token, PlacementToken { last: 2, before: 1 });
+    assert_eq!(token.sent_to(2), token);
+    assert_eq!(token.sent_to(1), PlacementToken { last: 1, before: 2 });
+}
--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -15,7 +15,7 @@
 };
 
 use base_types::{AttemptKey, HostName, RequestKey, TimePoint, message_types};
-use policy_routing::PeerLoads;
+use policy_routing::{HolderMemory, PeerLoads};
 use state_tables::TableSet;
 
 use crate::{
@@ -23,6 +23,9 @@
     decision::DecisionLog, request::LiveRequest, targets::TargetArena,
 };
 
+/// Chats whose targets a router remembers; about 100 bytes each.
+const HOLDERS_MAX: usize = 65_536;
+
 const COME_BACK: Duration = Duration::from_secs(1);
 
 message_types! {
@@ -49,6 +52,7 @@
     targets: TargetArena,
     peer_loads: PeerLoads,
     share: OwnShare,
+    holders: HolderMemory,
     entries: Vec<HostEntry>,
     requests: BTreeMap<RequestKey, LiveRequest>,
     deadlines: BTreeSet<(TimePoint, RequestKey)>,
@@ -69,6 +73,7 @@
             targets: TargetArena::default(),
             peer_loads: PeerLoads::default(),
             share: OwnShare::default(),
+            holders: HolderMemory::new(HOLDERS_MAX),
             entries: Vec::new(),
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use base_types::{Arrival, NotRunCode, TargetKey, TimePoint, UnknownCode};
-use policy_routing::{ChoiceQuery, ChoiceReason, TargetChoice, affinity_hash, choose_target};
+use base_types::{
+    Arrival, NotRunCode, PlacementToken, TargetKey, TimePoint, UnknownCode, key_types,
+};
+use policy_routing::{ChoiceQuery, ChoiceReason, affinity_hash, choose_target};
 use state_tables::PoolRow;
 
 use crate::{
@@ -15,6 +17,14 @@
 const ATTEMPTS_MAX: usize = 3;
 const HOLD_AFTER_REFUSAL: Duration = Duration::from_secs(2);
 
+key_types! {
+    /// A chosen target and the placement that the chat has after it.
+    pub(super) struct ChosenTarget {
+        target: TargetKey,
+        placement: PlacementToken,
+    }
+}
+
 impl RouterCore {
     pub(super) fn dispatch_fresh(
         &mut self,
@@ -34,7 +44,7 @@
         };
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
-        self.send(now, sent);
+        self.send(now, sent, choice.placement);
     }
 
     pub(super) fn dispatch_again(
@@ -55,7 +65,7 @@
         };
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
-        self.send(now, sent);
+        self.send(now, sent, choice.placement);
     }
 
     pub(super) fn choose(
@@ -64,10 +74,14 @@
         arrival: &Arrival,
         tried: &[TargetKey],
         pool: &PoolRow,
-    ) -> Option<TargetChoice> {
+    ) -> Option<ChosenTarget> {
         let views = self.targets.views(&pool.group, pool.target_slots, now);
+        let affinity = affinity(arrival, pool);
+        let placement = arrival.placement.or_else(|| self.holders.find(affinity));
         let query = ChoiceQuery {
-            affinity: affinity(arrival, pool),
+            affinity,
+            placement,
+            chat_begins: arrival.chat_begins,
             max_load_ratio: pool.max_load_ratio,
             reuse_bias: pool.reuse_bias,
             place: self.peer_loads.place(&self.name),
@@ -88,8 +102,11 @@
             record.own_in_flight + record.others_in_flight,
             choice.bound,
         );
+        let first = PlacementToken::first(record.hash);
+        let placement = placement.map_or(first, |former| former.sent_to(record.hash));
+        self.holders.put(affinity, placement);
         self.note(now, arrival.request, sentence);
-        Some(choice)
+        Some(ChosenTarget { target: choice.target, placement })
     }
 
     pub(super) fn refusal_without_choice(
@@ -109,13 +126,14 @@
         }
     }
 
-    pub(super) fn send(&mut self, now: TimePoint, request: Request<Sent>) {
+    fn send(&mut self, now: TimePoint, request: Request<Sent>, placement: PlacementToken) {
         let Some(record) = self.targets.record_mut(request.state.target) else { return };
         record.own_in_flight += 1;
         let key = request.arrival.request;
         let step = RequestStep::Send {
             attempt: request.state.attempt,
             target: request.state.target,
+            placement,
             address: record.address.clone(),
             once: request.claim.is_some(),
         };
--- a/crates/core-router/src/event.rs
+++ b/crates/core-router/src/event.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use base_types::{
-    Arrival, AttemptKey, CompletedCode, DomainName, HostName, PeerNotice, Refusal, RequestKey,
-    TargetKey, UnknownCode, key_types, message_types, value_types,
+    Arrival, AttemptKey, CompletedCode, DomainName, HostName, PeerNotice, PlacementToken, Refusal,
+    RequestKey, TargetKey, UnknownCode, key_types, message_types, value_types,
 };
 use state_ledger::{ClaimOutcome, OperationClaim, StoredAnswer};
 use state_tables::RowChange;
@@ -103,6 +103,8 @@
             attempt: AttemptKey,
             /// Key of the target, for load reports.
             target: TargetKey,
+            /// Placement of the chat after this attempt, for its caller to send back.
+            placement: PlacementToken,
             /// IP address and port of the target.
             address: Box<str>,
             /// Whether the call may not be repeated after it was sent.
--- a/crates/core-router/src/targets.rs
+++ b/crates/core-router/src/targets.rs
@@ -40,7 +40,8 @@
         pub others_in_flight: u32,
         /// Point until which the target gets no work after a refused connection.
         pub held_until: TimePoint,
-        hash: u64,
+        /// Hash of the name.
+        pub hash: u64,
     }
 }
 
--- a/crates/history-check/tests/outcomes/world.rs
+++ b/crates/history-check/tests/outcomes/world.rs
@@ -232,6 +232,8 @@
             chat: None,
             operation: Some(OperationName::new(&operation)),
             content: ContentDigest::of(content.as_bytes()),
+            placement: None,
+            chat_begins: false,
             prompt_head: Bytes::new(),
             tokens: 1,
             deadline: self.now.after(wait),
--- a/crates/io-router/src/answer.rs
+++ b/crates/io-router/src/answer.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use base_types::{CodeRow, CompletedCode, Refusal, RequestKey, TimePoint, UnknownCode};
+use base_types::{
+    CodeRow, CompletedCode, PlacementToken, Refusal, RequestKey, TimePoint, UnknownCode,
+};
 use core_router::StoredAnswer;
 use salvo::{
     Response,
@@ -11,6 +13,9 @@
 use serde_json::json;
 
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Header in which a caller learns its chat's placement and sends it back.
+pub(crate) const PLACEMENT: &str = "x-placement";
+
 pub(crate) const RESULT_CODE: HeaderName = HeaderName::from_static("x-result-code");
 
 /// A repeat with the same operation id learns the outcome, once it is recorded.
@@ -21,6 +26,12 @@
     format!("{:032x}", request.0)
 }
 
+/// Tells the caller the placement of its chat.
+pub(crate) fn write_placement(response: &mut Response, placement: PlacementToken) {
+    let Ok(value) = HeaderValue::from_str(&placement.to_string()) else { return };
+    response.headers_mut().insert(HeaderName::from_static(PLACEMENT), value);
+}
+
 /// Writes a final refusal.
 pub(crate) fn write_refusal(
     response: &mut Response,
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -12,7 +12,10 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    answer::{write_completed, write_identity, write_refusal, write_stored, write_unknown},
+    answer::{
+        PLACEMENT, write_completed, write_identity, write_placement, write_refusal, write_stored,
+        write_unknown,
+    },
     entry::EntryHandler,
     forward::{BegunAnswer, CallerRequest, OnceEnd, SendEnd, TargetClients},
     handle::{CallerGuard, LoopHandle},
@@ -76,6 +79,8 @@
                 .filter(|value| !value.is_empty() && value.len() <= OPERATION_BYTES_MAX)
                 .map(OperationName::new),
             content: ContentDigest::of(&call.body),
+            placement: text(PLACEMENT).and_then(|value| value.parse().ok()),
+            chat_begins: prompt.begins,
             tokens: prompt.tokens,
             prompt_head: prompt.text.into(),
             deadline: self.clock.now().after(wait),
@@ -113,7 +118,8 @@
                     self.spawn_once(&call, attempt, address);
                     steps.recv().await
                 }
-                RequestStep::Send { attempt, target, address, once: false } => {
+                RequestStep::Send { attempt, target, placement, address, once: false } => {
+                    write_placement(res, placement);
                     match self.race(&call, &address, &mut steps).await {
                         SendRace::Decided(step) => step,
                         SendRace::Ended(SendEnd::Answered(answer)) => {
--- a/crates/io-router/src/prompt.rs
+++ b/crates/io-router/src/prompt.rs
@@ -9,6 +9,8 @@
 pub(crate) struct ChatPrompt {
     pub(crate) text: String,
     pub(crate) tokens: u32,
+    /// Whether the prompt holds no answer of an earlier turn.
+    pub(crate) begins: bool,
 }
 
 #[derive(Deserialize)]
@@ -22,19 +24,28 @@
 #[derive(Deserialize)]
 struct ChatMessage {
     content: Box<str>,
+    #[serde(default)]
+    role: Box<str>,
 }
 
+const ANSWER_ROLE: &str = "assistant";
+
 impl ChatPrompt {
     /// Reads the prompt of a chat body; other bodies have none and count by their length.
     pub(crate) fn parse(body: &[u8]) -> Self {
         let Ok(chat) = serde_json::from_slice::<ChatBody>(body) else {
-            return Self { text: String::new(), tokens: (body.len() / BYTES_PER_TOKEN) as u32 };
+            return Self {
+                text: String::new(),
+                tokens: (body.len() / BYTES_PER_TOKEN) as u32,
+                begins: false,
+            };
         };
         let mut text = String::new();
         for message in &chat.messages {
             text.push_str(&message.content);
         }
         let tokens = (text.len() / BYTES_PER_TOKEN) as u32;
-        Self { text, tokens: tokens.saturating_add(chat.max_tokens) }
+        let begins = chat.messages.iter().all(|message| &*message.role != ANSWER_ROLE);
+        Self { text, begins, tokens: tokens.saturating_add(chat.max_tokens) }
     }
 }
--- a/crates/measure/src/baseline.rs
+++ b/crates/measure/src/baseline.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use base_types::{
-    Arrival, AttemptKey, HostName, LoadShare, NotRunCode, PeerNotice, Refusal, RequestKey,
-    TargetKey, TargetLoad, TimePoint, UnknownCode,
+    Arrival, AttemptKey, HostName, LoadShare, NotRunCode, PeerNotice, PlacementToken, Refusal,
+    RequestKey, TargetKey, TargetLoad, TimePoint, UnknownCode,
 };
 use core_router::{AttemptEnd, Effect, Event, HostEntry, HostState, RequestStep, SharePace};
 use policy_routing::{PeerLoads, affinity_hash, rendezvous_score};
@@ -100,6 +100,7 @@
         let step = RequestStep::Send {
             attempt,
             target: TargetKey(target as u32),
+            placement: PlacementToken::first(self.targets[target].hash),
             address: self.targets[target].address.clone(),
             once: false,
         };
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -3,8 +3,8 @@
 use core_router::{Effect, Event, RouterCore, SharePace};
 
 use base_types::{
-    AccountName, Arrival, ChatName, ContentDigest, HostName, PoolName, RequestKey, RouteName,
-    RowVersion, TeamName, TimePoint,
+    AccountName, Arrival, ChatName, ContentDigest, HostName, PlacementToken, PoolName, RequestKey,
+    RouteName, RowVersion, TeamName, TimePoint,
 };
 use bytes::Bytes;
 use state_tables::{PoolRow, RouteRow, RowChange, RowContent, RowKey, ServiceKind};
@@ -63,6 +63,7 @@
     request: RequestKey,
     chat: &ChatState,
     tokens: u32,
+    placement: Option<PlacementToken>,
     deadline: TimePoint,
 ) -> Arrival {
     Arrival {
@@ -70,6 +71,8 @@
         path: PATH.into(),
         account: AccountName::new(&format!("account-{}", chat.account)),
         chat: Some(ChatName::new(&format!("chat-{}", chat.chat))),
+        placement,
+        chat_begins: chat.history == 0,
         operation: None,
         content: ContentDigest::of(&request.0.to_le_bytes()),
         prompt_head: Bytes::from(format!("group-{}", chat.group)),
--- a/crates/measure/src/plan.rs
+++ b/crates/measure/src/plan.rs
@@ -106,6 +106,8 @@
         pub view_lag: Duration,
         /// Share of turns that enter at the router where the chat entered before.
         pub sticky: f64,
+        /// Share of chats whose callers send the placement token back.
+        pub token_share: f64,
         /// Memory of the caches as a multiple of all chats' history.
         pub cache_ratio: f64,
         /// Shape of the chats.
@@ -176,6 +178,7 @@
             view_age: Duration::from_millis(500),
             view_lag: Duration::ZERO,
             sticky: 0.7,
+            token_share: 0.0,
             cache_ratio: 1.5,
             trace: TraceShape::AGENCY,
             faults: Vec::new(),
--- a/crates/measure/src/run.rs
+++ b/crates/measure/src/run.rs
@@ -6,13 +6,15 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base_types::{
-    AttemptKey, DomainName, HostName, PeerNotice, Refusal, RequestKey, TimePoint, UnknownCode,
-    message_types,
+    AttemptKey, DomainName, HostName, PeerNotice, PlacementToken, Refusal, RequestKey, TimePoint,
+    UnknownCode, message_types,
 };
 use core_router::{
     AttemptEnd, Effect, Event, HostEntry, HostRole, HostState, LoadReport, RequestStep,
 };
 
+use policy_routing::unit_hash;
+
 use crate::{
     FakeEngine, FaultKind, PolicyKind, PromptParts, RunFigures, ScenarioPlan,
     engine::BegunRun,
@@ -88,6 +90,7 @@
     attempts: BTreeMap<AttemptKey, LiveAttempt>,
     holders: BTreeMap<u64, u32>,
     marked: BTreeMap<u64, u32>,
+    tokens: BTreeMap<u64, PlacementToken>,
     surging: bool,
     requests: u64,
     cache_tokens: u64,
@@ -110,6 +113,7 @@
             attempts: BTreeMap::new(),
             holders: BTreeMap::new(),
             marked: BTreeMap::new(),
+            tokens: BTreeMap::new(),
             surging: false,
             requests: 0,
             cache_tokens,
@@ -186,8 +190,9 @@
         let turn = LiveTurn { router, chat, prompt, began: self.now, returns };
         self.totals.count_request(self.now);
         let tokens = prompt.chat_tokens + prompt.group_tokens + prompt.answer_tokens;
+        let placement = self.tokens.get(&chat.chat).copied();
         let deadline = self.now.after(CALLER_WAIT);
-        let arrival = arrival(request, &turn.chat, tokens, deadline);
+        let arrival = arrival(request, &turn.chat, tokens, placement, deadline);
         self.turns.insert(request, turn);
         self.deliver(router, Event::Arrived(arrival));
     }
@@ -207,7 +212,8 @@
 
     fn on_effect(&mut self, router: u32, effect: Effect) {
         match effect {
-            Effect::Step(request, RequestStep::Send { attempt, address, .. }) => {
+            Effect::Step(request, RequestStep::Send { attempt, address, placement, .. }) => {
+                self.keep_token(request, placement);
                 self.on_send(router, request, attempt, &address);
             }
             Effect::Step(request, RequestStep::Refuse(refusal)) => {
@@ -218,6 +224,15 @@
         }
     }
 
+    /// A caller of some chats sends its placement back.
+    fn keep_token(&mut self, request: RequestKey, placement: PlacementToken) {
+        let Some(turn) = self.turns.get(&request) else { return };
+        let chat = turn.chat.chat;
+        if unit_hash(chat) < self.plan.token_share {
+            self.tokens.insert(chat, placement);
+        }
+    }
+
     fn spread(&mut self, router: u32, notice: &PeerNotice) {
         self.totals.count_notice(self.now, notice);
         for peer in (0..self.plan.routers).filter(|peer| *peer != router) {
@@ -286,6 +301,7 @@
         chat.turns_left = chat.turns_left.saturating_sub(1);
         if chat.turns_left == 0 {
             self.holders.remove(&chat.chat);
+            self.tokens.remove(&chat.chat);
             chat = if chat.surging {
                 self.source.open_for(chat.account, self.plan.routers, true)
             } else {
--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -71,6 +71,7 @@
     }
     policies.push(PolicyKind::Module(SKEW_FIRST));
     policies.push(PolicyKind::Module(REUSE_FIRST));
+    for (a,b) in [(0.5,2.0),(1.0,2.0),(1.0,2.5)] { policies.push(PolicyKind::Module(ModuleSetting{reuse_bias:a,max_load_ratio:b})); }
     policies
 }
 
@@ -122,7 +123,7 @@
         plan("leave", vec![at(80, FaultKind::Leave(4))]),
         plan("join", vec![at(80, FaultKind::Join(0))]),
         plan("flaps", flaps.chain(two_flap).collect()),
-        plan("churn", churn),
+        plan("churn", churn.clone()),
         plan("surge", vec![at(80, surge), at(110, FaultKind::SurgeEnd)]),
         plan(
             "half fail",
@@ -132,6 +133,11 @@
             view_lag: Duration::from_millis(1000),
             ..base.clone().named(&format!("late views {deployment}"))
         },
+        ScenarioPlan {
+            token_share: 1.0,
+            ..base.clone().named(&format!("all send tokens {deployment}"))
+        },
+        ScenarioPlan { token_share: 1.0, ..plan("churn, all send tokens", churn) },
         ScenarioPlan { routers: 28, ..base.clone().named(&format!("28 routers {deployment}")) },
     ]
 }
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -5,7 +5,7 @@
 //! 2015). Both homes hold most of a chat's cache, so that going back and forth costs little.
 //! No target goes beyond the bound (Mirrokni et al., 2016).
 
-use base_types::{TargetKey, key_types, message_types};
+use base_types::{PlacementToken, TargetKey, key_types, message_types};
 
 use crate::{rendezvous_score, unit_hash};
 
@@ -73,6 +73,10 @@
     pub struct ChoiceQuery<'query> {
         /// Hash of the chat, the prefix group or the account.
         pub affinity: u64,
+        /// Targets that served the chat last.
+        pub placement: Option<PlacementToken>,
+        /// Whether no target holds any of the chat.
+        pub chat_begins: bool,
         /// Multiple of the mean load that no target may exceed.
         pub max_load_ratio: f64,
         /// Place between even load (0) and kept caches (1).
@@ -118,9 +122,9 @@
         .map(|view| (rendezvous_score(query.affinity, view.hash, view.slots), view))
         .collect();
     order.sort_by(|(left, _), (right, _)| right.total_cmp(left));
-    let homes = order.len().min(2);
-    let (homes, others) = order.split_at(homes);
-    let chosen = choose_home(homes, &levels).or_else(|| choose_other(others, &levels));
+    let order: Vec<_> = order.into_iter().map(|(_, view)| view).collect();
+    let homes = HomePair::of(query, &order);
+    let chosen = homes.choose(&levels).or_else(|| choose_other(&order, &levels));
     let (view, reason) = chosen?;
     Some(TargetChoice { target: view.target, reason, bound: levels.bound })
 }
@@ -151,35 +155,53 @@
     }
 }
 
-type ScoredView<'view> = (f64, &'view TargetView);
+type ChosenView<'view> = (&'view TargetView, ChoiceReason);
 
-fn choose_home<'view>(
-    homes: &[ScoredView<'view>],
-    levels: &LoadLevels,
-) -> Option<(&'view TargetView, ChoiceReason)> {
-    let first = homes.first().map(|(_, view)| *view).filter(|view| levels.fits(view));
-    let second = homes.get(1).map(|(_, view)| *view).filter(|view| levels.fits(view));
-    match (first, second) {
-        (Some(first), Some(second)) => {
-            let low = f64::from(first.load()) < levels.threshold;
-            if low || first.load() <= second.load() {
-                Some((first, ChoiceReason::Preferred))
-            } else {
-                Some((second, ChoiceReason::SecondHome))
+/// The two targets that a chat goes back and forth between.
+#[derive(Debug, Clone, Copy)]
+struct HomePair<'view> {
+    first: Option<&'view TargetView>,
+    second: Option<&'view TargetView>,
+    free: bool,
+}
+
+impl<'view> HomePair<'view> {
+    /// The targets that served the chat last, filled up in rendezvous order.
+    fn of(query: &ChoiceQuery<'_>, order: &[&'view TargetView]) -> Self {
+        let named = |hash: u64| order.iter().copied().find(|view| view.hash == hash && hash != 0);
+        let last = query.placement.and_then(|placement| named(placement.last));
+        let before = query.placement.and_then(|placement| named(placement.before));
+        let mut homes = last.into_iter().chain(before).chain(order.iter().copied());
+        let first = homes.next();
+        let second = homes.find(|view| Some(view.target) != first.map(|first| first.target));
+        Self { first, second, free: query.chat_begins && query.placement.is_none() }
+    }
+
+    fn choose(&self, levels: &LoadLevels) -> Option<ChosenView<'view>> {
+        let first = self.first.filter(|view| levels.fits(view));
+        let second = self.second.filter(|view| levels.fits(view));
+        match (first, second) {
+            (Some(first), Some(second)) => {
+                let low = f64::from(first.load()) < levels.threshold && !self.free;
+                if low || first.load() <= second.load() {
+                    Some((first, ChoiceReason::Preferred))
+                } else {
+                    Some((second, ChoiceReason::SecondHome))
+                }
             }
+            (Some(first), None) => Some((first, ChoiceReason::Preferred)),
+            (None, Some(second)) => Some((second, ChoiceReason::SecondHome)),
+            (None, None) => None,
         }
-        (Some(first), None) => Some((first, ChoiceReason::Preferred)),
-        (None, Some(second)) => Some((second, ChoiceReason::SecondHome)),
-        (None, None) => None,
     }
 }
 
 /// The less loaded of the next two targets in rendezvous order that are below the bound.
 fn choose_other<'view>(
-    others: &[ScoredView<'view>],
+    order: &[&'view TargetView],
     levels: &LoadLevels,
-) -> Option<(&'view TargetView, ChoiceReason)> {
-    let fitting = others.iter().map(|(_, view)| *view).filter(|view| levels.fits(view));
+) -> Option<ChosenView<'view>> {
+    let fitting = order.iter().copied().filter(|view| levels.fits(view));
     let view = fitting.take(2).min_by_key(|view| view.load())?;
     Some((view, ChoiceReason::Bounded))
 }
--- a/crates/policy-routing/src/lib.rs
+++ b/crates/policy-routing/src/lib.rs
@@ -4,11 +4,13 @@
 //! health and queues are not: callers keep those and pass a view.
 
 mod choice;
+mod holders;
 mod rendezvous;
 mod shares;
 
 pub use crate::{
     choice::{ChoiceQuery, ChoiceReason, FleetPlace, TargetChoice, TargetView, choose_target},
+    holders::HolderMemory,
     rendezvous::{affinity_hash, rendezvous_score, unit_hash},
     shares::{PeerLoads, SHARE_LIFE},
 };
--- a/crates/policy-routing/tests/choice.rs
+++ b/crates/policy-routing/tests/choice.rs
@@ -23,6 +23,8 @@
 fn query(affinity: u64) -> ChoiceQuery<'static> {
     ChoiceQuery {
         affinity,
+        placement: None,
+        chat_begins: false,
         max_load_ratio: 1.5,
         reuse_bias: 0.5,
         place: FleetPlace { routers: 1, index: 0 },
