Let a target's fresh report count instead of older shares

Cause: with views of 500 ms and 64 in flight, routers with old views swing together; each answer of a target brings its own count, which is newer than the shares.

Ruled out: reports alone, which cover only targets that answered lately; unbounded reports, as one that lies low would draw all requests.

Change: a report counts for 200 ms and is kept between half and twice what shares say. Below a mean of 8 only the estimate is compared with the bound. `reuse_bias` reaches plain rendezvous within the bound at 1.

--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -100,7 +100,7 @@
             Event::HostsListed(hosts) => self.on_hosts(hosts),
             Event::RowHeard(change) => self.on_row(change),
             Event::TablesComplete => self.tables_complete = true,
-            Event::LoadHeard(target, report) => self.on_load(target, report),
+            Event::LoadHeard(target, report) => self.on_load(now, target, report),
             Event::NoticeHeard(notice) => self.on_notice(now, notice),
             Event::ShutdownAsked => self.leaving = true,
             Event::StopForced => self.on_stop_forced(now),
--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -149,13 +149,10 @@
         record.held_until = now.after(HOLD_AFTER_REFUSAL);
     }
 
-    pub(super) fn on_load(&mut self, target: TargetKey, report: LoadReport) {
-        // Shares of the routers count alike for all targets; a report is the fallback.
-        if !self.peer_loads.is_empty() {
-            return;
-        }
+    pub(super) fn on_load(&mut self, now: TimePoint, target: TargetKey, report: LoadReport) {
+        let shares_count = !self.peer_loads.is_empty();
         let Some(record) = self.targets.record_mut(target) else { return };
-        record.others_in_flight = report.in_flight.saturating_sub(record.own_in_flight);
+        record.adopt_report(now, report, shares_count);
     }
 
     pub(super) fn free_slot(&mut self, target: TargetKey) {
--- a/crates/core-router/src/core/shares.rs
+++ b/crates/core-router/src/core/shares.rs
@@ -75,7 +75,7 @@
             return;
         }
         self.peer_loads.expire(now);
-        self.targets.adopt_peer_loads(&self.peer_loads);
+        self.targets.adopt_peer_loads(now, &self.peer_loads);
     }
 
     /// Tells the others of this router's load when it changed and a share is due.
@@ -99,7 +99,7 @@
             return;
         }
         if self.peer_loads.hear(now, share) {
-            self.targets.adopt_peer_loads(&self.peer_loads);
+            self.targets.adopt_peer_loads(now, &self.peer_loads);
         }
     }
 }
--- a/crates/core-router/src/targets.rs
+++ b/crates/core-router/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that a router knows, with its estimate of their load.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use base_types::{
     DomainName, HostName, TargetKey, TargetLoad, TimePoint, key_types, message_types,
@@ -9,6 +9,12 @@
 
 use crate::{HostEntry, HostRole, HostState};
 
+/// How long a report counts instead of shares.
+const REPORT_LIFE: Duration = Duration::from_millis(200);
+
+/// Requests that a report may name beyond twice what shares name.
+const REPORT_SLACK: u32 = 4;
+
 key_types! {
     /// Load that a target reported.
     pub struct LoadReport {
@@ -36,6 +42,10 @@
         pub own_in_flight: u32,
         /// Requests of this router in flight when it last told the others.
         pub told_in_flight: u32,
+        /// Requests of others in flight by their shares.
+        pub shared_in_flight: u32,
+        /// Point until which the target's last report counts instead of shares.
+        pub report_until: TimePoint,
         /// Requests of others in flight on the target, from their shares or its last report.
         pub others_in_flight: u32,
         /// Point until which the target gets no work after a refused connection.
@@ -76,9 +86,12 @@
     }
 
     /// Takes over what other routers say they have in flight.
-    pub(crate) fn adopt_peer_loads(&mut self, loads: &PeerLoads) {
+    pub(crate) fn adopt_peer_loads(&mut self, now: TimePoint, loads: &PeerLoads) {
         for record in &mut self.records {
-            record.others_in_flight = loads.load(record.hash);
+            record.shared_in_flight = loads.load(record.hash);
+            if record.report_until.passed(now) {
+                record.others_in_flight = record.shared_in_flight;
+            }
         }
     }
 
@@ -125,12 +138,31 @@
             open,
             own_in_flight: 0,
             told_in_flight: 0,
+            shared_in_flight: 0,
+            report_until: TimePoint(0),
             others_in_flight: 0,
             held_until: TimePoint(0),
             hash: affinity_hash(host.name.as_str().as_bytes()),
         }
     }
 
+    /// Takes over a report of the target's load.
+    ///
+    /// Shares bound what a report can say, so that a target whose reports lie or come late neither
+    /// draws all requests nor loses all.
+    pub(crate) fn adopt_report(&mut self, now: TimePoint, report: LoadReport, shares_count: bool) {
+        let others = report.in_flight.saturating_sub(self.own_in_flight);
+        if !shares_count {
+            self.others_in_flight = others;
+            return;
+        }
+        if !report.heard.after(REPORT_LIFE).passed(now) {
+            let most = self.shared_in_flight.saturating_mul(2).saturating_add(REPORT_SLACK);
+            self.others_in_flight = others.clamp(self.shared_in_flight / 2, most);
+            self.report_until = report.heard.after(REPORT_LIFE);
+        }
+    }
+
     fn view(&self, target: TargetKey, slots: u32, now: TimePoint) -> TargetView {
         TargetView {
             target,
--- a/crates/measure/src/run.rs
+++ b/crates/measure/src/run.rs
@@ -286,7 +286,8 @@
         let Some(live) = self.attempts.remove(&attempt) else { return };
         let Some(turn) = self.turns.remove(&live.request) else { return };
         self.totals.count_answer(self.now, &turn);
-        let in_flight = self.targets[target as usize].engine.load().in_flight;
+        // The report counts the request that it comes with.
+        let in_flight = self.targets[target as usize].engine.load().in_flight + 1;
         let report = LoadReport { in_flight, heard: self.now };
         let key = base_types::TargetKey(target);
         self.deliver(turn.router, Event::LoadHeard(key, report));
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -9,15 +9,18 @@
 
 use crate::{rendezvous_score, unit_hash};
 
-/// Soft threshold of the first home at the greatest bias, in standard deviations of a Poisson load
+/// Soft threshold of the first home at the middle bias, on average over chats, in standard deviations of a Poisson load
 /// above the mean.
 const THRESHOLD_DEVIATIONS: f64 = 3.0;
 
+/// Keeps the threshold finite at the greatest bias.
+const STAY_LEAST: f64 = 0.001;
+
 /// Requests that routers together may add for each request of room.
 const CREDITS_A_ROOM: f64 = 1.5;
 
-/// Mean load in requests below which credits would be fractions of a request; each router may then
-/// add one to a target that has room.
+/// Mean load in requests below which credits, as fractions of a request, would forbid most choices;
+/// only the estimated load is compared with the bound then.
 const COARSE_MEAN: f64 = 8.0;
 
 key_types! {
@@ -108,8 +111,7 @@
         let offset = (self.hash % u64::from(routers)) as u32;
         let rank = (place.index + offset) % routers;
         let extra = u32::from(rank < credits % routers);
-        let least = u32::from(levels.coarse && room > 0);
-        self.told.saturating_add((credits / routers + extra).max(least))
+        self.told.saturating_add(credits / routers + extra)
     }
 }
 
@@ -145,13 +147,14 @@
         let mean = load as f64 / f64::from(count.max(1));
         let bound = (mean * query.max_load_ratio).ceil() as u32;
         let dither = 2.0 * unit_hash(query.affinity);
-        let threshold = mean + query.reuse_bias * dither * THRESHOLD_DEVIATIONS * mean.sqrt();
+        let stay = query.reuse_bias / (1.0 - query.reuse_bias).max(STAY_LEAST);
+        let threshold = mean + stay * dither * THRESHOLD_DEVIATIONS * mean.sqrt();
         Self { bound, threshold, coarse: mean < COARSE_MEAN, place: query.place }
     }
 
     fn fits(&self, view: &TargetView) -> bool {
         let bound = self.bound.min(view.slots);
-        view.load() < bound && view.own < view.allowance(self)
+        view.load() < bound && (self.coarse || view.own < view.allowance(self))
     }
 }
 
