Give targets a life cycle

Cause: a failed target was held for a fixed time, a joining one took a full share at once with an empty cache, and only the host list closed a leaving one.

Ruled out: typestate, as lists, failures and operators reach a target in any order and at any time; explicit states, computed from stored deadlines, cannot be left half changed.

Change: `policy-targets`: slow start over 10 s, hold-down from 1 to 16 s that doubles with each flap within two minutes, a target's own leaving answer trusted for 60 s against a list that lags, drains. The core uses it for each target; targets of a router's first list do not start slowly.

--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -97,7 +97,7 @@
             Event::AttemptUnsent(request, attempt) => self.on_unsent(now, request, attempt),
             Event::AttemptEnded(request, attempt, end) => self.on_end(now, request, attempt, end),
             Event::CallerLeft(request) => self.on_caller_left(now, request),
-            Event::HostsListed(hosts) => self.on_hosts(hosts),
+            Event::HostsListed(hosts) => self.on_hosts(now, hosts),
             Event::RowHeard(change) => self.on_row(change),
             Event::TablesComplete => self.tables_complete = true,
             Event::LoadHeard(target, report) => self.on_load(now, target, report),
--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -1,7 +1,5 @@
 //! Choosing a target for a request and sending it.
 
-use std::time::Duration;
-
 use base_types::{
     Arrival, NotRunCode, PlacementToken, TargetKey, TimePoint, UnknownCode, key_types,
 };
@@ -15,7 +13,6 @@
 };
 
 const ATTEMPTS_MAX: usize = 3;
-const HOLD_AFTER_REFUSAL: Duration = Duration::from_secs(2);
 
 key_types! {
     /// A chosen target and the placement that the chat has after it.
@@ -119,7 +116,7 @@
             return NotRunCode::RetriesSpent;
         }
         let views = self.targets.views(&pool.group, pool.target_slots, now);
-        if views.iter().any(|view| view.open) {
+        if views.iter().any(|view| view.percent > 0) {
             NotRunCode::TargetsFull
         } else {
             NotRunCode::NoTarget
@@ -146,7 +143,7 @@
 
     pub(super) fn hold_target(&mut self, now: TimePoint, target: TargetKey) {
         let Some(record) = self.targets.record_mut(target) else { return };
-        record.held_until = now.after(HOLD_AFTER_REFUSAL);
+        record.life.on_failure(now);
     }
 
     pub(super) fn on_load(&mut self, now: TimePoint, target: TargetKey, report: LoadReport) {
--- a/crates/core-router/src/targets.rs
+++ b/crates/core-router/src/targets.rs
@@ -1,11 +1,15 @@
 //! The targets that a router knows, with its estimate of their load.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base_types::{
     DomainName, HostName, TargetKey, TargetLoad, TimePoint, key_types, message_types,
 };
 use policy_routing::{PeerLoads, TargetView, affinity_hash};
+use policy_targets::TargetLife;
 
 use crate::{HostEntry, HostRole, HostState};
 
@@ -36,8 +40,8 @@
         pub address: Box<str>,
         /// Failure domain of the host.
         pub failure_domain: DomainName,
-        /// Whether the target stays in the platform's list and takes new work.
-        pub open: bool,
+        /// Life of the target.
+        pub life: TargetLife,
         /// Requests of this router in flight on the target.
         pub own_in_flight: u32,
         /// Requests of this router in flight when it last told the others.
@@ -48,8 +52,6 @@
         pub report_until: TimePoint,
         /// Requests of others in flight on the target, from their shares or its last report.
         pub others_in_flight: u32,
-        /// Point until which the target gets no work after a refused connection.
-        pub held_until: TimePoint,
         /// Hash of the name.
         pub hash: u64,
     }
@@ -75,13 +77,17 @@
         self.records.iter()
     }
 
-    /// Takes over a read of the host list; targets it no longer names are closed.
-    pub(crate) fn adopt_hosts(&mut self, hosts: &[HostEntry]) {
+    /// Takes over a read of the host list; targets that it no longer names are closed.
+    pub(crate) fn adopt_hosts(&mut self, now: TimePoint, hosts: &[HostEntry]) {
+        let listed: BTreeSet<&HostName> = hosts.iter().map(|host| &host.name).collect();
         for record in &mut self.records {
-            record.open = false;
+            if !listed.contains(&record.name) {
+                record.life.on_unlisted(now);
+            }
         }
+        let first = self.records.is_empty();
         for host in hosts.iter().filter(|host| host.role == HostRole::Target) {
-            self.adopt_host(host);
+            self.adopt_host(now, host, first);
         }
     }
 
@@ -113,35 +119,43 @@
         members.map(|(index, record)| record.view(TargetKey(index as u32), slots, now)).collect()
     }
 
-    fn adopt_host(&mut self, host: &HostEntry) {
-        let open = host.state == HostState::Live;
+    fn adopt_host(&mut self, now: TimePoint, host: &HostEntry, first: bool) {
+        let key = self.key_of(now, host, first);
+        let Some(record) = self.record_mut(key) else { return };
+        match host.state {
+            HostState::Live => record.life.on_live(now),
+            HostState::Leaving => record.life.on_leaving_listed(now),
+        }
+        record.address = host.address.clone();
+        record.group = host.group.clone();
+    }
+
+    /// Targets of the first list are not new to the fleet; later ones join it.
+    fn key_of(&mut self, now: TimePoint, host: &HostEntry, first: bool) -> TargetKey {
         if let Some(key) = self.keys.get(&host.name) {
-            let record = &mut self.records[key.0 as usize];
-            record.open = open;
-            record.address = host.address.clone();
-            record.group = host.group.clone();
-            return;
+            return *key;
         }
+        let life = if first { TargetLife::serving() } else { TargetLife::joining(now) };
         let key = TargetKey(self.records.len() as u32);
         self.keys.insert(host.name.clone(), key);
-        self.records.push(TargetRecord::new(host, open));
+        self.records.push(TargetRecord::new(host, life));
+        key
     }
 }
 
 impl TargetRecord {
-    fn new(host: &HostEntry, open: bool) -> Self {
+    fn new(host: &HostEntry, life: TargetLife) -> Self {
         Self {
             name: host.name.clone(),
             group: host.group.clone(),
             address: host.address.clone(),
             failure_domain: host.failure_domain.clone(),
-            open,
+            life,
             own_in_flight: 0,
             told_in_flight: 0,
             shared_in_flight: 0,
             report_until: TimePoint(0),
             others_in_flight: 0,
-            held_until: TimePoint(0),
             hash: affinity_hash(host.name.as_str().as_bytes()),
         }
     }
@@ -171,7 +185,7 @@
             own: self.own_in_flight,
             told: self.told_in_flight,
             others: self.others_in_flight,
-            open: self.open && self.held_until.passed(now),
+            percent: self.life.percent(now),
         }
     }
 }
--- a/crates/io-router/src/admin/status.rs
+++ b/crates/io-router/src/admin/status.rs
@@ -60,7 +60,7 @@
         .map(|target| {
             json!({
                 "name": target.name,
-                "open": target.open,
+                "phase": format!("{:?}", target.life),
                 "own_in_flight": target.own_in_flight,
                 "others_in_flight": target.others_in_flight,
             })
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -38,8 +38,8 @@
         pub told: u32,
         /// Requests of others in flight, as far as heard.
         pub others: u32,
-        /// Whether the target takes new work.
-        pub open: bool,
+        /// Part of its usual work that the target is given, in percent; zero is closed.
+        pub percent: u32,
     }
 
     /// A router's place among those that share a pool's room.
@@ -105,8 +105,7 @@
     fn allowance(&self, levels: &LoadLevels) -> u32 {
         let place = levels.place;
         let routers = place.routers.max(1);
-        let room =
-            levels.bound.min(self.slots).saturating_sub(self.told.saturating_add(self.others));
+        let room = levels.bound_of(self).saturating_sub(self.told.saturating_add(self.others));
         let credits = (f64::from(room) * CREDITS_A_ROOM) as u32;
         let offset = (self.hash % u64::from(routers)) as u32;
         let rank = (place.index + offset) % routers;
@@ -117,7 +116,7 @@
 
 /// Chooses a target, or none when each is closed, tried or at its bound.
 pub fn choose_target(query: &ChoiceQuery<'_>, views: &[TargetView]) -> Option<TargetChoice> {
-    let open = views.iter().filter(|view| view.open && view.slots > 0);
+    let open = views.iter().filter(|view| view.percent > 0 && view.slots > 0);
     let levels = LoadLevels::of(query, open.clone());
     let mut order: Vec<_> = open
         .filter(|view| !query.tried.contains(&view.target))
@@ -152,8 +151,14 @@
         Self { bound, threshold, coarse: mean < COARSE_MEAN, place: query.place }
     }
 
+    /// A target that starts slowly may hold a part of the bound, one request at least.
+    fn bound_of(&self, view: &TargetView) -> u32 {
+        let part = u64::from(self.bound) * u64::from(view.percent) / 100;
+        (part.max(1) as u32).min(view.slots)
+    }
+
     fn fits(&self, view: &TargetView) -> bool {
-        let bound = self.bound.min(view.slots);
+        let bound = self.bound_of(view);
         view.load() < bound && (self.coarse || view.own < view.allowance(self))
     }
 }
--- a/crates/policy-routing/tests/choice.rs
+++ b/crates/policy-routing/tests/choice.rs
@@ -15,7 +15,7 @@
             own: 0,
             told: 0,
             others: *load,
-            open: *open,
+            percent: if *open { 100 } else { 0 },
         })
         .collect()
 }
--- /dev/null
+++ b/crates/policy-targets/tests/life.rs
@@ -0,0 +1,157 @@
+//! Target life cycle against a simple oracle that keeps every event.
+
+use base_types::TimePoint;
+use policy_targets::{TargetLife, TargetPhase};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const SECOND: u64 = 1_000_000;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Wait(u64),
+    Live,
+    LeavingListed,
+    LeavingSaid,
+    Unlisted,
+    Drain(bool),
+    Failure,
+}
+
+/// What must hold, from the whole past.
+#[derive(Debug, Clone)]
+struct Oracle {
+    now: u64,
+    listed: Listed,
+    said_until: u64,
+    drained: bool,
+    failed_at: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Listed {
+    Live,
+    Leaving,
+    No,
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self { now: 0, listed: Listed::Live, said_until: 0, drained: false, failed_at: None })
+            .boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Step> {
+        prop_oneof![
+            4 => (1..40 * SECOND).prop_map(Step::Wait),
+            2 => Just(Step::Live),
+            1 => Just(Step::LeavingListed),
+            1 => Just(Step::LeavingSaid),
+            1 => Just(Step::Unlisted),
+            1 => any::<bool>().prop_map(Step::Drain),
+            3 => Just(Step::Failure),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, step: &Step) -> Self {
+        match step {
+            Step::Wait(span) => state.now += span,
+            Step::Live => state.listed = Listed::Live,
+            Step::LeavingListed => state.listed = Listed::Leaving,
+            Step::LeavingSaid if state.listed == Listed::No => {}
+            Step::LeavingSaid => state.said_until = state.now + 60 * SECOND,
+            Step::Unlisted => {
+                state.listed = Listed::No;
+                state.said_until = 0;
+            }
+            Step::Drain(drained) => state.drained = *drained,
+            Step::Failure => {
+                let held = state.failed_at.is_some_and(|at| state.now < at + 16 * SECOND);
+                state.failed_at = state.failed_at.filter(|_| held).or(Some(state.now));
+            }
+        }
+        state
+    }
+}
+
+struct LifeTest;
+
+impl StateMachineTest for LifeTest {
+    type SystemUnderTest = TargetLife;
+    type Reference = Oracle;
+
+    fn init_test(_: &Oracle) -> TargetLife {
+        TargetLife::serving()
+    }
+
+    fn apply(mut life: TargetLife, state: &Oracle, step: Step) -> TargetLife {
+        let now = TimePoint(state.now);
+        match step {
+            Step::Wait(_) => {}
+            Step::Live => life.on_live(now),
+            Step::LeavingListed => life.on_leaving_listed(now),
+            Step::LeavingSaid => life.on_leaving_said(now),
+            Step::Unlisted => life.on_unlisted(now),
+            Step::Drain(drained) => life.on_drain(drained),
+            Step::Failure => life.on_failure(now),
+        }
+        life
+    }
+
+    fn check_invariants(life: &TargetLife, state: &Oracle) {
+        let now = TimePoint(state.now);
+        let percent = life.percent(now);
+        assert!(percent <= 100);
+        let closed = state.drained || state.listed != Listed::Live || state.now < state.said_until;
+        let just_failed = state.failed_at.is_some_and(|at| state.now < at + SECOND);
+        assert!(!(closed || just_failed) || percent == 0, "a closed target was given work");
+        if let TargetPhase::Held(until) = life.phase(now) {
+            assert!(until.0 <= state.now + 16 * SECOND, "the hold has no end");
+        }
+    }
+}
+
+prop_state_machine! {
+    #[test]
+    fn closed_targets_are_given_nothing(sequential 1..40 => LifeTest);
+}
+
+#[test]
+fn a_said_leave_outlasts_a_list_that_lags() {
+    let mut life = TargetLife::serving();
+    life.on_leaving_said(TimePoint(0));
+    life.on_live(TimePoint(SECOND));
+    assert_eq!(life.percent(TimePoint(SECOND)), 0);
+    life.on_live(TimePoint(61 * SECOND));
+    assert_eq!(life.percent(TimePoint(61 * SECOND)), 10);
+}
+
+#[test]
+fn each_flap_doubles_the_hold_until_calm() {
+    let mut life = TargetLife::serving();
+    let mut now = 0;
+    for expected in [1, 2, 4, 8, 16, 16] {
+        life.on_failure(TimePoint(now));
+        life.on_failure(TimePoint(now));
+        assert_eq!(
+            life.phase(TimePoint(now)),
+            TargetPhase::Held(TimePoint(now + expected * SECOND))
+        );
+        now += expected * SECOND;
+        assert_eq!(life.percent(TimePoint(now)), 10);
+    }
+    now += 121 * SECOND;
+    life.on_failure(TimePoint(now));
+    assert_eq!(life.phase(TimePoint(now)), TargetPhase::Held(TimePoint(now + SECOND)));
+}
+
+#[test]
+fn a_joining_target_starts_slowly() {
+    let life = TargetLife::joining(TimePoint(0));
+    let percents = [0, 5, 10].map(|second| life.percent(TimePoint(second * SECOND)));
+    assert_eq!(percents, [10, 55, 100]);
+}
