--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -20,7 +20,8 @@
     tls::TlsSettings,
 };
 use crate::{
-    SettingsError,
+    OperatorSettings, SettingsError,
+    operators::read_operators,
     section::{FaultList, SettingsSection},
 };
 
@@ -50,6 +51,8 @@
     pub limits: LimitSettings,
     /// What is logged and how.
     pub log: LogSettings,
+    /// Operators who may use the administration API.
+    pub operators: Vec<OperatorSettings>,
 }
 
 impl RouterSettings {
@@ -63,9 +66,7 @@
     pub fn parse(text: &str, files: &dyn FileReader) -> Result<Self, Report<SettingsError>> {
         let (root, syntax) = DeTable::parse_recoverable(text);
         let faults = FaultList::new(text);
-        for error in &syntax {
-            faults.push(error.span(), "", error.message(), "mend the TOML");
-        }
+        faults.push_syntax(&syntax);
         let section = SettingsSection::root(root.get_ref(), &faults);
         let settings = Self::read(&section, files);
         check_listens(&section);
@@ -89,6 +90,7 @@
         let operator_tls = TlsSettings::read(root, "operator_tls", files);
         let limits = LimitSettings::read(root);
         let log = LogSettings::read(root);
+        let operators = read_operators(root);
         Some(Self {
             host: HostName::new(host?),
             failure_domain: DomainName::new(failure_domain?),
@@ -100,6 +102,7 @@
             operator_tls,
             limits,
             log,
+            operators,
         })
     }
 }
--- a/crates/local-fleet/src/lib.rs
+++ b/crates/local-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod chat;
 mod fleet;
+mod operators;
 mod ports;
 mod process;
 
@@ -13,5 +14,6 @@
     caller::{CallAnswer, CallError, HttpCaller},
     chat::{ChatAnswer, ChatFault, ChatPrompt},
     fleet::{FleetError, FleetPlan, LocalFleet, RouterProcess, TargetProcess},
+    operators::{OPERATOR_TOKEN, PAYMENTS_TOKEN, READER_TOKEN, RENEWALS_TOKEN},
     process::ChildProcess,
 };
