Bound retries and try suspects apart

Cause: retries had no budget, and content that crashes its target went from target to target.

Change: `policy-retries`: a tenth of first tries and one more, for each pool and account; suspects by notices of all routers, each tried once more on the one calm target that all routers compute for it, 200 ms after the loss and 3 s after another suspect there; two losses without a whole answer between condemn it for 600 s. Waits have stored deadlines; one that cannot end in time is refused at once with the point to come back.

Innocents are not yet free of refusal: suspects that run long share a target with the crasher.

--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod operations;
 mod shares;
+mod suspects;
 
 pub use crate::core::shares::SharePace;
 
@@ -16,6 +17,7 @@
 };
 
 use base_types::{AttemptKey, HostName, RequestKey, TimePoint, message_types};
+use policy_retries::{RetryBudgets, SuspectLedger};
 use policy_routing::{HolderMemory, PeerLoads};
 use state_tables::TableSet;
 
@@ -54,6 +56,9 @@
     peer_loads: PeerLoads,
     share: OwnShare,
     holders: HolderMemory,
+    budgets: RetryBudgets,
+    suspects: SuspectLedger,
+    wakes: BTreeSet<(TimePoint, RequestKey)>,
     entries: Vec<HostEntry>,
     requests: BTreeMap<RequestKey, LiveRequest>,
     deadlines: BTreeSet<(TimePoint, RequestKey)>,
@@ -75,6 +80,9 @@
             peer_loads: PeerLoads::default(),
             share: OwnShare::default(),
             holders: HolderMemory::new(HOLDERS_MAX),
+            budgets: RetryBudgets::default(),
+            suspects: SuspectLedger::default(),
+            wakes: BTreeSet::new(),
             entries: Vec::new(),
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
@@ -115,7 +123,8 @@
     /// The next point at which [`Event::TimerFired`] is due.
     pub fn next_deadline(&self) -> TimePoint {
         let request = self.deadlines.first().map_or(TimePoint::NEVER, |(deadline, _)| *deadline);
-        request.min(self.share.next_deadline()).min(self.peer_loads.next_expiry())
+        let wake = self.wakes.first().map_or(TimePoint::NEVER, |(at, _)| *at);
+        request.min(wake).min(self.share.next_deadline()).min(self.peer_loads.next_expiry())
     }
 
     /// Name of the router's host.
--- a/crates/core-router/src/core/arrivals.rs
+++ b/crates/core-router/src/core/arrivals.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     RequestStep,
-    core::{COME_BACK, RouterCore},
+    core::{COME_BACK, RouterCore, dispatch::budget_key},
     request::Request,
 };
 
@@ -20,6 +20,7 @@
         arrival.deadline = deadline;
         self.deadlines.insert((deadline, arrival.request));
         let request = Request::new(arrival, pool.name.clone());
+        self.budgets.on_first_try(&budget_key(&request));
         if pool.repeatable {
             return self.dispatch_fresh(now, request, &pool);
         }
--- a/crates/core-router/src/core/attempts.rs
+++ b/crates/core-router/src/core/attempts.rs
@@ -36,8 +36,14 @@
     ) {
         let Some(request) = self.take_sent(key, attempt) else { return };
         match end {
-            AttemptEnd::Whole(answer) => self.on_whole(now, request, answer),
+            AttemptEnd::Whole(answer) => {
+                self.clear_suspect(now, &request);
+                self.on_whole(now, request, answer);
+            }
             AttemptEnd::LostEarly(code) => {
+                if code == UnknownCode::TargetLost {
+                    self.suspect(now, &request);
+                }
                 self.hold_target(now, request.state.target);
                 self.note(now, key, format!("The attempt was lost: {}", code.sentence()));
                 let request = request.lost();
@@ -47,6 +53,7 @@
                 self.dispatch_again(now, request, code);
             }
             AttemptEnd::LostLate => {
+                self.suspect(now, &request);
                 self.hold_target(now, request.state.target);
                 self.drop_deadline(&request.arrival);
                 self.note(now, key, "The answer broke off after its first byte.".to_owned());
@@ -61,6 +68,12 @@
             self.deadlines.remove(&(deadline, key));
             self.on_deadline(now, key);
         }
+        while let Some((at, key)) = self.wakes.first().copied()
+            && at.passed(now)
+        {
+            self.wakes.remove(&(at, key));
+            self.on_wake(now, key);
+        }
         self.expire_peer_loads(now);
     }
 
@@ -149,13 +162,23 @@
         now: TimePoint,
         request: Request<Fresh>,
         code: NotRunCode,
+    ) {
+        self.refuse_until(now, request, code, now.after(COME_BACK));
+    }
+
+    pub(super) fn refuse_until(
+        &mut self,
+        now: TimePoint,
+        request: Request<Fresh>,
+        code: NotRunCode,
+        come_back: TimePoint,
     ) {
         self.drop_deadline(&request.arrival);
         let key = request.arrival.request;
         if let Some(claim) = request.claim.clone() {
             self.effects.push(Effect::Release(claim));
         }
-        let refusal = request.refuse(code, now.after(COME_BACK));
+        let refusal = request.refuse(code, come_back);
         self.finish(now, key, RequestStep::Refuse(refusal));
     }
 
--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -1,8 +1,9 @@
 //! Choosing a target for a request and sending it.
 
 use base_types::{
-    Arrival, NotRunCode, PlacementToken, TargetKey, TimePoint, UnknownCode, key_types,
+    Arrival, NotRunCode, PlacementToken, RequestKey, TargetKey, TimePoint, UnknownCode, key_types,
 };
+use policy_retries::BudgetKey;
 use policy_routing::{ChoiceQuery, ChoiceReason, affinity_hash, choose_target};
 use state_tables::PoolRow;
 
@@ -22,7 +23,51 @@
     }
 }
 
+key_types! {
+    /// Where a request may go.
+    pub(super) enum TargetPick {
+        /// To a target, now.
+        Target(ChosenTarget),
+        /// Its content is suspect and waits until a point in time.
+        Later(TimePoint),
+        /// Its content is refused until a point in time.
+        Condemned(TimePoint),
+        /// No target takes it.
+        Nowhere,
+    }
+}
+
 impl RouterCore {
+    /// Keeps a request until a point in time.
+    fn park(&mut self, now: TimePoint, live: LiveRequest, until: TimePoint) {
+        let Some(key) = live.waiting_key() else { return };
+        self.note(now, key, "Waits until its suspect content may run once more.".to_owned());
+        self.wakes.insert((until, key));
+        self.requests.insert(key, live);
+    }
+
+    /// Goes on with a request whose wait has ended.
+    pub(super) fn on_wake(&mut self, now: TimePoint, key: RequestKey) {
+        match self.requests.remove(&key) {
+            Some(LiveRequest::Fresh(request)) => {
+                let Some(pool) = self.table.pool(&request.pool).cloned() else {
+                    return self.refuse_fresh(now, request, NotRunCode::PoolMissing);
+                };
+                self.dispatch_fresh(now, request, &pool);
+            }
+            Some(LiveRequest::Repeating(request)) => {
+                self.dispatch_again(now, request, UnknownCode::TargetLost);
+            }
+            Some(live) => drop(self.requests.insert(key, live)),
+            None => {}
+        }
+    }
+
+    /// Whether the budget allows a try; first tries are free.
+    fn may_try<State>(&mut self, request: &Request<State>) -> bool {
+        request.tried.is_empty() || self.budgets.spend(&budget_key(request))
+    }
+
     pub(super) fn dispatch_fresh(
         &mut self,
         now: TimePoint,
@@ -35,10 +80,22 @@
         if request.tried.len() >= ATTEMPTS_MAX {
             return self.refuse_fresh(now, request, NotRunCode::RetriesSpent);
         }
-        let Some(choice) = self.choose(now, &request.arrival, &request.tried, pool) else {
-            let code = self.refusal_without_choice(now, &request.tried, pool);
-            return self.refuse_fresh(now, request, code);
+        let choice = match self.pick(now, &request.arrival, &request.tried, pool) {
+            TargetPick::Target(choice) => choice,
+            TargetPick::Later(at) if at < request.arrival.deadline => {
+                return self.park(now, LiveRequest::Fresh(request), at);
+            }
+            TargetPick::Later(until) | TargetPick::Condemned(until) => {
+                return self.refuse_until(now, request, NotRunCode::ContentSuspect, until);
+            }
+            TargetPick::Nowhere => {
+                let code = self.refusal_without_choice(now, &request.tried, pool);
+                return self.refuse_fresh(now, request, code);
+            }
         };
+        if !self.may_try(&request) {
+            return self.refuse_fresh(now, request, NotRunCode::RetriesSpent);
+        }
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
         self.send(now, sent, choice.placement);
@@ -57,9 +114,17 @@
         if request.tried.len() >= ATTEMPTS_MAX || request.arrival.deadline.passed(now) {
             return self.give_up(now, request, code);
         }
-        let Some(choice) = self.choose(now, &request.arrival, &request.tried, &pool) else {
-            return self.give_up(now, request, code);
+        let choice = match self.pick(now, &request.arrival, &request.tried, &pool) {
+            TargetPick::Target(choice) => choice,
+            TargetPick::Later(at) if at < request.arrival.deadline => {
+                return self.park(now, LiveRequest::Repeating(request), at);
+            }
+            _ => return self.give_up(now, request, code),
         };
+        if !self.may_try(&request) {
+            self.note(now, request.arrival.request, "The retry budget is spent.".to_owned());
+            return self.give_up(now, request, code);
+        }
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
         self.send(now, sent, choice.placement);
@@ -99,11 +164,24 @@
             record.own_in_flight + record.others_in_flight,
             choice.bound,
         );
-        let first = PlacementToken::first(record.hash);
-        let placement = placement.map_or(first, |former| former.sent_to(record.hash));
-        self.holders.put(affinity, placement);
         self.note(now, arrival.request, sentence);
-        Some(ChosenTarget { target: choice.target, placement })
+        self.place(arrival, pool, choice.target)
+    }
+
+    /// Notes where a chat goes.
+    pub(super) fn place(
+        &mut self,
+        arrival: &Arrival,
+        pool: &PoolRow,
+        target: TargetKey,
+    ) -> Option<ChosenTarget> {
+        let affinity = affinity(arrival, pool);
+        let former = arrival.placement.or_else(|| self.holders.find(affinity));
+        let hash = self.targets.record(target)?.hash;
+        let first = PlacementToken::first(hash);
+        let placement = former.map_or(first, |former| former.sent_to(hash));
+        self.holders.put(affinity, placement);
+        Some(ChosenTarget { target, placement })
     }
 
     pub(super) fn refusal_without_choice(
@@ -159,6 +237,11 @@
     }
 }
 
+/// Whose retries a request counts against.
+pub(super) fn budget_key<State>(request: &Request<State>) -> BudgetKey {
+    BudgetKey { pool: request.pool.clone(), account: request.arrival.account.clone() }
+}
+
 fn affinity(arrival: &Arrival, pool: &PoolRow) -> u64 {
     if let Some(chat) = &arrival.chat {
         return affinity_hash(chat.as_str().as_bytes());
--- a/crates/core-router/src/core/explain.rs
+++ b/crates/core-router/src/core/explain.rs
@@ -1,6 +1,7 @@
 //! Plain answers to why a target, a client account or a row is as it is.
 
 use base_types::{AccountName, TimePoint};
+use policy_targets::TargetPhase;
 use state_tables::{HeldRow, RowContent, RowKey};
 
 use crate::{TargetRecord, core::RouterCore, request::LiveRequest};
@@ -98,18 +99,29 @@
     }
 
     fn standing(&self, now: TimePoint) -> String {
-        if !self.open {
-            return "It gets no new work: the platform's host list says that it leaves or no \
-                    longer names it."
-                .to_owned();
-        }
-        if self.held_until.passed(now) {
-            return "It takes new work.".to_owned();
+        match self.life.phase(now) {
+            TargetPhase::Serving => "It takes new work.".to_owned(),
+            TargetPhase::Starting(full) => format!(
+                "It joined or came back: it is given {} percent of its usual work, and all of it in \
+                 {} ms.",
+                self.life.percent(now),
+                full.since(now).as_millis(),
+            ),
+            TargetPhase::Held(until) => format!(
+                "It gets no new work for another {} ms, as it refused a connection or lost a \
+                 request.",
+                until.since(now).as_millis(),
+            ),
+            TargetPhase::Drained => "It gets no new work: an operator drains it.".to_owned(),
+            TargetPhase::Leaving(_) => {
+                "It gets no new work: the platform's host list or the target itself says that it \
+                 leaves."
+                    .to_owned()
+            }
+            TargetPhase::Unlisted => {
+                "It gets no new work: the platform's host list no longer names it.".to_owned()
+            }
         }
-        format!(
-            "It gets no new work for another {} ms, as it refused a connection.",
-            self.held_until.since(now).as_millis(),
-        )
     }
 
     fn load_sentence(&self) -> String {
--- a/crates/core-router/src/core/shares.rs
+++ b/crates/core-router/src/core/shares.rs
@@ -65,8 +65,9 @@
     pub(super) fn on_notice(&mut self, now: TimePoint, notice: PeerNotice) {
         match notice {
             PeerNotice::Load(share) => self.on_share(now, share),
-            // FIXME: accounts and suspects of other routers are not used yet.
-            PeerNotice::Accounts(_) | PeerNotice::Suspect(_) => {}
+            PeerNotice::Suspect(notice) => self.suspects.hear(now, notice),
+            // FIXME: accounts of other routers are not used yet.
+            PeerNotice::Accounts(_) => {}
         }
     }
 
--- a/crates/core-router/src/request.rs
+++ b/crates/core-router/src/request.rs
@@ -4,7 +4,8 @@
 //! A request that was sent can only end as complete or unknown.
 
 use base_types::{
-    Arrival, AttemptKey, NotRunCode, PoolName, Refusal, TargetKey, TimePoint, UnknownCode,
+    Arrival, AttemptKey, NotRunCode, PoolName, Refusal, RequestKey, TargetKey, TimePoint,
+    UnknownCode,
 };
 use state_ledger::{OperationClaim, StoredAnswer};
 
@@ -54,6 +55,17 @@
     Whole(Request<Whole>),
 }
 
+impl LiveRequest {
+    /// Key of a request that no attempt is in flight for.
+    pub(crate) fn waiting_key(&self) -> Option<RequestKey> {
+        match self {
+            Self::Fresh(request) => Some(request.arrival.request),
+            Self::Repeating(request) => Some(request.arrival.request),
+            Self::Sent(_) | Self::Whole(_) => None,
+        }
+    }
+}
+
 impl<State> Request<State> {
     fn with_state<Next>(self, state: Next) -> Request<Next> {
         let Self { arrival, pool, claim, tried, .. } = self;
--- a/crates/core-router/src/targets.rs
+++ b/crates/core-router/src/targets.rs
@@ -186,6 +186,7 @@
             told: self.told_in_flight,
             others: self.others_in_flight,
             percent: self.life.percent(now),
+            calm: self.life.is_calm(now),
         }
     }
 }
--- a/crates/measure/src/figures.rs
+++ b/crates/measure/src/figures.rs
@@ -38,6 +38,10 @@
         pub first_returned: u64,
         /// Those of them that went to another target than before.
         pub first_moved: u64,
+        /// Targets lost to each crashing content.
+        pub lost_to_crashers: BTreeMap<u64, u64>,
+        /// Requests of other content that were refused as suspect.
+        pub innocents_refused: u64,
         /// Bytes of notices a router and second, to all others.
         pub control_bytes: f64,
         /// Latency of requests by whether their account surged, in seconds.
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -74,13 +74,18 @@
         placement,
         chat_begins: chat.history == 0,
         operation: None,
-        content: ContentDigest::of(&request.0.to_le_bytes()),
+        content: content_of(chat),
         prompt_head: Bytes::from(format!("group-{}", chat.group)),
         tokens,
         deadline,
     }
 }
 
+/// A turn that is sent again has the same content.
+fn content_of(chat: &ChatState) -> ContentDigest {
+    ContentDigest::of(format!("{} {}", chat.chat, chat.history).as_bytes())
+}
+
 fn rows(plan: &ScenarioPlan, setting: ModuleSetting) -> [RowChange; 2] {
     let team = TeamName::new("measure");
     let pool = PoolRow {
--- a/crates/measure/src/plan.rs
+++ b/crates/measure/src/plan.rs
@@ -44,6 +44,9 @@
         },
         /// Chats of the surge end.
         SurgeEnd,
+        /// A caller sends a request that crashes each target that runs it, and sends it again
+        /// through any router whenever it is given up. The content is that of this number.
+        Crasher(u64),
         /// Each attempt on the first targets fails after it was sent.
         FailBegin(u32),
         /// Attempts no longer fail.
--- a/crates/measure/src/run.rs
+++ b/crates/measure/src/run.rs
@@ -31,6 +31,12 @@
 const LIST_LAG_SPREAD_MS: u32 = 1800;
 const RETURNS_MAX: u32 = 5;
 
+/// Chats from this number on crash the targets that run them.
+const CRASHERS: u64 = 1 << 60;
+
+const CRASH_AFTER: Duration = Duration::from_millis(50);
+const CRASHER_AGAIN: Duration = Duration::from_millis(300);
+
 /// Runs a policy through a scenario.
 pub fn run_scenario(plan: &ScenarioPlan, policy: PolicyKind) -> RunFigures {
     let mut run = ScenarioRun::new(plan.clone(), policy);
@@ -48,6 +54,7 @@
         Timer(u32),
         Fault(FaultKind),
         Gone(u32),
+        Crash(u32, u64),
         Sample,
     }
 
@@ -163,6 +170,7 @@
                 }
             }
             Happening::Fault(kind) => self.on_fault(kind),
+            Happening::Crash(target, chat) => self.on_crash(target, chat),
             Happening::Gone(target) => self.targets[target as usize].up = false,
             Happening::Sample => {
                 self.totals.sample(&self.targets);
@@ -258,6 +266,9 @@
         let (chat, prompt) = (turn.chat, turn.prompt);
         self.note_holder(&chat, target);
         self.attempts.insert(attempt, LiveAttempt { target, request });
+        if chat.chat >= CRASHERS {
+            self.plan_in(CRASH_AFTER, Happening::Crash(target, chat.chat));
+        }
         let begun = self.targets[target as usize].engine.take(attempt, prompt);
         self.schedule(target, begun);
     }
@@ -315,7 +326,11 @@
 
     fn on_refusal(&mut self, request: RequestKey, refusal: Refusal) {
         let Some(turn) = self.turns.remove(&request) else { return };
-        self.totals.count_refusal(self.now, refusal);
+        let crashes = turn.chat.chat >= CRASHERS;
+        self.totals.count_refusal(self.now, refusal, crashes);
+        if crashes {
+            return self.send_crasher(turn.chat.chat, CRASHER_AGAIN);
+        }
         let Refusal::NotRun(_, come_back) = refusal else {
             let pause = self.source.pause();
             return self.plan_in(pause, Happening::Turn(turn.chat, 0));
--- a/crates/measure/src/run/faults.rs
+++ b/crates/measure/src/run/faults.rs
@@ -7,12 +7,14 @@
 
 use crate::{
     FakeEngine, FaultKind,
-    run::{HOP, Happening, LIST_LAG_MIN, LIST_LAG_SPREAD_MS, ScenarioRun, TargetState},
+    run::{CRASHERS, HOP, Happening, LIST_LAG_MIN, LIST_LAG_SPREAD_MS, ScenarioRun, TargetState},
 };
 
 /// How long a leaving target still takes requests.
 const LEAVING_TAKES: Duration = Duration::from_secs(2);
 
+const RESTART: Duration = Duration::from_secs(3);
+
 /// When a leaving target is gone.
 const LEAVING_GONE: Duration = Duration::from_secs(15);
 
@@ -36,6 +38,9 @@
             FaultKind::Up(target) => self.targets[target as usize].up = true,
             FaultKind::SurgeBegin { accounts, factor } => self.begin_surge(accounts, factor),
             FaultKind::SurgeEnd => self.surging = false,
+            FaultKind::Crasher(number) => {
+                self.send_crasher(CRASHERS + number, Duration::ZERO);
+            }
             FaultKind::FailBegin(count) => {
                 for target in self.targets.iter_mut().take(count as usize) {
                     target.failing = true;
@@ -86,6 +91,23 @@
         }
     }
 
+    pub(super) fn send_crasher(&mut self, chat: u64, wait: Duration) {
+        let mut state = self.source.open_for(0, self.plan.routers, false);
+        state.chat = chat;
+        state.history = 1;
+        self.plan_in(wait, Happening::Turn(state, 0));
+    }
+
+    /// The target loses its requests and is back after a time.
+    pub(super) fn on_crash(&mut self, target: u32, chat: u64) {
+        if !self.targets[target as usize].up {
+            return;
+        }
+        self.totals.count_crash(chat);
+        self.take_down(target);
+        self.plan_in(RESTART, Happening::Fault(FaultKind::Up(target)));
+    }
+
     fn begin_surge(&mut self, accounts: u32, factor: u32) {
         self.surging = true;
         let usual = super::chat_count(&self.plan) / u64::from(self.plan.trace.accounts);
--- a/crates/measure/src/run/totals.rs
+++ b/crates/measure/src/run/totals.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use base_types::{PeerNotice, Refusal, TimePoint};
+use base_types::{NotRunCode, PeerNotice, Refusal, TimePoint};
 
 use crate::{
     FaultKind, PolicyKind, RunFigures, ScenarioPlan, TimeShare,
@@ -114,7 +114,13 @@
         }
     }
 
-    pub(super) fn count_refusal(&mut self, now: TimePoint, refusal: Refusal) {
+    pub(super) fn count_crash(&mut self, chat: u64) {
+        *self.figures.lost_to_crashers.entry(chat).or_default() += 1;
+    }
+
+    pub(super) fn count_refusal(&mut self, now: TimePoint, refusal: Refusal, crashes: bool) {
+        let suspect = matches!(refusal, Refusal::NotRun(NotRunCode::ContentSuspect, _));
+        self.figures.innocents_refused += u64::from(suspect && !crashes);
         match refusal {
             Refusal::NotRun(..) => self.figures.refused += self.counted(now),
             Refusal::Unknown(_) => self.figures.unknown += self.counted(now),
--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -140,6 +140,14 @@
         plan("flaps", flaps.chain(two_flap).collect()),
         plan("churn", churn.clone()),
         plan("surge", vec![at(80, surge), at(110, FaultKind::SurgeEnd)]),
+        plan(
+            "crashers",
+            vec![
+                at(70, FaultKind::Crasher(1)),
+                at(71, FaultKind::Crasher(2)),
+                at(110, FaultKind::Crasher(3)),
+            ],
+        ),
         plan(
             "half fail",
             vec![at(80, FaultKind::FailBegin(base.targets / 2)), at(110, FaultKind::FailEnd)],
@@ -183,7 +191,7 @@
 
 fn header() -> String {
     format!(
-        "{:36} {:21} {:>6} {:>5} {:>5} {:>5} {:>5} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7}",
+        "{:36} {:21} {:>6} {:>5} {:>5} {:>5} {:>5} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>5} {:>5}",
         "scenario",
         "policy",
         "reuse",
@@ -199,7 +207,9 @@
         "moved",
         "first",
         "bytes",
-        "lat99"
+        "lat99",
+        "crash",
+        "innoc"
     )
 }
 
@@ -207,7 +217,7 @@
     let figures = &row.figures;
     let requests = figures.requests.max(1) as f64;
     format!(
-        "{:36} {:21} {:6.3} {:5.2} {:5.2} {:5.2} {:5.2} {:6.4} {:6.2} {:7.2} {:6.4} {:6.3} {:6.3} {:6.3} {:6.0} {:7.2}",
+        "{:36} {:21} {:6.3} {:5.2} {:5.2} {:5.2} {:5.2} {:6.4} {:6.2} {:7.2} {:6.4} {:6.3} {:6.3} {:6.3} {:6.0} {:7.2} {:5} {:5}",
         row.plan.name,
         row.policy.name(),
         figures.reuse,
@@ -224,19 +234,21 @@
         figures.first_moved as f64 / figures.first_returned.max(1) as f64,
         figures.control_bytes,
         figures.quiet_latency.p99,
+        figures.lost_to_crashers.values().max().copied().unwrap_or(0),
+        figures.innocents_refused,
     )
 }
 
 fn write_files(folder: &Path, seed: u64, rows: &[MeasuredRow]) -> Result<(), Report<SuiteError>> {
     std::fs::create_dir_all(folder).change_context(SuiteError)?;
     let mut csv = String::from(
-        "seed,scenario,policy,reuse,skew_p50,skew_p99,skew_p999,skew_max,over_bound,token_skew_p99,in_flight,requests,completed,refused,unknown,attempts,moved,returned,first_moved,first_returned,control_bytes_per_router_second,quiet_latency_p99_s,surging_latency_p99_s\n",
+        "seed,scenario,policy,reuse,skew_p50,skew_p99,skew_p999,skew_max,over_bound,token_skew_p99,in_flight,requests,completed,refused,unknown,attempts,moved,returned,first_moved,first_returned,control_bytes_per_router_second,quiet_latency_p99_s,surging_latency_p99_s,lost_to_one_content_max,innocents_refused\n",
     );
     for row in rows {
         let f = &row.figures;
         let _ = writeln!(
             csv,
-            "{seed},{},{},{:.4},{:.3},{:.3},{:.3},{:.3},{:.5},{:.3},{:.2},{},{},{},{},{},{},{},{},{},{:.0},{:.3},{:.3}",
+            "{seed},{},{},{:.4},{:.3},{:.3},{:.3},{:.3},{:.5},{:.3},{:.2},{},{},{},{},{},{},{},{},{},{:.0},{:.3},{:.3},{},{}",
             row.plan.name,
             row.policy.name(),
             f.reuse,
@@ -259,6 +271,8 @@
             f.control_bytes,
             f.quiet_latency.p99,
             f.surging_latency.p99,
+            f.lost_to_crashers.values().max().copied().unwrap_or(0),
+            f.innocents_refused,
         );
     }
     std::fs::write(folder.join("routing.csv"), csv).change_context(SuiteError)?;
--- a/crates/policy-retries/src/suspects.rs
+++ b/crates/policy-retries/src/suspects.rs
@@ -23,8 +23,11 @@
 /// Time after a loss in which all routers hear of its suspects.
 const SETTLE: Duration = Duration::from_millis(200);
 
-/// Time between two suspects of one loss on the same target.
-const TRIAL_SPAN: Duration = Duration::from_secs(2);
+/// Time between two suspects on the same target, so that the first has ended.
+const TRIAL_SPAN: Duration = Duration::from_secs(3);
+
+/// Suspects of losses within this time of each other are kept apart.
+const LOSSES_TOGETHER: Duration = Duration::from_secs(30);
 
 key_types! {
     /// What may be done with content.
@@ -41,7 +44,7 @@
     pub struct SuspectTrial {
         /// Hash of the name of the lost target.
         pub lost: u64,
-        /// Rank among the suspects of the loss.
+        /// Rank among the suspects of the loss and of those shortly before.
         pub rank: u32,
         /// When the loss began.
         pub began: TimePoint,
@@ -134,10 +137,19 @@
             return SuspectVerdict::Condemned(record.expiry);
         }
         let Some(loss) = self.losses.get(&record.last) else { return SuspectVerdict::Clear };
-        let rank = loss.suspects.range(..key).count() as u32;
+        let rank = self.suspects_before(record.last, loss) + loss.suspects.range(..key).count();
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         SuspectVerdict::Trial(SuspectTrial { lost: record.last, rank, began: loss.began })
     }
 
+    fn suspects_before(&self, target: u64, loss: &TargetLoss) -> usize {
+        let before = self.losses.iter().filter(|(other, earlier)| {
+            let first = (earlier.began, **other) < (loss.began, target);
+            first && loss.began.since(earlier.began) < LOSSES_TOGETHER
+        });
+        before.map(|(_, earlier)| earlier.suspects.len()).sum()
+    }
+
     fn join_loss(&mut self, now: TimePoint, target: u64, key: SuspectKey) {
         let loss = self.losses.entry(target).or_insert_with(|| TargetLoss::new(now));
         if loss.began.after(LOSS_SPAN).passed(now) {
--- a/crates/policy-routing/src/choice.rs
+++ b/crates/policy-routing/src/choice.rs
@@ -40,6 +40,8 @@
         pub others: u32,
         /// Part of its usual work that the target is given, in percent; zero is closed.
         pub percent: u32,
+        /// Whether the target did not fail lately.
+        pub calm: bool,
     }
 
     /// A router's place among those that share a pool's room.
--- a/crates/policy-routing/tests/choice.rs
+++ b/crates/policy-routing/tests/choice.rs
@@ -16,6 +16,7 @@
             told: 0,
             others: *load,
             percent: if *open { 100 } else { 0 },
+            calm: true,
         })
         .collect()
 }
--- a/crates/policy-targets/src/life.rs
+++ b/crates/policy-targets/src/life.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Whether no failure counts against the target.
+    pub fn is_calm(&self, now: TimePoint) -> bool {
+        self.calm_at.passed(now)
+    }
+
     /// The platform lists the target as live.
     pub fn on_live(&mut self, now: TimePoint) {
         let back = match self.listing {
