--- a/crates/base-types/src/codes.rs
+++ b/crates/base-types/src/codes.rs
@@ -111,6 +111,7 @@
     AccountLimited = 1018, 429, "The client account is over its limit.";
     CallerLeft = 1019, 499, "The caller left before the request was sent.";
     OperationReleased = 1020, 503, "An operator settled the operation as not run.";
+    BodyTimeout = 1021, 408, "The body of the request did not come in time.";
 }
 
 codes! {
--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use base_types::HostName;
 use error_stack::{Report, ResultExt};
-use fakes::FaultOrder;
+use fakes::{FaultOrder, ServiceRun};
 use http::Method;
 use io_wire::keys::FleetAuthority;
 use serde_json::{Value, json};
@@ -19,6 +19,7 @@
 const SEEDS: usize = 3;
 const READY_POLL: Duration = Duration::from_millis(20);
 const READY_POLLS_MAX: u32 = 500;
+const KEPT_SUFFIX: &str = "kept";
 
 /// The fleet could not be started or called.
 #[derive(Debug)]
@@ -42,6 +43,8 @@
     engines: usize,
     services: usize,
     host_lag: Duration,
+    linger: Duration,
+    drain: Duration,
 }
 
 impl FleetPlan {
@@ -57,6 +60,8 @@
             engines: 12,
             services: 4,
             host_lag: Duration::from_millis(500),
+            linger: Duration::from_secs(12),
+            drain: Duration::from_secs(600),
         }
     }
 
@@ -89,6 +94,18 @@
     pub fn host_lag(self, host_lag: Duration) -> Self {
         Self { host_lag, ..self }
     }
+
+    /// Sets how long a leaving router serves new callers.
+    #[must_use]
+    pub fn linger(self, linger: Duration) -> Self {
+        Self { linger, ..self }
+    }
+
+    /// Sets after how long a leaving router cuts off what is left.
+    #[must_use]
+    pub fn drain(self, drain: Duration) -> Self {
+        Self { drain, ..self }
+    }
 }
 
 /// A router process and its addresses.
@@ -148,7 +165,8 @@
     /// Fails when a process does not start or does not answer in time.
     pub async fn start(plan: FleetPlan) -> Result<Self, Report<FleetError>> {
         fs::create_dir_all(&plan.workdir).change_context(FleetError)?;
-        let mut ports = PortSource::new();
+        drop_kept(&plan.workdir).change_context(FleetError)?;
+        let mut ports = PortSource::default();
         let mut fleet = Self::lay_out(plan, &mut ports);
         fleet.write_keys()?;
         fleet.start_platform()?;
@@ -172,6 +190,22 @@
         &self.caller
     }
 
+    /// All executions of the plain services, those of killed processes included.
+    ///
+    /// # Errors
+    ///
+    /// Fails when what a service kept cannot be read.
+    pub fn service_runs(&self) -> Result<Vec<ServiceRun>, Report<FleetError>> {
+        let mut runs = Vec::new();
+        for service in &self.services {
+            let text = fs::read_to_string(self.kept_path(&service.host));
+            let text = text.change_context(FleetError)?;
+            let lines = text.lines().filter_map(|line| serde_json::from_str(line).ok());
+            runs.extend(lines);
+        }
+        Ok(runs)
+    }
+
     /// Starts the platform's process.
     ///
     /// # Errors
@@ -180,7 +214,8 @@
     pub fn start_platform(&mut self) -> Result<(), Report<FleetError>> {
         let listen = self.platform.to_string();
         let lag = self.plan.host_lag.as_millis().to_string();
-        let arguments = ["platform", "--listen", &listen, "--host-lag-ms", &lag];
+        let kept = self.kept_path("platform").display().to_string();
+        let arguments = ["platform", "--listen", &listen, "--host-lag-ms", &lag, "--kept", &kept];
         self.platform_process = Some(self.start_program("stand-in", &arguments, "platform")?);
         Ok(())
     }
@@ -223,8 +258,9 @@
     pub fn start_service(&mut self, index: usize) -> Result<(), Report<FleetError>> {
         let service = &self.services[index];
         let listen = service.address.to_string();
-        let process =
-            self.start_program("stand-in", &["service", "--listen", &listen], &service.host)?;
+        let kept = self.kept_path(&service.host).display().to_string();
+        let arguments = ["service", "--listen", &listen, "--kept", &kept];
+        let process = self.start_program("stand-in", &arguments, &service.host)?;
         self.services[index].process = Some(process);
         Ok(())
     }
@@ -354,11 +390,16 @@
         Self { plan, caller, platform, platform_process: None, routers, engines, services }
     }
 
+    fn kept_path(&self, host: &str) -> PathBuf {
+        self.plan.workdir.join(format!("{host}.{KEPT_SUFFIX}"))
+    }
+
     fn settings_text(&self, router: &RouterProcess) -> String {
         format!(
             "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
              operator_listen = \"{}\"\nplatform = \"{}\"\npeer_listen = \"{}\"\n\
-             peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n{}",
+             peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n\n\
+             [stop]\nlinger_ms = {}\ndrain_ms = {}\n{}",
             router.host,
             router.failure_domain,
             router.caller,
@@ -369,6 +410,8 @@
             self.key_path("authority.crt").display(),
             self.key_path(&format!("{}.crt", router.host)).display(),
             self.key_path(&format!("{}.key", router.host)).display(),
+            self.plan.linger.as_millis(),
+            self.plan.drain.as_millis(),
             operator_settings(),
         )
     }
@@ -472,3 +515,14 @@
         Err(Report::new(FleetError).attach(format!("{address} does not answer in time")))
     }
 }
+
+/// A new fleet starts with nothing that an earlier one kept.
+fn drop_kept(workdir: &Path) -> std::io::Result<()> {
+    for entry in fs::read_dir(workdir)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|suffix| suffix == KEPT_SUFFIX) {
+            fs::remove_file(path)?;
+        }
+    }
+    Ok(())
+}
