--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -19,6 +19,7 @@
 use base_types::{AttemptKey, HostName, RequestKey, TimePoint, message_types};
 use policy_retries::{RetryBudgets, SuspectLedger};
 use policy_routing::{HolderMemory, PeerLoads};
+use policy_targets::TargetPhase;
 use state_tables::TableSet;
 
 use crate::{
@@ -55,6 +56,7 @@
     targets: TargetArena,
     peer_loads: PeerLoads,
     share: OwnShare,
+    latest: TimePoint,
     holders: HolderMemory,
     budgets: RetryBudgets,
     suspects: SuspectLedger,
@@ -79,6 +81,7 @@
             targets: TargetArena::default(),
             peer_loads: PeerLoads::default(),
             share: OwnShare::default(),
+            latest: TimePoint(0),
             holders: HolderMemory::new(HOLDERS_MAX),
             budgets: RetryBudgets::default(),
             suspects: SuspectLedger::default(),
@@ -99,6 +102,7 @@
 
     /// Takes an event and returns what is to be done.
     pub fn on_event(&mut self, now: TimePoint, event: Event) -> Vec<Effect> {
+        self.latest = now;
         match event {
             Event::Arrived(arrival) => self.on_arrival(now, arrival),
             Event::ClaimAnswered(request, outcome) => self.on_claim(now, request, outcome),
@@ -146,6 +150,16 @@
         }
     }
 
+    /// The state of a target at the latest event.
+    pub fn phase(&self, target: &TargetRecord) -> TargetPhase {
+        target.life.phase(self.latest)
+    }
+
+    /// Whether a target took new work at the latest event.
+    pub fn takes_work(&self, target: &TargetRecord) -> bool {
+        target.life.percent(self.latest) > 0
+    }
+
     /// The targets that the router knows.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.targets.records()
--- a/crates/io-router/src/admin/status.rs
+++ b/crates/io-router/src/admin/status.rs
@@ -36,7 +36,8 @@
         .map(|target| {
             json!({
                 "name": target.name,
-                "phase": format!("{:?}", target.life),
+                "open": core.takes_work(target),
+                "phase": format!("{:?}", core.phase(target)),
                 "own_in_flight": target.own_in_flight,
                 "others_in_flight": target.others_in_flight,
             })
--- a/crates/io-router/src/observe.rs
+++ b/crates/io-router/src/observe.rs
@@ -120,7 +120,7 @@
     let target = |target: &core_router::TargetRecord| TargetGauge {
         name: target.name.clone(),
         own_in_flight: u64::from(target.own_in_flight),
-        open: target.open,
+        open: core.takes_work(target),
     };
     FleetGauges {
         requests_in_flight: core.status().requests as u64,
