--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -6,6 +6,7 @@
 mod macros;
 mod names;
 mod notices;
+mod placement;
 mod request;
 mod time;
 
@@ -17,6 +18,7 @@
         TeamName,
     },
     notices::{AccountLoad, AccountShare, LoadShare, PeerNotice, SuspectNotice, TargetLoad},
+    placement::{PlacementError, PlacementToken},
     request::{Arrival, Refusal},
     time::TimePoint,
 };
--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod operations;
 mod shares;
+mod suspects;
 
 pub use crate::core::shares::SharePace;
 
@@ -16,7 +17,9 @@
 };
 
 use base_types::{AttemptKey, HostName, RequestKey, TimePoint, message_types};
-use policy_routing::PeerLoads;
+use policy_retries::{RetryBudgets, SuspectLedger};
+use policy_routing::{HolderMemory, PeerLoads};
+use policy_targets::TargetPhase;
 use state_tables::TableSet;
 
 use crate::{
@@ -24,6 +27,9 @@
     decision::DecisionLog, request::LiveRequest, targets::TargetArena,
 };
 
+/// Chats whose targets a router remembers; about 100 bytes each.
+const HOLDERS_MAX: usize = 65_536;
+
 const COME_BACK: Duration = Duration::from_secs(1);
 
 message_types! {
@@ -50,6 +56,11 @@
     targets: TargetArena,
     peer_loads: PeerLoads,
     share: OwnShare,
+    latest: TimePoint,
+    holders: HolderMemory,
+    budgets: RetryBudgets,
+    suspects: SuspectLedger,
+    wakes: BTreeSet<(TimePoint, RequestKey)>,
     entries: Vec<HostEntry>,
     requests: BTreeMap<RequestKey, LiveRequest>,
     deadlines: BTreeSet<(TimePoint, RequestKey)>,
@@ -70,6 +81,11 @@
             targets: TargetArena::default(),
             peer_loads: PeerLoads::default(),
             share: OwnShare::default(),
+            latest: TimePoint(0),
+            holders: HolderMemory::new(HOLDERS_MAX),
+            budgets: RetryBudgets::default(),
+            suspects: SuspectLedger::default(),
+            wakes: BTreeSet::new(),
             entries: Vec::new(),
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
@@ -86,6 +102,7 @@
 
     /// Takes an event and returns what is to be done.
     pub fn on_event(&mut self, now: TimePoint, event: Event) -> Vec<Effect> {
+        self.latest = now;
         match event {
             Event::Arrived(arrival) => self.on_arrival(now, arrival),
             Event::ClaimAnswered(request, outcome) => self.on_claim(now, request, outcome),
@@ -93,11 +110,11 @@
             Event::AttemptUnsent(request, attempt) => self.on_unsent(now, request, attempt),
             Event::AttemptEnded(request, attempt, end) => self.on_end(now, request, attempt, end),
             Event::CallerLeft(request) => self.on_caller_left(now, request),
-            Event::HostsListed(hosts) => self.on_hosts(hosts),
+            Event::HostsListed(hosts) => self.on_hosts(now, hosts),
             Event::RowHeard(change) => self.on_row(change),
             Event::TablesListed(tables, rows) => self.table.adopt_lists(&tables, rows),
             Event::TablesComplete => self.tables_complete = true,
-            Event::LoadHeard(target, report) => self.on_load(target, report),
+            Event::LoadHeard(target, report) => self.on_load(now, target, report),
             Event::NoticeHeard(notice) => self.on_notice(now, notice),
             Event::ShutdownAsked => self.leaving = true,
             Event::StopForced => self.on_stop_forced(now),
@@ -110,7 +127,8 @@
     /// The next point at which [`Event::TimerFired`] is due.
     pub fn next_deadline(&self) -> TimePoint {
         let request = self.deadlines.first().map_or(TimePoint::NEVER, |(deadline, _)| *deadline);
-        request.min(self.share.next_deadline()).min(self.peer_loads.next_expiry())
+        let wake = self.wakes.first().map_or(TimePoint::NEVER, |(at, _)| *at);
+        request.min(wake).min(self.share.next_deadline()).min(self.peer_loads.next_expiry())
     }
 
     /// Name of the router's host.
@@ -132,6 +150,16 @@
         }
     }
 
+    /// The state of a target at the latest event.
+    pub fn phase(&self, target: &TargetRecord) -> TargetPhase {
+        target.life.phase(self.latest)
+    }
+
+    /// Whether a target took new work at the latest event.
+    pub fn takes_work(&self, target: &TargetRecord) -> bool {
+        target.life.percent(self.latest) > 0
+    }
+
     /// The targets that the router knows.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.targets.records()
