--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate is pure data. It is not a place for decisions, state machines or I/O.
 
 mod codes;
+mod hosts;
 mod macros;
 mod names;
 mod notices;
@@ -11,6 +12,7 @@
 
 pub use crate::{
     codes::{CodeRow, CompletedCode, NotRunCode, OutcomeKind, UnknownCode, code_table},
+    hosts::{HostEntry, HostRole, HostState},
     names::{
         AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName,
         PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TeamName,
--- a/crates/core-router/src/lib.rs
+++ b/crates/core-router/src/lib.rs
@@ -9,12 +9,11 @@
 mod request;
 mod targets;
 
+pub use base_types::{HostEntry, HostRole, HostState};
+
 pub use crate::{
     core::{CoreStatus, RouterCore},
     decision::DecisionRecord,
-    event::{
-        AttemptEnd, ClaimOutcome, Effect, Event, HostEntry, HostRole, HostState, OperationClaim,
-        RequestStep, StoredAnswer,
-    },
+    event::{AttemptEnd, ClaimOutcome, Effect, Event, OperationClaim, RequestStep, StoredAnswer},
     targets::{LoadReport, TargetRecord},
 };
