--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -15,7 +15,8 @@
     hosts::{HostEntry, HostRole, HostState},
     names::{
         AccountName, AttemptKey, ChatName, ContentDigest, DomainName, HostName, OperationName,
-        PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TeamName,
+        OperatorName, PoolIdentity, PoolName, RequestKey, RouteName, RowVersion, TargetKey,
+        TeamName,
     },
     notices::{AccountLoad, AccountShare, LoadShare, PeerNotice, SuspectNotice, TargetLoad},
     request::{Arrival, Refusal},
--- a/crates/core-peers/src/core.rs
+++ b/crates/core-peers/src/core.rs
@@ -7,11 +7,7 @@
 mod rows;
 mod sync;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use base_types::{HostEntry, HostName, TimePoint, message_types};
 use state_membership::{
@@ -21,7 +17,7 @@
 use state_spreading::Register;
 
 use crate::{
-    LinkKey, PeerEffect, PeerEvent, RowTable, SpreadEntry,
+    LinkKey, PeerEffect, PeerEvent, SpreadEntry,
     budget::ByteBudget,
     core::{
         links::{DialState, LinkState},
@@ -90,7 +86,6 @@
     budget: ByteBudget,
     polled: Option<BTreeMap<HostName, HostEntry>>,
     hosts_changed: bool,
-    listed_tables: BTreeSet<RowTable>,
     complete: bool,
     assigned: bool,
     watches: bool,
@@ -138,7 +133,6 @@
             budget: ByteBudget::new(plan.bytes_per_second),
             polled: None,
             hosts_changed: false,
-            listed_tables: BTreeSet::new(),
             complete: false,
             assigned: true,
             watches: true,
@@ -163,7 +157,7 @@
         self.budget.fill(now);
         match event {
             PeerEvent::HostsPolled(hosts) => self.on_hosts(now, hosts),
-            PeerEvent::TableListed(listing) => self.on_listing(now, listing),
+            PeerEvent::TablesListed(listing) => self.on_listing(now, listing),
             PeerEvent::RowRead(change) => self.on_row(now, change),
             PeerEvent::PlatformHeard => self.trust(now),
             PeerEvent::LinkOpened(link, host, dialled) => self.on_open(now, link, &host, dialled),
--- a/crates/core-peers/src/core/links.rs
+++ b/crates/core-peers/src/core/links.rs
@@ -13,6 +13,7 @@
     FrameItem, Heartbeat, LinkKey, PeerEffect, PeerFrame, SpreadEntry,
     budget::Urgency,
     core::PeerCore,
+    frame::item_bytes,
     notices::{ShareKey, ShareKind},
 };
 
@@ -439,8 +440,3 @@
         link.shares = rest;
     }
 }
-
-/// Encoded size of an item; one that cannot be encoded counts as filling a frame.
-fn item_bytes(item: &FrameItem) -> usize {
-    postcard::experimental::serialized_size(item).unwrap_or(FRAME_BYTES)
-}
--- a/crates/core-peers/src/core/rows.rs
+++ b/crates/core-peers/src/core/rows.rs
@@ -1,9 +1,11 @@
 //! Rows of the tables.
 
+use std::collections::BTreeSet;
+
 use base_types::TimePoint;
-use state_tables::{RowChange, RowContent};
+use state_tables::{RowChange, RowContent, RowKey};
 
-use crate::{LinkKey, PeerEffect, RowListing, RowTable, SpreadEntry, core::PeerCore};
+use crate::{LinkKey, PeerEffect, SpreadEntry, TableListing, core::PeerCore};
 
 impl PeerCore {
     pub(super) fn on_row(&mut self, now: TimePoint, change: RowChange) {
@@ -11,34 +13,30 @@
         self.adopt_row(change, None);
     }
 
-    /// Takes a whole table; rows held at an older version that the platform no longer names
-    /// were deleted while this router did not watch.
-    pub(super) fn on_listing(&mut self, now: TimePoint, listing: RowListing) {
+    /// Takes whole tables; rows held at an older version that the platform no longer names were
+    /// deleted while this router did not watch.
+    pub(super) fn on_listing(&mut self, now: TimePoint, listing: TableListing) {
         self.trust(now);
+        let listed: BTreeSet<&RowKey> = listing.rows.iter().map(|change| &change.key).collect();
         let mut gone = Vec::new();
         for entry in self.register.iter() {
             let SpreadEntry::Row(held) = entry else { continue };
-            let is_gone = listing.table.holds(&held.key)
-                && held.version < listing.revision
-                && held.content != RowContent::Tombstone
-                && !listing.keys.contains(&held.key);
-            if is_gone {
-                gone.push(RowChange {
-                    key: held.key.clone(),
-                    version: listing.revision,
-                    content: RowContent::Tombstone,
-                });
+            let read = listing.reads.iter().find(|read| read.table == held.key.table());
+            let Some(read) = read.filter(|read| held.version < read.revision) else { continue };
+            if held.content == RowContent::Tombstone || listed.contains(&held.key) {
+                continue;
             }
+            gone.push(RowChange {
+                key: held.key.clone(),
+                version: read.revision,
+                content: RowContent::Tombstone,
+            });
         }
+        drop(listed);
         for change in listing.rows.into_iter().chain(gone) {
             self.adopt_row(change, None);
         }
-        self.listed_tables.insert(listing.table);
-        if self.listed_tables.contains(&RowTable::Routes)
-            && self.listed_tables.contains(&RowTable::Pools)
-        {
-            self.complete_tables();
-        }
+        self.complete_tables();
     }
 
     pub(super) fn adopt_row(&mut self, change: RowChange, from: Option<LinkKey>) -> bool {
--- a/crates/core-peers/src/event.rs
+++ b/crates/core-peers/src/event.rs
@@ -2,43 +2,20 @@
 
 use std::net::SocketAddr;
 
-use base_types::{
-    HostEntry, HostName, PeerNotice, RowVersion, TimePoint, key_types, message_types,
-};
-use state_tables::{RowChange, RowKey};
+use base_types::{HostEntry, HostName, PeerNotice, TimePoint, message_types};
+use state_tables::{RowChange, TableRevision};
 
 use crate::{
     SyncAsk, SyncReply,
     frame::{LinkKey, PeerFrame},
 };
 
-key_types! {
-    /// One of the two tables.
-    pub enum RowTable {
-        /// The routes.
-        Routes,
-        /// The pools.
-        Pools,
-    }
-}
-
-impl RowTable {
-    /// Whether a row belongs to this table.
-    pub fn holds(self, key: &RowKey) -> bool {
-        matches!((self, key), (Self::Routes, RowKey::Route(_)) | (Self::Pools, RowKey::Pool(_)))
-    }
-}
-
 message_types! {
-    /// All rows of one table as the platform listed them.
-    pub struct RowListing {
-        /// The table.
-        pub table: RowTable,
-        /// Revision at which the table was read.
-        pub revision: RowVersion,
-        /// Keys that the platform holds, whether or not their rows could be read.
-        pub keys: Vec<RowKey>,
-        /// The rows that could be read.
+    /// Whole tables as the platform listed them.
+    pub struct TableListing {
+        /// The tables and the revisions at which they were read.
+        pub reads: Vec<TableRevision>,
+        /// All of their rows.
         pub rows: Vec<RowChange>,
     }
 
@@ -46,8 +23,8 @@
     pub enum PeerEvent {
         /// The platform's host list was read.
         HostsPolled(Vec<HostEntry>),
-        /// A whole table was read from the platform.
-        TableListed(RowListing),
+        /// Whole tables were read from the platform.
+        TablesListed(TableListing),
         /// A change of a row was read from the platform.
         RowRead(RowChange),
         /// The platform answered without news.
--- a/crates/core-peers/src/frame.rs
+++ b/crates/core-peers/src/frame.rs
@@ -73,3 +73,8 @@
         Entries(Vec<SpreadEntry>),
     }
 }
+
+/// Encoded size of an item in bytes; one that cannot be encoded counts as the largest.
+pub fn item_bytes(item: &FrameItem) -> usize {
+    postcard::experimental::serialized_size(item).unwrap_or(usize::from(u16::MAX))
+}
--- a/crates/core-peers/src/lib.rs
+++ b/crates/core-peers/src/lib.rs
@@ -14,6 +14,6 @@
 pub use crate::{
     core::{PeerCore, PeerPlan, PeerStatus},
     entry::{HostChange, SpreadEntry},
-    event::{PeerEffect, PeerEvent, RowListing, RowTable},
-    frame::{FrameItem, Heartbeat, LinkKey, NoticeItem, PeerFrame, SyncAsk, SyncReply},
+    event::{PeerEffect, PeerEvent, TableListing},
+    frame::{FrameItem, Heartbeat, LinkKey, NoticeItem, PeerFrame, SyncAsk, SyncReply, item_bytes},
 };
--- a/crates/core-peers/tests/membership.rs
+++ b/crates/core-peers/tests/membership.rs
@@ -15,6 +15,7 @@
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 /// Within this time callers are named nobody across a partition.
 const PARTITION_KNOWN_WITHIN: Duration = Duration::from_secs(60);
+const NOBODY: [usize; 0] = [];
 const SETTLE: Duration = Duration::from_secs(15);
 /// Within this time an accepted row is in force everywhere, after any single fault.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(7);
@@ -36,7 +37,7 @@
     let victim = seed as usize % size;
     fleet.kill(victim);
     fleet.run(KNOWN_WITHIN);
-    assert_eq!(fleet.disagreeing(victim, MemberState::Failed), [], "3 s after the kill");
+    assert_eq!(fleet.disagreeing(victim, MemberState::Failed), NOBODY, "3 s after the kill");
     let caller = fleet.nodes[victim].row.caller.clone();
     for (_, core) in fleet.live() {
         assert!(core.entries(seed).iter().all(|entry| entry.row.caller != caller));
@@ -125,7 +126,7 @@
     let mut fleet = settled(seed, size);
     fleet.nodes[1].frozen = true;
     fleet.run(KNOWN_WITHIN);
-    assert_eq!(fleet.disagreeing(1, MemberState::Failed), [], "while frozen");
+    assert_eq!(fleet.disagreeing(1, MemberState::Failed), NOBODY, "while frozen");
     fleet.run(Duration::from_secs(5));
     fleet.nodes[1].frozen = false;
     for _ in 0..30 {
@@ -172,7 +173,7 @@
     let mut fleet = settled(seed, size);
     fleet.post(2, PeerEvent::LeaveAsked);
     fleet.run(KNOWN_WITHIN);
-    assert_eq!(fleet.disagreeing(2, MemberState::Leaving), []);
+    assert_eq!(fleet.disagreeing(2, MemberState::Leaving), NOBODY);
     let caller = fleet.nodes[2].row.caller.clone();
     for (_, core) in fleet.live() {
         assert!(core.entries(seed).iter().all(|entry| entry.row.caller != caller));
@@ -181,7 +182,7 @@
     fleet.run(Duration::from_millis(50));
     fleet.kill(2);
     fleet.run(KNOWN_WITHIN);
-    assert_eq!(fleet.disagreeing(2, MemberState::Left), []);
+    assert_eq!(fleet.disagreeing(2, MemberState::Left), NOBODY);
 }
 
 test_cases! {
--- a/crates/core-peers/tests/membership/fleet.rs
+++ b/crates/core-peers/tests/membership/fleet.rs
@@ -10,12 +10,10 @@
     DomainName, HostEntry, HostName, HostRole, HostState, PoolName, RouteName, RowVersion,
     TeamName, TimePoint,
 };
-use core_peers::{
-    LinkKey, PeerCore, PeerEffect, PeerEvent, PeerPlan, RowListing, RowTable, SyncAsk,
-};
+use core_peers::{LinkKey, PeerCore, PeerEffect, PeerEvent, PeerPlan, SyncAsk, TableListing};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_membership::{AccusationBook, MemberRow, MemberState};
-use state_tables::{RouteRow, RowChange, RowContent, RowKey};
+use state_tables::{RouteRow, RowChange, RowContent, RowKey, TableKind, TableRevision};
 
 const STEP: Duration = Duration::from_millis(10);
 const POLL_EVERY: Duration = Duration::from_secs(1);
@@ -237,11 +235,9 @@
         }
         let head = self.changes.last().map_or(1, |change| change.version.0 + 1);
         if self.nodes[index].revision == 0 {
-            for table in [RowTable::Routes, RowTable::Pools] {
-                let listing = self.listing(table, head);
-                self.nodes[index].reads += 1;
-                self.event(index, PeerEvent::TableListed(listing));
-            }
+            let listing = self.listing(head);
+            self.nodes[index].reads += 2;
+            self.event(index, PeerEvent::TablesListed(listing));
         } else if self.nodes[index].revision < head {
             let since = self.nodes[index].revision;
             let news: Vec<RowChange> =
@@ -253,15 +249,15 @@
         self.nodes[index].revision = head;
     }
 
-    fn listing(&self, table: RowTable, head: u64) -> RowListing {
+    fn listing(&self, head: u64) -> TableListing {
         let mut rows: BTreeMap<RowKey, RowChange> = BTreeMap::new();
-        for change in self.changes.iter().filter(|change| table.holds(&change.key)) {
+        for change in &self.changes {
             rows.insert(change.key.clone(), change.clone());
         }
-        RowListing {
-            table,
-            revision: RowVersion(head),
-            keys: rows.keys().cloned().collect(),
+        let revision = RowVersion(head);
+        let read = |table| TableRevision { table, revision };
+        TableListing {
+            reads: TableKind::ALL.map(read).to_vec(),
             rows: rows.into_values().collect(),
         }
     }
--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -4,9 +4,12 @@
 mod attempts;
 mod config;
 mod dispatch;
+mod explain;
 mod operations;
 mod shares;
 
+pub use crate::core::shares::SharePace;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -30,6 +33,8 @@
         pub requests: usize,
         /// Whether the tables have been read.
         pub tables_complete: bool,
+        /// Point until which new work is taken, as the platform or a peer was heard.
+        pub trusted_until: TimePoint,
         /// Whether the router is shutting down.
         pub leaving: bool,
     }
@@ -43,6 +48,7 @@
     attempts: u64,
     table: TableSet,
     tables_complete: bool,
+    trusted_until: TimePoint,
     leaving: bool,
     targets: TargetArena,
     peer_loads: PeerLoads,
@@ -63,6 +69,7 @@
             attempts: 0,
             table: TableSet::default(),
             tables_complete: false,
+            trusted_until: TimePoint::NEVER,
             leaving: false,
             targets: TargetArena::default(),
             peer_loads: PeerLoads::default(),
@@ -75,20 +82,30 @@
         }
     }
 
+    /// The same router at another pace of its load shares.
+    pub fn with_share_pace(mut self, pace: SharePace) -> Self {
+        self.share.pace = pace;
+        self
+    }
+
     /// Takes an event and returns what is to be done.
     pub fn on_event(&mut self, now: TimePoint, event: Event) -> Vec<Effect> {
         match event {
             Event::Arrived(arrival) => self.on_arrival(now, arrival),
             Event::ClaimAnswered(request, outcome) => self.on_claim(now, request, outcome),
+            Event::AnswerRecorded(request) => self.on_recorded(now, request),
             Event::AttemptUnsent(request, attempt) => self.on_unsent(now, request, attempt),
             Event::AttemptEnded(request, attempt, end) => self.on_end(now, request, attempt, end),
             Event::CallerLeft(request) => self.on_caller_left(now, request),
             Event::HostsListed(hosts) => self.on_hosts(hosts),
             Event::RowHeard(change) => self.on_row(change),
+            Event::TablesListed(tables, rows) => self.table.adopt_lists(&tables, rows),
+            Event::TrustedUntil(until) => self.trusted_until = until,
             Event::TablesComplete => self.tables_complete = true,
             Event::LoadHeard(target, report) => self.on_load(target, report),
             Event::NoticeHeard(notice) => self.on_notice(now, notice),
             Event::ShutdownAsked => self.leaving = true,
+            Event::StopForced => self.on_stop_forced(now),
             Event::TimerFired => self.on_timer(now),
         }
         self.tell_load(now);
@@ -116,6 +133,7 @@
         CoreStatus {
             requests: self.requests.len(),
             tables_complete: self.tables_complete,
+            trusted_until: self.trusted_until,
             leaving: self.leaving,
         }
     }
--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -34,7 +34,7 @@
         };
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
-        self.send(now, sent, pool);
+        self.send(now, sent);
     }
 
     pub(super) fn dispatch_again(
@@ -55,7 +55,7 @@
         };
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
-        self.send(now, sent, &pool);
+        self.send(now, sent);
     }
 
     pub(super) fn choose(
@@ -69,13 +69,16 @@
         let query = ChoiceQuery {
             affinity: affinity(arrival, pool),
             max_load_ratio: pool.max_load_ratio,
+            reuse_bias: pool.reuse_bias,
+            place: self.peer_loads.place(&self.name),
             tried,
         };
         let choice = choose_target(&query, &views)?;
         let record = self.targets.record(choice.target)?;
         let reason = match choice.reason {
-            ChoiceReason::Preferred => "it is first in the preference order",
-            ChoiceReason::Bounded => "preferred targets were at their bound",
+            ChoiceReason::Preferred => "it is the first home of the chat",
+            ChoiceReason::SecondHome => "it is the second home of the chat and the first is busier",
+            ChoiceReason::Bounded => "both homes of the chat are at their bound",
         };
         let sentence = format!(
             "Chose target `{}` of {} in pool `{}`: {reason} (load {}, bound {}).",
@@ -106,7 +109,7 @@
         }
     }
 
-    pub(super) fn send(&mut self, now: TimePoint, request: Request<Sent>, pool: &PoolRow) {
+    pub(super) fn send(&mut self, now: TimePoint, request: Request<Sent>) {
         let Some(record) = self.targets.record_mut(request.state.target) else { return };
         record.own_in_flight += 1;
         let key = request.arrival.request;
@@ -114,7 +117,7 @@
             attempt: request.state.attempt,
             target: request.state.target,
             address: record.address.clone(),
-            once: !pool.repeatable,
+            once: request.claim.is_some(),
         };
         let sentence = format!("Sent to `{}` at {}.", record.name, record.address);
         self.note(now, key, sentence);
@@ -130,7 +133,7 @@
 
     pub(super) fn on_load(&mut self, target: TargetKey, report: LoadReport) {
         // Shares of the routers count alike for all targets; a report is the fallback.
-        if self.peer_loads.routers() > 0 {
+        if !self.peer_loads.is_empty() {
             return;
         }
         let Some(record) = self.targets.record_mut(target) else { return };
--- /dev/null
+++ b/crates/core-router/src/core/explain.rs
@@ -0,0 +1,136 @@
+//! Plain answers to why a target, a client account or a row is as it is.
+
+use base_types::{AccountName, TimePoint};
+use state_tables::{HeldRow, RowContent, RowKey};
+
+use crate::{TargetRecord, core::RouterCore, request::LiveRequest};
+
+impl RouterCore {
+    /// Says why a target gets work or none.
+    pub fn explain_target(&self, now: TimePoint, name: &str) -> Vec<String> {
+        let Some(record) = self.targets.records().find(|record| record.name.as_str() == name)
+        else {
+            let sentence = "The platform's host list, as this router read it, has never named the \
+                            target; a new host shows after the list's lag.";
+            return vec![sentence.to_owned()];
+        };
+        let mut sentences = vec![record.place()];
+        sentences.push(record.standing(now));
+        sentences.push(record.load_sentence());
+        let pools = self.table.pools().filter(|pool| pool.group == record.group);
+        let pools: Vec<String> = pools
+            .map(|pool| {
+                format!(
+                    "Pool `{}` selects its group and gives a target at most {} requests at once \
+                     and {} times the mean load.",
+                    pool.name, pool.target_slots, pool.max_load_ratio,
+                )
+            })
+            .collect();
+        if pools.is_empty() {
+            sentences.push(format!("No pool in force selects the group `{}`.", record.group));
+        }
+        sentences.extend(pools);
+        sentences
+    }
+
+    /// Says what this router has in its care for a client account.
+    pub fn explain_account(&self, account: &AccountName) -> Vec<String> {
+        let own = self.requests.values().filter(|request| request.account() == account);
+        let (sent, waiting): (Vec<_>, Vec<_>) = own.partition(|request| request.is_sent());
+        vec![
+            format!(
+                "This router has {} requests of client account `{account}` at targets and {} that \
+                 wait.",
+                sent.len(),
+                waiting.len(),
+            ),
+            "Other routers answer for the requests that entered with them.".to_owned(),
+        ]
+    }
+
+    /// Says which version of a row is in force and why a later one is not.
+    pub fn explain_row(&self, key: &RowKey) -> Vec<String> {
+        let mut sentences = vec![self.row_in_force(key)];
+        sentences.extend(self.table.held_rows().filter(|held| held.key == *key).map(held_sentence));
+        if !self.tables_complete {
+            sentences.push("This router has not read the tables yet.".to_owned());
+        }
+        sentences
+    }
+
+    fn row_in_force(&self, key: &RowKey) -> String {
+        let Some(change) = self.table.in_force(key) else {
+            return match self.table.floor(key.table()) {
+                Some(floor) => format!(
+                    "No {key} is in force: the platform had none when this router read the table \
+                     at revision {}, and none was heard of since.",
+                    floor.0
+                ),
+                None => format!("No {key} is in force: this router has heard of none."),
+            };
+        };
+        match change.content {
+            RowContent::Tombstone => {
+                format!("The {key} was deleted at version {}.", change.version.0)
+            }
+            _ => format!("Version {} of {key} is in force.", change.version.0),
+        }
+    }
+}
+
+fn held_sentence(held: HeldRow) -> String {
+    let kept = match held.in_force {
+        Some(version) => format!("version {} stays", version.0),
+        None => "and no earlier valid version is known".to_owned(),
+    };
+    let faults: Vec<String> = held.faults.iter().map(ToString::to_string).collect();
+    let faults = if faults.is_empty() { "other held rows".to_owned() } else { faults.join("; ") };
+    format!("Version {} is not in force, {kept}. Cause: {faults}.", held.version.0)
+}
+
+impl TargetRecord {
+    fn place(&self) -> String {
+        format!(
+            "Target `{}` of group `{}` is at {} in failure domain `{}`.",
+            self.name, self.group, self.address, self.failure_domain,
+        )
+    }
+
+    fn standing(&self, now: TimePoint) -> String {
+        if !self.open {
+            return "It gets no new work: the platform's host list says that it leaves or no \
+                    longer names it."
+                .to_owned();
+        }
+        if self.held_until.passed(now) {
+            return "It takes new work.".to_owned();
+        }
+        format!(
+            "It gets no new work for another {} ms, as it refused a connection.",
+            self.held_until.since(now).as_millis(),
+        )
+    }
+
+    fn load_sentence(&self) -> String {
+        format!(
+            "This router has {} requests in flight there, and others have {} by their last word.",
+            self.own_in_flight, self.others_in_flight,
+        )
+    }
+}
+
+impl LiveRequest {
+    fn account(&self) -> &AccountName {
+        match self {
+            Self::Fresh(request) => &request.arrival.account,
+            Self::Sent(request) => &request.arrival.account,
+            Self::Repeating(request) => &request.arrival.account,
+            Self::Whole(request) => &request.arrival.account,
+        }
+    }
+
+    fn is_sent(&self) -> bool {
+        matches!(self, Self::Sent(_))
+    }
+}
--- a/crates/core-router/src/lib.rs
+++ b/crates/core-router/src/lib.rs
@@ -9,11 +9,11 @@
 mod request;
 mod targets;
 
-pub use base_types::{HostEntry, HostRole, HostState};
-
 pub use crate::{
-    core::{CoreStatus, RouterCore},
+    core::{CoreStatus, RouterCore, SharePace},
     decision::DecisionRecord,
-    event::{AttemptEnd, ClaimOutcome, Effect, Event, OperationClaim, RequestStep, StoredAnswer},
+    event::{AttemptEnd, Effect, Event, RequestStep},
     targets::{LoadReport, TargetRecord},
 };
+pub use base_types::{HostEntry, HostRole, HostState};
+pub use state_ledger::{ClaimOutcome, OperationClaim, StoredAnswer};
--- a/crates/io-router/src/admin/status.rs
+++ b/crates/io-router/src/admin/status.rs
@@ -1,60 +1,45 @@
 //! What a router shows of itself and of its decisions.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use base_types::RequestKey;
+use base_types::TimePoint;
+use core_peers::PeerStatus;
 use core_router::RouterCore;
-use salvo::{
-    Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode, writing::Json,
-};
+use io_wire::TrafficCounter;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, writing::Json};
 use serde_json::{Value, json};
+use state_membership::MemberRecord;
+use state_tables::{HeldRow, RowContent};
 
-use crate::admin::{AdminState, write_error};
+use crate::admin::AdminState;
 
 /// Answers `GET /admin/v1/status`.
 pub(super) struct StatusHandler(pub(super) Arc<AdminState>);
 
-/// Answers `GET /admin/v1/explain/{request}`.
-pub(super) struct ExplainHandler(pub(super) Arc<AdminState>);
-
 #[async_trait]
 impl Handler for StatusHandler {
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let calls = self.0.platform.calls();
         let status = self.0.handle.query(move |core| status_body(core, calls)).await;
-        res.render(Json(status.unwrap_or_default()));
-    }
-}
-
-#[async_trait]
-impl Handler for ExplainHandler {
-    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let text = req.param::<String>("request").unwrap_or_default();
-        let Ok(number) = u128::from_str_radix(&text, 16) else {
-            return write_error(
-                res,
-                StatusCode::BAD_REQUEST,
-                "a request id is 32 hexadecimal digits",
-            );
-        };
-        let sentences = self.0.handle.query(move |core| {
-            core.explain(RequestKey(number)).map(|record| record.sentences.clone())
-        });
-        match sentences.await.flatten() {
-            Some(sentences) => res.render(Json(json!({ "request": text, "decisions": sentences }))),
-            None => {
-                write_error(res, StatusCode::NOT_FOUND, "this router remembers no such request")
-            }
-        }
+        let mut status = status.unwrap_or_default();
+        let now = self.0.clock.now();
+        let peers = self.0.peers.query(move |core| peer_body(&core.status(), now)).await;
+        status["peers"] = peers.unwrap_or_default();
+        status["control"] = control_body(self.0.peers.traffic());
+        res.render(Json(status));
     }
 }
 
 fn status_body(core: &RouterCore, platform_calls: u64) -> Value {
     let rows: Vec<Value> = core
         .table()
-        .changes()
-        .map(|change| json!({ "key": format!("{:?}", change.key), "version": change.version }))
+        .rows_in_force()
+        .map(|change| {
+            let deleted = change.content == RowContent::Tombstone;
+            json!({ "key": change.key.object(), "version": change.version, "deleted": deleted })
+        })
         .collect();
+    let held: Vec<Value> = core.table().held_rows().map(held_body).collect();
     let targets: Vec<Value> = core
         .targets()
         .map(|target| {
@@ -74,6 +59,50 @@
         "leaving": status.leaving,
         "platform_calls": platform_calls,
         "rows": rows,
+        "rows_held": held,
         "targets": targets,
     })
 }
+
+fn peer_body(status: &PeerStatus, now: TimePoint) -> Value {
+    let member = |record: &MemberRecord| {
+        json!({
+            "host": record.row.name,
+            "failure_domain": record.row.failure_domain,
+            "state": record.state.as_str(),
+            "incarnation": record.incarnation,
+        })
+    };
+    json!({
+        "members": status.members.iter().map(member).collect::<Vec<_>>(),
+        "linked": status.linked,
+        "watches": status.watches,
+        "isolated": status.trusted_until.passed(now),
+        "shed": status.shed,
+    })
+}
+
+fn control_body(traffic: &TrafficCounter) -> Value {
+    let report = traffic.report();
+    let kinds = traffic.sent_by_kind().into_iter();
+    let kinds: BTreeMap<&str, u64> = kinds.map(|(kind, bytes)| (kind.as_str(), bytes)).collect();
+    json!({
+        "sent_bytes": report.sent_bytes,
+        "sent_datagrams": report.sent_datagrams,
+        "received_bytes": report.received_bytes,
+        "received_datagrams": report.received_datagrams,
+        "refused_peers": report.refused_peers,
+        "refused_messages": report.refused_messages,
+        "sent_by_kind": kinds,
+    })
+}
+
+fn held_body(held: HeldRow) -> Value {
+    let faults: Vec<String> = held.faults.iter().map(ToString::to_string).collect();
+    json!({
+        "key": held.key.object(),
+        "version": held.version,
+        "in_force": held.in_force,
+        "faults": faults,
+    })
+}
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -12,15 +12,15 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    answer::{write_identity, write_refusal, write_stored, write_unknown},
+    answer::{write_completed, write_identity, write_refusal, write_stored, write_unknown},
     entry::EntryHandler,
     forward::{BegunAnswer, CallerRequest, OnceEnd, SendEnd, TargetClients},
     handle::{CallerGuard, LoopHandle},
+    peers::PeerHandle,
     prompt::ChatPrompt,
     run::LoopClock,
 };
 
-const BODY_BYTES_MAX: usize = 4 * 1024 * 1024;
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(600);
 const OPERATION_BYTES_MAX: usize = 128;
 
@@ -29,12 +29,19 @@
     handle: LoopHandle,
     clock: LoopClock,
     clients: TargetClients,
+    body_bytes_max: usize,
 }
 
 /// The routes of the callers' port.
-pub(crate) fn caller_router(handle: LoopHandle, clock: LoopClock) -> Router {
-    let entry = EntryHandler(handle.clone());
-    let front = Arc::new(CallerFront { handle, clock, clients: TargetClients::new() });
+pub(crate) fn caller_router(
+    handle: LoopHandle,
+    peers: PeerHandle,
+    clock: LoopClock,
+    body_bytes_max: usize,
+) -> Router {
+    let entry = EntryHandler(peers);
+    let clients = TargetClients::new();
+    let front = Arc::new(CallerFront { handle, clock, clients, body_bytes_max });
     Router::new()
         .push(Router::with_path("/v1/entry").get(entry))
         .push(Router::with_path("{**path}").goal(CallHandler(front)))
@@ -46,7 +53,7 @@
 impl Handler for CallHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let request = RequestKey(rand::random());
-        let call = match read_call(req, request).await {
+        let call = match read_call(req, request, self.0.body_bytes_max).await {
             Ok(call) => call,
             Err(code) => {
                 let now = self.0.clock.now();
@@ -101,6 +108,10 @@
                     guard.finish();
                     return write_stored(res, request, answer, CompletedCode::Replayed);
                 }
+                RequestStep::Confirm(code) => {
+                    guard.finish();
+                    return write_completed(res, request, code);
+                }
                 RequestStep::Deliver(answer) => {
                     guard.finish();
                     return write_stored(res, request, answer, CompletedCode::Complete);
@@ -196,8 +207,12 @@
     Decided(Option<RequestStep>),
 }
 
-async fn read_call(req: &mut Request, request: RequestKey) -> Result<CallerRequest, NotRunCode> {
-    let body = req.payload_with_max_size(BODY_BYTES_MAX).await;
+async fn read_call(
+    req: &mut Request,
+    request: RequestKey,
+    body_bytes_max: usize,
+) -> Result<CallerRequest, NotRunCode> {
+    let body = req.payload_with_max_size(body_bytes_max).await;
     let body = match body {
         Ok(body) => body.clone(),
         Err(salvo::http::ParseError::PayloadTooLarge) => return Err(NotRunCode::BodyTooLarge),
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -10,8 +10,11 @@
 mod front;
 mod handle;
 mod ledger;
+mod observe;
+mod peers;
 mod platform;
 mod prompt;
 mod run;
+mod serve;
 
 pub use crate::run::{RunError, run_router};
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -1,21 +1,32 @@
 //! The loop that owns the core, and the start of a router process.
 
-use std::{collections::BTreeMap, fmt, rc::Rc, time::Instant};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    sync::Arc,
+    time::Instant,
+};
 
 use base_settings::RouterSettings;
 use base_types::{RequestKey, TimePoint};
+use core_peers::PeerEvent;
 use core_router::{Effect, Event, RequestStep, RouterCore};
 use error_stack::{Report, ResultExt};
 use io_platform::PlatformClient;
-use salvo::{Listener, Router, Server, conn::TcpListener};
+use io_telemetry::RouterMetrics;
+use salvo::Router;
+use state_ledger::LedgerOrder;
 use tokio::sync::mpsc;
 
 use crate::{
-    admin::operator_router,
+    admin::{operator_router, sweep_edits},
     front::caller_router,
     handle::{LoopHandle, LoopInput},
     ledger::OperationLedger,
+    observe::{ObserveState, RequestHoop, observe_router},
+    peers::{PeerHandle, PeerLoop},
     platform::watch_platform,
+    serve::serve,
 };
 
 /// The router could not start or ended early.
@@ -41,7 +52,7 @@
         TimePoint(0).after(self.start.elapsed())
     }
 
-    fn instant(self, point: TimePoint) -> tokio::time::Instant {
+    pub(crate) fn instant(self, point: TimePoint) -> tokio::time::Instant {
         let wait = point.since(self.now());
         tokio::time::Instant::now() + wait
     }
@@ -61,58 +72,66 @@
     let clock = LoopClock { start: Instant::now() };
     let platform = PlatformClient::new(settings.platform);
     let (handle, inputs) = LoopHandle::new();
-    let caller = serve(settings.caller_listen, caller_router(handle.clone(), clock)).await?;
-    let operator = operator_router(handle.clone(), platform.clone());
-    let operator = serve(settings.operator_listen, operator).await?;
-    tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
-    tokio::task::spawn_local(stop_on_signal(handle.clone()));
+    let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
+    let limits = &settings.limits;
+    let peers = PeerLoop::start(&settings, clock, handle.clone())?;
+    let front = caller_router(handle.clone(), peers.clone(), clock, limits.body_bytes);
+    let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
+    let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
+    let observe = ObserveState {
+        handle: handle.clone(),
+        platform: platform.clone(),
+        peers: peers.clone(),
+        clock,
+        metrics,
+    };
+    let admin =
+        operator_router(handle.clone(), platform.clone(), peers.clone(), clock, settings.operators);
+    let admin = Router::new().push(observe_router(observe)).push(admin);
+    let operator =
+        serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
+    tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone(), peers.clone()));
+    tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
+    tokio::task::spawn_local(stop_on_signal(handle.clone(), peers.clone()));
     log::info!(host = settings.host.as_str(); "router started");
+    let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
     let core = RouterCore::new(settings.host, rand::random());
-    let ledger = OperationLedger::new(platform, handle);
-    CoreLoop { core, clock, ledger, steps: BTreeMap::new() }.run(inputs).await;
+    let steps = BTreeMap::new();
+    CoreLoop { core, clock, ledger, peers: peers.clone(), steps }.run(inputs).await;
+    peers.stop().await;
     caller.stop_graceful(None);
     operator.stop_graceful(None);
     log::info!("router stopped");
     Ok(())
 }
 
-async fn serve(
-    address: std::net::SocketAddr,
-    router: Router,
-) -> Result<salvo::server::ServerHandle, Report<RunError>> {
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .change_context(RunError)
-        .attach_with(|| format!("cannot listen on {address}"))?;
-    let server = Server::new(acceptor);
-    let handle = server.handle();
-    tokio::spawn(server.serve(router));
-    Ok(handle)
-}
-
-async fn stop_on_signal(handle: LoopHandle) {
+async fn stop_on_signal(handle: LoopHandle, peers: PeerHandle) {
     use tokio::signal::unix::{SignalKind, signal};
     let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
     terminate.recv().await;
+    peers.post(PeerEvent::LeaveAsked);
     handle.post(Event::ShutdownAsked);
 }
 
 struct CoreLoop {
     core: RouterCore,
     clock: LoopClock,
-    ledger: Rc<OperationLedger>,
+    ledger: OperationLedger,
+    peers: PeerHandle,
     steps: BTreeMap<RequestKey, mpsc::UnboundedSender<RequestStep>>,
 }
 
 impl CoreLoop {
     async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<LoopInput>) {
         while !self.is_done() {
-            let deadline = self.core.next_deadline();
+            let deadline = self.core.next_deadline().min(self.ledger.next_deadline());
             let timer = tokio::time::sleep_until(self.clock.instant(deadline));
             let input = tokio::select! {
                 input = inputs.recv() => input,
-                () = timer => Some(LoopInput::Post(Event::TimerFired)),
+                () = timer => {
+                    self.on_timer();
+                    continue;
+                }
             };
             let Some(input) = input else { return };
             self.on_input(input);
@@ -121,7 +140,7 @@
 
     fn is_done(&self) -> bool {
         let status = self.core.status();
-        status.leaving && status.requests == 0
+        status.leaving && status.requests == 0 && self.ledger.unfinished() == 0
     }
 
     fn on_input(&mut self, input: LoopInput) {
@@ -131,27 +150,56 @@
                 self.on_event(Event::Arrived(arrival));
             }
             LoopInput::Post(event) => self.on_event(event),
+            LoopInput::LedgerAnswered(attempt, answer) => {
+                let events = self.ledger.on_answer(self.clock.now(), attempt, answer);
+                self.on_events(events);
+            }
             LoopInput::Query(question) => question(&self.core),
         }
     }
 
+    fn on_timer(&mut self) {
+        let mut events = self.ledger.on_timer(self.clock.now());
+        events.push(Event::TimerFired);
+        self.on_events(events);
+    }
+
     fn on_event(&mut self, event: Event) {
-        let ended = ended_request(&event);
-        for effect in self.core.on_event(self.clock.now(), event) {
-            self.run_effect(effect);
+        self.on_events(vec![event]);
+    }
+
+    /// Runs events and those that the ledger answers at once, in order.
+    fn on_events(&mut self, events: Vec<Event>) {
+        let mut queue = VecDeque::from(events);
+        while let Some(event) = queue.pop_front() {
+            let ended = ended_request(&event);
+            for effect in self.core.on_event(self.clock.now(), event) {
+                queue.extend(self.run_effect(effect));
+            }
+            self.drop_closed_steps(ended);
         }
-        self.drop_closed_steps(ended);
     }
 
-    fn run_effect(&mut self, effect: Effect) {
+    fn run_effect(&mut self, effect: Effect) -> Vec<Event> {
+        let now = self.clock.now();
         match effect {
             Effect::Step(request, step) => self.send_step(request, step),
-            Effect::Claim(request, claim) => self.ledger.clone().spawn_claim(request, claim),
-            Effect::Complete(claim, answer) => self.ledger.clone().spawn_complete(claim, answer),
-            // FIXME: notices are not sent yet.
-            Effect::Notify(_) => {}
-            Effect::Release(claim) => self.ledger.clone().spawn_release(claim),
+            Effect::Claim(request, claim) => {
+                return self.ledger.on_order(now, Some(request), LedgerOrder::Claim(claim));
+            }
+            Effect::Complete(request, claim, answer) => {
+                let order = LedgerOrder::Complete(claim, answer);
+                return self.ledger.on_order(now, Some(request), order);
+            }
+            Effect::Lose(claim) => {
+                return self.ledger.on_order(now, None, LedgerOrder::Lose(claim));
+            }
+            Effect::Release(claim) => {
+                return self.ledger.on_order(now, None, LedgerOrder::Release(claim));
+            }
+            Effect::Notify(notice) => self.peers.post(PeerEvent::NoticeGiven(notice)),
         }
+        Vec::new()
     }
 
     fn drop_closed_steps(&mut self, ended: Option<RequestKey>) {
--- a/crates/state-membership/src/member.rs
+++ b/crates/state-membership/src/member.rs
@@ -28,6 +28,19 @@
     }
 }
 
+impl MemberState {
+    /// The word that operators see.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Listed => "listed",
+            Self::Alive => "alive",
+            Self::Leaving => "leaving",
+            Self::Failed => "failed",
+            Self::Left => "left",
+        }
+    }
+}
+
 impl MemberKey {
     /// Key of a host's name.
     pub fn of(name: &HostName) -> Self {
