--- a/crates/io-router/src/entry.rs
+++ b/crates/io-router/src/entry.rs
@@ -8,8 +8,9 @@
 
 use crate::peers::PeerHandle;
 
-/// Time for which callers may keep an answer.
-pub(crate) const ENTRY_KEEP: Duration = Duration::from_secs(10);
+/// Time for which callers may keep an answer; with the time in which all hear of a leaving router
+/// it stays within the time for which that router lingers.
+const ENTRY_KEEP: Duration = Duration::from_secs(9);
 
 /// Answers `GET /v1/entry`, whose query may name `chat`, `account` and `route`.
 pub(crate) struct EntryHandler(pub(crate) PeerHandle);
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -14,7 +14,9 @@
 mod peers;
 mod platform;
 mod prompt;
+mod relay;
 mod run;
 mod serve;
+mod shutdown;
 
 pub use crate::run::{RunError, run_router};
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -4,10 +4,10 @@
     collections::{BTreeMap, VecDeque},
     fmt,
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
-use base_settings::RouterSettings;
+use base_settings::{RouterSettings, StopSettings};
 use base_types::{RequestKey, TimePoint};
 use core_peers::PeerEvent;
 use core_router::{Effect, Event, RequestStep, RouterCore};
@@ -21,12 +21,13 @@
 use crate::{
     admin::{operator_router, sweep_edits},
     front::caller_router,
-    handle::{LoopHandle, LoopInput},
+    handle::{LoopHandle, LoopInput, LoopInputs},
     ledger::OperationLedger,
     observe::{ObserveState, RequestHoop, observe_router},
     peers::{PeerHandle, PeerLoop},
     platform::watch_platform,
-    serve::serve,
+    serve::{ServerTask, serve},
+    shutdown::{LeaveState, log_cut, stop_on_signal},
 };
 
 /// The router could not start or ended early.
@@ -71,11 +72,11 @@
 async fn run_local(settings: RouterSettings) -> Result<(), Report<RunError>> {
     let clock = LoopClock { start: Instant::now() };
     let platform = PlatformClient::new(settings.platform);
-    let (handle, inputs) = LoopHandle::new();
+    let (handle, mut inputs) = LoopHandle::new();
     let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
     let limits = &settings.limits;
     let peers = PeerLoop::start(&settings, clock, handle.clone())?;
-    let front = caller_router(handle.clone(), peers.clone(), clock, limits.body_bytes);
+    let front = caller_router(handle.clone(), peers.clone(), clock, limits.clone());
     let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
     let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
     let observe = ObserveState {
@@ -92,25 +93,32 @@
         serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone(), peers.clone()));
     tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
-    tokio::task::spawn_local(stop_on_signal(handle.clone(), peers.clone()));
+    tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
     let core = RouterCore::new(settings.host, rand::random());
-    let steps = BTreeMap::new();
-    CoreLoop { core, clock, ledger, peers: peers.clone(), steps }.run(inputs).await;
+    let mut core_loop = CoreLoop {
+        core,
+        clock,
+        ledger,
+        peers: peers.clone(),
+        steps: BTreeMap::new(),
+        stop: settings.stop,
+        leave: LeaveState::Staying,
+    };
+    core_loop.run(&mut inputs).await;
+    let wait = core_loop.leave.flush_wait(clock.now());
+    core_loop.run_until(&mut inputs, flush_servers(caller, operator, wait)).await;
     peers.stop().await;
-    caller.stop_graceful(None);
-    operator.stop_graceful(None);
     log::info!("router stopped");
     Ok(())
 }
 
-async fn stop_on_signal(handle: LoopHandle, peers: PeerHandle) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-    terminate.recv().await;
-    peers.post(PeerEvent::LeaveAsked);
-    handle.post(Event::ShutdownAsked);
+/// Closes the ports and waits until the last bytes of all answers are written.
+async fn flush_servers(caller: ServerTask, operator: ServerTask, wait: Duration) {
+    caller.handle.stop_graceful(wait);
+    operator.handle.stop_graceful(wait);
+    let _ = tokio::join!(caller.task, operator.task);
 }
 
 struct CoreLoop {
@@ -119,28 +127,46 @@
     ledger: OperationLedger,
     peers: PeerHandle,
     steps: BTreeMap<RequestKey, mpsc::UnboundedSender<RequestStep>>,
+    stop: StopSettings,
+    leave: LeaveState,
 }
 
 impl CoreLoop {
-    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<LoopInput>) {
-        while !self.is_done() {
-            let deadline = self.core.next_deadline().min(self.ledger.next_deadline());
-            let timer = tokio::time::sleep_until(self.clock.instant(deadline));
-            let input = tokio::select! {
-                input = inputs.recv() => input,
-                () = timer => {
-                    self.on_timer();
-                    continue;
-                }
-            };
-            let Some(input) = input else { return };
-            self.on_input(input);
+    /// Runs until the router may end.
+    async fn run(&mut self, inputs: &mut LoopInputs) {
+        while !self.may_end() {
+            self.turn(inputs).await;
+        }
+    }
+
+    /// Runs until something else has ended.
+    async fn run_until(&mut self, inputs: &mut LoopInputs, end: impl Future<Output = ()>) {
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                () = &mut end => return,
+                () = self.turn(inputs) => {}
+            }
+        }
+    }
+
+    /// Takes one input, or lets time pass until the next deadline.
+    async fn turn(&mut self, inputs: &mut LoopInputs) {
+        let timer = tokio::time::sleep_until(self.clock.instant(self.next_deadline()));
+        tokio::select! {
+            Some(input) = inputs.recv() => self.on_input(input),
+            () = timer => self.on_timer(),
         }
     }
 
-    fn is_done(&self) -> bool {
-        let status = self.core.status();
-        status.leaving && status.requests == 0 && self.ledger.unfinished() == 0
+    fn next_deadline(&self) -> TimePoint {
+        let leave = self.leave.next_deadline(self.clock.now());
+        self.core.next_deadline().min(self.ledger.next_deadline()).min(leave)
+    }
+
+    fn may_end(&self) -> bool {
+        let left = self.core.status().requests + self.ledger.unfinished();
+        self.leave.may_end(self.clock.now(), left)
     }
 
     fn on_input(&mut self, input: LoopInput) {
@@ -159,6 +185,9 @@
     }
 
     fn on_timer(&mut self) {
+        if self.leave.must_force(self.clock.now()) {
+            self.on_event(Event::StopForced);
+        }
         let mut events = self.ledger.on_timer(self.clock.now());
         events.push(Event::TimerFired);
         self.on_events(events);
@@ -173,6 +202,7 @@
         let mut queue = VecDeque::from(events);
         while let Some(event) = queue.pop_front() {
             let ended = ended_request(&event);
+            self.note_leave(&event);
             for effect in self.core.on_event(self.clock.now(), event) {
                 queue.extend(self.run_effect(effect));
             }
@@ -180,6 +210,21 @@
         }
     }
 
+    fn note_leave(&mut self, event: &Event) {
+        match event {
+            Event::ShutdownAsked => {
+                self.leave = LeaveState::leave(self.clock.now(), &self.stop);
+                self.peers.post(PeerEvent::LeaveAsked);
+                log::info!(requests = self.core.status().requests; "router is leaving");
+            }
+            Event::StopForced => {
+                self.leave = LeaveState::force(self.clock.now());
+                log::warn!(requests = self.core.status().requests; "router ends now");
+            }
+            _ => {}
+        }
+    }
+
     fn run_effect(&mut self, effect: Effect) -> Vec<Event> {
         let now = self.clock.now();
         match effect {
@@ -211,6 +256,9 @@
 
     /// A caller that left has dropped its end; the core hears of that by its own event.
     fn send_step(&mut self, request: RequestKey, step: RequestStep) {
+        if matches!(self.leave, LeaveState::Forced(_)) {
+            log_cut(request, &step);
+        }
         let last = !matches!(step, RequestStep::Send { .. });
         let Some(steps) = self.steps.get(&request) else { return };
         let _ = steps.send(step);
--- a/crates/io-router/src/serve.rs
+++ b/crates/io-router/src/serve.rs
@@ -14,15 +14,25 @@
     server::ServerHandle,
 };
 
+use tokio::task::JoinHandle;
+
 use crate::RunError;
 
+/// A port that is being served.
+pub(crate) struct ServerTask {
+    /// Stops the port.
+    pub(crate) handle: ServerHandle,
+    /// Ends when the last connection of the port has closed.
+    pub(crate) task: JoinHandle<()>,
+}
+
 /// Serves a router of handlers on a listening port until its handle stops it.
 pub(crate) async fn serve(
     address: SocketAddr,
     tls: Option<&TlsSettings>,
     limits: &LimitSettings,
     router: Router,
-) -> Result<ServerHandle, Report<RunError>> {
+) -> Result<ServerTask, Report<RunError>> {
     let listener = TcpListener::new(address);
     let refused = || format!("cannot listen on {address}");
     let Some(tls) = tls else {
@@ -39,16 +49,18 @@
     acceptor: A,
     limits: &LimitSettings,
     router: Router,
-) -> ServerHandle {
+) -> ServerTask {
+    // Callers' bodies have a deadline of their own with a result code; this gap ends all others.
+    let body_gap = limits.body_wait * 2;
     let fuse = FuseConfig::default()
         .with_tls_handshake_timeout(limits.header_wait)
         .with_http1_header_timeout(limits.header_wait)
-        .with_request_body_timeout(limits.body_wait)
+        .with_request_body_timeout(body_gap)
         .with_write_stall_timeout(limits.write_wait);
     let server = Server::new(acceptor).fuse_config(fuse);
     let mut server = server.max_connections(limits.connections);
     server.http1_mut().max_buf_size(limits.header_bytes);
     let handle = server.handle();
-    tokio::spawn(server.serve(router));
-    handle
+    let task = tokio::spawn(server.serve(router));
+    ServerTask { handle, task }
 }
