--- a/crates/core-router/src/core/arrivals.rs
+++ b/crates/core-router/src/core/arrivals.rs
@@ -35,6 +35,9 @@
         if !self.tables_complete {
             return Err(NotRunCode::TablesMissing);
         }
+        if self.trusted_until.passed(now) {
+            return Err(NotRunCode::RouterIsolated);
+        }
         let route = self.table.match_route(&arrival.path).ok_or(NotRunCode::UnknownRoute)?;
         let pool = self.table.pool(&route.pool).ok_or(NotRunCode::PoolMissing)?;
         if !pool.repeatable && arrival.operation.is_none() {
--- a/crates/io-router/src/admin.rs
+++ b/crates/io-router/src/admin.rs
@@ -28,6 +28,7 @@
         status::StatusHandler,
     },
     handle::LoopHandle,
+    peers::PeerHandle,
     run::LoopClock,
 };
 
@@ -35,6 +36,7 @@
 pub(crate) struct AdminState {
     handle: LoopHandle,
     platform: PlatformClient,
+    peers: PeerHandle,
     clock: LoopClock,
 }
 
@@ -42,10 +44,11 @@
 pub(crate) fn operator_router(
     handle: LoopHandle,
     platform: PlatformClient,
+    peers: PeerHandle,
     clock: LoopClock,
     operators: Vec<OperatorSettings>,
 ) -> Router {
-    let state = Arc::new(AdminState { handle, platform, clock });
+    let state = Arc::new(AdminState { handle, platform, peers, clock });
     let list = Arc::new(OperatorList::new(operators));
     let need = |right| Router::new().hoop(AccessHoop::new(list.clone(), right));
     let read = need(OperatorRight::Read)
--- a/crates/io-router/src/platform.rs
+++ b/crates/io-router/src/platform.rs
@@ -1,43 +1,68 @@
-//! Reading the host list and the tables from the platform.
+//! Reading the host list and the tables from the platform, for as long as it is this router's
+//! turn to watch.
 
 use std::time::Duration;
 
 use base_types::RowVersion;
+use core_peers::{PeerEvent, TableListing};
 use core_router::{Event, HostEntry, HostRole, HostState};
 use error_stack::Report;
 use io_platform::{HostRow, ObjectRecord, PlatformClient, PlatformError};
 use state_tables::{RowChange, RowContent, RowKey, TableKind, TableRevision};
+use tokio::sync::watch;
 
-use crate::handle::LoopHandle;
+use crate::{handle::LoopHandle, peers::PeerHandle};
 
 const HOSTS_EVERY: Duration = Duration::from_millis(500);
 const RETRY_AFTER_FAILURE: Duration = Duration::from_millis(500);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// Reads hosts and tables for as long as the process runs.
-pub(crate) async fn watch_platform(platform: PlatformClient, handle: LoopHandle) {
-    tokio::task::spawn_local(poll_hosts(platform.clone(), handle.clone()));
-    let mut revision = read_tables(&platform, &handle).await;
+/// Reads hosts and tables whenever this router watches; others hear of them from their peers.
+pub(crate) async fn watch_platform(
+    platform: PlatformClient,
+    handle: LoopHandle,
+    peers: PeerHandle,
+) {
+    let mut watching = peers.watching();
+    tokio::task::spawn_local(poll_hosts(platform.clone(), peers.clone()));
+    while watching.wait_for(|watches| *watches).await.is_ok() {
+        tokio::select! {
+            () = watch_tables(&platform, &handle, &peers) => {}
+            stopped = watching.wait_for(|watches| !*watches) => {
+                if stopped.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn watch_tables(platform: &PlatformClient, handle: &LoopHandle, peers: &PeerHandle) {
+    let mut revision = read_tables(platform, handle, peers).await;
     loop {
         match platform.watch("", revision, WATCH_WAIT).await {
             Ok(answer) => {
                 revision = answer.revision;
-                post_rows(&handle, answer.events);
+                peers.post(PeerEvent::PlatformHeard);
+                for change in answer.events.into_iter().filter_map(row_change) {
+                    peers.post(PeerEvent::RowRead(change));
+                }
             }
             Err(report) => {
                 wait_after(&report).await;
-                revision = read_tables(&platform, &handle).await;
+                revision = read_tables(platform, handle, peers).await;
             }
         }
     }
 }
 
-async fn poll_hosts(platform: PlatformClient, handle: LoopHandle) {
-    loop {
+async fn poll_hosts(platform: PlatformClient, peers: PeerHandle) {
+    let mut watching: watch::Receiver<bool> = peers.watching();
+    while watching.wait_for(|watches| *watches).await.is_ok() {
         match platform.hosts().await {
             Ok(list) => {
                 let hosts = list.hosts.into_iter().map(host_entry).collect();
-                handle.post(Event::HostsListed(hosts));
+                peers.post(PeerEvent::HostsPolled(hosts));
             }
             Err(report) => log::warn!("host list not read: {report:?}"),
         }
@@ -46,9 +71,13 @@
 }
 
 /// Reads all rows, trying again until the platform answers.
-async fn read_tables(platform: &PlatformClient, handle: &LoopHandle) -> RowVersion {
+async fn read_tables(
+    platform: &PlatformClient,
+    handle: &LoopHandle,
+    peers: &PeerHandle,
+) -> RowVersion {
     loop {
-        match read_tables_once(platform, handle).await {
+        match read_tables_once(platform, handle, peers).await {
             Ok(revision) => return revision,
             Err(report) => wait_after(&report).await,
         }
@@ -58,17 +87,18 @@
 async fn read_tables_once(
     platform: &PlatformClient,
     handle: &LoopHandle,
+    peers: &PeerHandle,
 ) -> Result<RowVersion, Report<PlatformError>> {
-    let mut floors = Vec::new();
+    let mut reads = Vec::new();
     let mut rows = Vec::new();
     for table in TableKind::ALL {
         let listed = platform.list(table.prefix()).await?;
         rows.extend(listed.objects.into_iter().filter_map(row_change));
-        floors.push(TableRevision { table, revision: listed.revision });
+        reads.push(TableRevision { table, revision: listed.revision });
     }
-    let revision = floors.iter().map(|read| read.revision).min().unwrap_or(RowVersion(0));
-    handle.post(Event::TablesListed(floors, rows));
-    handle.post(Event::TablesComplete);
+    let revision = reads.iter().map(|read| read.revision).min().unwrap_or(RowVersion(0));
+    handle.post(Event::TablesListed(reads.clone(), rows.clone()));
+    peers.post(PeerEvent::TablesListed(TableListing { reads, rows }));
     Ok(revision)
 }
 
@@ -77,12 +107,6 @@
     tokio::time::sleep(RETRY_AFTER_FAILURE).await;
 }
 
-fn post_rows(handle: &LoopHandle, objects: Vec<ObjectRecord>) {
-    for change in objects.into_iter().filter_map(row_change) {
-        handle.post(Event::RowHeard(change));
-    }
-}
-
 fn row_change(object: ObjectRecord) -> Option<RowChange> {
     let key = RowKey::from_object(object.key.as_str())?;
     let change = RowChange::from_object(key, object.version, object.value);
--- a/crates/io-telemetry/tests/telemetry.rs
+++ b/crates/io-telemetry/tests/telemetry.rs
@@ -4,7 +4,9 @@
 
 use base_settings::{LogFormat, SecretValue};
 use base_types::{HostName, test_cases};
-use io_telemetry::{FleetGauges, RequestSample, RouterMetrics, TargetGauge, format_record};
+use io_telemetry::{
+    ControlGauge, FleetGauges, RequestSample, RouterMetrics, TargetGauge, format_record,
+};
 use log::{Level, Record};
 
 fn check_line(format: LogFormat, message: &str, value: &str, expected: &str) {
@@ -61,6 +63,7 @@
         ready: true,
         rows: 2,
         platform_calls: 9,
+        control: vec![ControlGauge { kind: "row", sent_bytes: 7 }],
         targets: vec![target],
     };
     let text = metrics.scrape(&gauges).unwrap();
@@ -71,6 +74,7 @@
         "knapweedport_requests_in_flight 7",
         "knapweedport_ready 1",
         "knapweedport_platform_calls 9",
+        "knapweedport_control_sent_bytes{kind=\"row\"} 7",
         "knapweedport_target_own_in_flight{target=\"engine-1\"} 4",
     ] {
         assert!(text.lines().any(|other| other == line), "no `{line}` in\n{text}");
