--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! The project's automation. `cargo xtask --help` lists the tasks.
 
 mod ci;
+mod claims;
 mod demo;
 mod steps;
 mod torture;
@@ -22,6 +23,9 @@
         /// Leaves the fleet up until a line is read from standard input.
         keep: bool,
     },
+    /// Measures what claiming an operation costs.
+    #[bpaf(command)]
+    Claims,
     /// Kills, freezes and cuts off a fleet's processes and judges the history of its calls.
     #[bpaf(command)]
     Torture {
@@ -46,6 +50,7 @@
 fn main() -> ExitCode {
     let ended = match task().run() {
         Task::Ci => ci::run_ci(),
+        Task::Claims => claims::measure_claims(),
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
