--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use base_settings::LimitSettings;
 use base_types::{
     AccountName, Arrival, AttemptKey, ChatName, CompletedCode, ContentDigest, NotRunCode,
     OperationName, Refusal, RequestKey, TargetKey, UnknownCode,
@@ -29,14 +30,14 @@
     handle: LoopHandle,
     clock: LoopClock,
     clients: TargetClients,
-    body_bytes_max: usize,
+    limits: LimitSettings,
 }
 
 /// The routes of the callers' port.
-pub(crate) fn caller_router(handle: LoopHandle, clock: LoopClock, body_bytes_max: usize) -> Router {
+pub(crate) fn caller_router(handle: LoopHandle, clock: LoopClock, limits: LimitSettings) -> Router {
     let entry = EntryHandler(handle.clone());
     let clients = TargetClients::new();
-    let front = Arc::new(CallerFront { handle, clock, clients, body_bytes_max });
+    let front = Arc::new(CallerFront { handle, clock, clients, limits });
     Router::new()
         .push(Router::with_path("/v1/entry").get(entry))
         .push(Router::with_path("{**path}").goal(CallHandler(front)))
@@ -48,7 +49,7 @@
 impl Handler for CallHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let request = RequestKey(rand::random());
-        let call = match read_call(req, request, self.0.body_bytes_max).await {
+        let call = match read_call(req, request, &self.0.limits).await {
             Ok(call) => call,
             Err(code) => {
                 let now = self.0.clock.now();
@@ -208,10 +209,11 @@
 async fn read_call(
     req: &mut Request,
     request: RequestKey,
-    body_bytes_max: usize,
+    limits: &LimitSettings,
 ) -> Result<CallerRequest, NotRunCode> {
-    let body = req.payload_with_max_size(body_bytes_max).await;
-    let body = match body {
+    let body = req.payload_with_max_size(limits.body_bytes);
+    let body = tokio::time::timeout(limits.body_wait, body).await;
+    let body = match body.map_err(|_| NotRunCode::BodyTimeout)? {
         Ok(body) => body.clone(),
         Err(salvo::http::ParseError::PayloadTooLarge) => return Err(NotRunCode::BodyTooLarge),
         Err(_) => return Err(NotRunCode::MalformedRequest),
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -74,7 +74,7 @@
     let (handle, mut inputs) = LoopHandle::new();
     let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
     let limits = &settings.limits;
-    let front = caller_router(handle.clone(), clock, limits.body_bytes);
+    let front = caller_router(handle.clone(), clock, limits.clone());
     let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
     let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
     let observe = ObserveState { handle: handle.clone(), platform: platform.clone(), metrics };
--- a/crates/state-tables/src/editor/request.rs
+++ b/crates/state-tables/src/editor/request.rs
@@ -5,7 +5,7 @@
 
 use super::TableView;
 use crate::{
-    EditKey, EditRecord, RowContent, RowFault, RowKey, RowRecord, TableSet,
+    EditKey, EditRecord, RowContent, RowFault, RowKey, RowRecord, TableKind,
     port::{StoredObject, parse_value},
 };
 
@@ -42,8 +42,6 @@
         pub dry_run: bool,
         /// Random number that no other edit has.
         pub nonce: u64,
-        /// The rows that the router has in force.
-        pub tables: TableSet,
     }
 
     /// A row as the platform holds it.
@@ -102,6 +100,9 @@
     }
 }
 
+/// Owner of a row that was written past the API, whose last valid version is not known here.
+const UNKNOWN_TEAM: &str = "unknown";
+
 /// An edit that is valid with the tables it was checked against.
 pub(super) struct Draft {
     previous: Option<EditKey>,
@@ -121,7 +122,8 @@
         check_target(request, object, before.as_ref())?;
         let content = read_after(request, tables)?;
         check_team(request, &content, tables, before.as_ref())?;
-        let faults = tables.in_force.faults_with(&request.row, &content);
+        let mut faults = tables.in_force.faults_with(&request.row, &content);
+        faults.extend(unsettled_routes(&request.row, &content, tables));
         if !faults.is_empty() {
             return Err(EditRefusal::Invalid(faults));
         }
@@ -187,6 +189,33 @@
     kept.unwrap_or(PoolIdentity(request.nonce))
 }
 
+/// Faults for routes that were written past the API and are not valid.
+///
+/// Routers keep the last valid version of such a route, which is not known here. It may name any
+/// pool and match any path, so no pool is deleted and no other route written meanwhile. Edits that
+/// can contradict no route pass.
+fn unsettled_routes(key: &RowKey, content: &RowContent, tables: &TableView) -> Vec<RowFault> {
+    let can_contradict = match key {
+        RowKey::Route(_) => matches!(content, RowContent::Route(_)),
+        RowKey::Pool(_) => *content == RowContent::Tombstone,
+    };
+    if !can_contradict {
+        return Vec::new();
+    }
+    let held = tables.in_force.held_rows();
+    let unsettled = held.filter(|held| held.key.table() == TableKind::Routes && held.key != *key);
+    unsettled
+        .map(|held| RowFault {
+            key: key.to_string().into(),
+            remedy: format!(
+                "{} was written past this API and is not valid; mend or delete it first",
+                held.key
+            )
+            .into(),
+        })
+        .collect()
+}
+
 /// The row's team, before and after the edit, must be the operator's.
 fn check_team(
     request: &EditRequest,
@@ -197,6 +226,9 @@
     if request.any_team {
         return Ok(());
     }
+    if tables.objects.contains_key(&request.row) && !tables.is_settled(&request.row) {
+        return Err(EditRefusal::Foreign { owner: TeamName::new(UNKNOWN_TEAM) });
+    }
     let in_force = tables.in_force.in_force(&request.row).map(|change| &change.content);
     let written = before.and_then(|row| row.get("team")?.as_str()).map(TeamName::new);
     let owners = [in_force.and_then(team).cloned(), written, team(after).cloned()];
