--- a/crates/local-fleet/tests/shutdown.rs
+++ b/crates/local-fleet/tests/shutdown.rs
@@ -1,10 +1,15 @@
 //! A router that is asked to stop, on real processes.
 
-use std::{fs, path::PathBuf, time::Duration};
+use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
 
 use fakes::FaultOrder;
 use http::Method;
 use local_fleet::{ChatPrompt, FleetPlan, LocalFleet};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpSocket, TcpStream},
+};
 
 const POLL: Duration = Duration::from_millis(50);
 const POLLS_MAX: u32 = 400;
@@ -77,6 +82,50 @@
     wait_ended(&mut fleet).await;
 }
 
+/// Puts a pool whose calls may be repeated, which answers with the body of the call.
+async fn put_echo(fleet: &LocalFleet) {
+    let pool = json!({ "name": "echo", "team": "payments", "group": "payments",
+        "kind": "service", "repeatable": true });
+    let route = json!({ "name": "echo", "team": "payments", "path": "/echo", "pool": "echo" });
+    fleet.put_row(0, "pools/echo", None, &pool).await.unwrap();
+    fleet.put_row(0, "routes/echo", None, &route).await.unwrap();
+    fleet.wait_rows(6).await.unwrap();
+}
+
+/// A connection that takes few bytes before its caller reads.
+async fn connect_narrow(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.connect(address).await.unwrap()
+}
+
+#[tokio::test]
+async fn a_slow_caller_gets_the_last_bytes_of_a_router_that_is_done() {
+    const ANSWER_BYTES: usize = 4_000_000;
+    let (mut fleet, _) = start("flush", Duration::from_secs(60)).await;
+    put_echo(&fleet).await;
+    let mut stream = connect_narrow(fleet.routers[0].caller).await;
+    let head = format!("POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: {ANSWER_BYTES}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&vec![b'x'; ANSWER_BYTES]).await.unwrap();
+    let mut piece = [0; 4096];
+    let mut bytes = stream.read(&mut piece).await.unwrap();
+    fleet.routers[0].process.as_ref().unwrap().terminate();
+    tokio::time::sleep(LINGER * 2).await;
+    let mut last = Vec::new();
+    loop {
+        let count = stream.read(&mut piece).await.unwrap();
+        if count == 0 {
+            break;
+        }
+        bytes += count;
+        last = piece[..count].to_vec();
+    }
+    assert!(bytes > ANSWER_BYTES, "{bytes}");
+    assert!(last.ends_with(b"0\r\n\r\n"), "{:?}", String::from_utf8_lossy(&last));
+    wait_ended(&mut fleet).await;
+}
+
 #[tokio::test]
 async fn a_second_signal_ends_the_router_with_each_cut_request_accounted_for() {
     let (mut fleet, workdir) = start("forced", Duration::from_secs(60)).await;
