Test that late ends of abandoned attempts are dropped

Seven cases on the core: late whole, lost and broken ends of an attempt that is not the request's current one; an answer recorded before it is given, given after a second unrecorded; a claim that is released when its caller leaves; a late answer recorded after its caller's deadline.

--- /dev/null
+++ b/crates/core-router/tests/attempts.rs
@@ -0,0 +1,157 @@
+//! Ends of attempts that are not a request's current one are dropped.
+
+use base_types::{
+    AccountName, Arrival, AttemptKey, ContentDigest, DomainName, HostName, OperationName, PoolName,
+    RequestKey, RouteName, RowVersion, TimePoint, UnknownCode, test_cases,
+};
+use bytes::Bytes;
+use core_router::{
+    AttemptEnd, ClaimOutcome, Effect, Event, HostEntry, HostRole, HostState, RequestStep,
+    RouterCore, StoredAnswer,
+};
+use state_tables::{RowChange, RowContent, RowKey, TableFile};
+
+const REQUEST: RequestKey = RequestKey(1);
+const NOW: TimePoint = TimePoint(1_000_000);
+const TABLES: &str = r#"
+[[pool]]
+name = "pool"
+team = "team"
+group = "group"
+kind = "service"
+repeatable = REPEATABLE
+
+[[route]]
+name = "route"
+team = "team"
+path = "/"
+pool = "pool"
+"#;
+
+fn core(repeatable: bool) -> RouterCore {
+    let mut core = RouterCore::new(HostName::new("router-0"), 7);
+    let mut file =
+        TableFile::parse(&TABLES.replace("REPEATABLE", &repeatable.to_string())).unwrap();
+    let change = |key, content| Event::RowHeard(RowChange { key, version: RowVersion(1), content });
+    let hosts = (0..3).map(|index| HostEntry {
+        name: HostName::new(&format!("target-{index}")),
+        role: HostRole::Target,
+        group: "group".into(),
+        address: format!("127.0.0.1:{index}").into(),
+        peer: None,
+        failure_domain: DomainName::new("domain"),
+        state: HostState::Live,
+    });
+    let events = [
+        change(RowKey::Pool(PoolName::new("pool")), RowContent::Pool(file.pools.remove(0))),
+        change(RowKey::Route(RouteName::new("route")), RowContent::Route(file.routes.remove(0))),
+        Event::HostsListed(hosts.collect()),
+        Event::TablesComplete,
+    ];
+    for event in events {
+        core.on_event(TimePoint(0), event);
+    }
+    core
+}
+
+fn arrive(core: &mut RouterCore) -> Vec<Effect> {
+    let arrival = Arrival {
+        request: REQUEST,
+        path: "/".into(),
+        account: AccountName::new("counter"),
+        chat: None,
+        operation: Some(OperationName::new("payment")),
+        content: ContentDigest(1),
+        prompt_head: Bytes::new(),
+        tokens: 1,
+        deadline: TimePoint(5_000_000),
+    };
+    core.on_event(NOW, Event::Arrived(arrival))
+}
+
+fn sent_attempt(effects: &[Effect]) -> AttemptKey {
+    let attempt = effects.iter().find_map(|effect| match effect {
+        Effect::Step(_, RequestStep::Send { attempt, .. }) => Some(*attempt),
+        _ => None,
+    });
+    attempt.unwrap_or_else(|| panic!("nothing was sent: {effects:?}"))
+}
+
+fn answer() -> StoredAnswer {
+    StoredAnswer { status: 200, content_type: "text/plain".into(), body: Bytes::from_static(b"a") }
+}
+
+/// Effects on the request, without notices to other routers.
+fn run(core: &mut RouterCore, now: TimePoint, event: Event) -> Vec<Effect> {
+    let mut effects = core.on_event(now, event);
+    effects.retain(|effect| !matches!(effect, Effect::Notify(_)));
+    effects
+}
+
+fn end(core: &mut RouterCore, attempt: AttemptKey, end: AttemptEnd) -> Vec<Effect> {
+    run(core, NOW, Event::AttemptEnded(REQUEST, attempt, end))
+}
+
+/// The first attempt is lost and another is in flight; then the first one ends once more.
+fn check_abandoned(late: AttemptEnd) {
+    let mut core = core(true);
+    let first = sent_attempt(&arrive(&mut core));
+    let lost = AttemptEnd::LostEarly(UnknownCode::TargetLost);
+    let second = sent_attempt(&end(&mut core, first, lost));
+    assert_ne!(first, second);
+    assert_eq!(end(&mut core, first, late), []);
+    assert_eq!(core.status().requests, 1);
+    end(&mut core, second, AttemptEnd::Whole(None));
+    assert_eq!(core.status().requests, 0);
+}
+
+test_cases! {
+    check_abandoned:
+    a_late_whole_answer_is_dropped(AttemptEnd::Whole(None));
+    a_late_loss_is_dropped(AttemptEnd::LostEarly(UnknownCode::TargetLost));
+    a_late_break_is_dropped(AttemptEnd::LostLate);
+}
+
+fn claimed(core: &mut RouterCore) -> AttemptKey {
+    arrive(core);
+    sent_attempt(&core.on_event(NOW, Event::ClaimAnswered(REQUEST, ClaimOutcome::Held)))
+}
+
+#[test]
+fn an_answer_is_recorded_before_it_is_given() {
+    let mut core = core(false);
+    let attempt = claimed(&mut core);
+    let effects = end(&mut core, attempt, AttemptEnd::Whole(Some(answer())));
+    assert!(matches!(effects[..], [Effect::Complete(REQUEST, ..)]), "{effects:?}");
+    let effects = run(&mut core, NOW, Event::AnswerRecorded(REQUEST));
+    assert_eq!(effects, [Effect::Step(REQUEST, RequestStep::Deliver(answer()))]);
+}
+
+#[test]
+fn an_answer_that_is_not_recorded_in_time_is_given() {
+    let mut core = core(false);
+    let attempt = claimed(&mut core);
+    end(&mut core, attempt, AttemptEnd::Whole(Some(answer())));
+    let effects = run(&mut core, TimePoint(2_000_000), Event::TimerFired);
+    assert_eq!(effects, [Effect::Step(REQUEST, RequestStep::Deliver(answer()))]);
+}
+
+#[test]
+fn a_caller_that_leaves_before_its_claim_is_confirmed_releases_it() {
+    let mut core = core(false);
+    arrive(&mut core);
+    let effects = run(&mut core, NOW, Event::CallerLeft(REQUEST));
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Release(_))), "{effects:?}");
+    assert_eq!(run(&mut core, NOW, Event::ClaimAnswered(REQUEST, ClaimOutcome::Held)), []);
+}
+
+#[test]
+fn a_late_answer_of_an_operation_is_recorded_after_its_callers_deadline() {
+    let mut core = core(false);
+    let attempt = claimed(&mut core);
+    let told = run(&mut core, TimePoint(5_000_000), Event::TimerFired);
+    assert!(matches!(told[..], [Effect::Step(REQUEST, RequestStep::Refuse(_))]), "{told:?}");
+    let effects = end(&mut core, attempt, AttemptEnd::Whole(Some(answer())));
+    assert!(matches!(effects[..], [Effect::Complete(REQUEST, ..)]), "{effects:?}");
+    assert_eq!(core.status().requests, 0);
+}
