--- a/crates/history-check/src/lib.rs
+++ b/crates/history-check/src/lib.rs
@@ -6,8 +6,10 @@
 mod check;
 mod history;
 mod register;
+mod rows;
 
 pub use crate::{
     check::{HistoryChecker, Violation},
     history::{CallEnd, CallRecord, RunHistory, RunRecord},
+    rows::{AcceptedEdit, DelaySummary, RowEdition, RowHistory, RowView, RowViolation},
 };
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,11 +3,14 @@
 mod ci;
 mod demo;
 mod steps;
+mod tables;
 
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 
+use crate::tables::RunFaults;
+
 /// Runs one of the project's tasks.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
@@ -21,6 +24,14 @@
         /// Leaves the fleet up until a line is read from standard input.
         keep: bool,
     },
+    /// Edits the tables while routers and the platform fail, and checks what was in force where.
+    #[bpaf(command)]
+    Tables {
+        /// Freezes a router for longer than an edit may take, to show that the check can fail.
+        freeze: bool,
+        /// Breaks nothing, to measure how fast edits are in force.
+        calm: bool,
+    },
     /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
     #[bpaf(command)]
     Measure {
@@ -34,6 +45,9 @@
     let ended = match task().run() {
         Task::Ci => ci::run_ci(),
         Task::Demo { keep } => demo::run_demo(keep),
+        Task::Tables { freeze: true, .. } => tables::run_tables(RunFaults::Freeze),
+        Task::Tables { calm: true, .. } => tables::run_tables(RunFaults::None),
+        Task::Tables { .. } => tables::run_tables(RunFaults::All),
         Task::Measure { arguments } => steps::run_measure(&arguments),
     };
     match ended {
