--- a/crates/history-check/src/rows.rs
+++ b/crates/history-check/src/rows.rs
@@ -157,10 +157,7 @@
     }
 
     fn editions(&self) -> impl Iterator<Item = RowEdition> {
-        let edition = |(row, version): (&Box<str>, &RowVersion)| RowEdition {
-            row: row.clone(),
-            version: *version,
-        };
-        self.versions.iter().map(edition)
+        let versions = self.versions.iter();
+        versions.map(|(row, version)| RowEdition { row: row.clone(), version: *version })
     }
 }
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use base_settings::LimitSettings;
 use base_types::{
     AccountName, Arrival, AttemptKey, ChatName, CompletedCode, ContentDigest, NotRunCode,
     OperationName, Refusal, RequestKey, TargetKey, UnknownCode,
@@ -17,6 +18,7 @@
     forward::{BegunAnswer, CallerRequest, OnceEnd, SendEnd, TargetClients},
     handle::{CallerGuard, LoopHandle},
     prompt::ChatPrompt,
+    relay::{RelayContext, relay_answer},
     run::LoopClock,
 };
 
@@ -28,14 +30,14 @@
     handle: LoopHandle,
     clock: LoopClock,
     clients: TargetClients,
-    body_bytes_max: usize,
+    limits: LimitSettings,
 }
 
 /// The routes of the callers' port.
-pub(crate) fn caller_router(handle: LoopHandle, clock: LoopClock, body_bytes_max: usize) -> Router {
+pub(crate) fn caller_router(handle: LoopHandle, clock: LoopClock, limits: LimitSettings) -> Router {
     let entry = EntryHandler(handle.clone());
     let clients = TargetClients::new();
-    let front = Arc::new(CallerFront { handle, clock, clients, body_bytes_max });
+    let front = Arc::new(CallerFront { handle, clock, clients, limits });
     Router::new()
         .push(Router::with_path("/v1/entry").get(entry))
         .push(Router::with_path("{**path}").goal(CallHandler(front)))
@@ -47,7 +49,7 @@
 impl Handler for CallHandler {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let request = RequestKey(rand::random());
-        let call = match read_call(req, request, self.0.body_bytes_max).await {
+        let call = match read_call(req, request, &self.0.limits).await {
             Ok(call) => call,
             Err(code) => {
                 let now = self.0.clock.now();
@@ -119,7 +121,16 @@
                         SendRace::Decided(step) => step,
                         SendRace::Ended(SendEnd::Answered(answer)) => {
                             self.report_load(target, &answer.headers);
-                            return self.stream(res, answer, (request, attempt), guard);
+                            let context = RelayContext {
+                                handle: self.handle.clone(),
+                                clients: self.clients.clone(),
+                                call,
+                                address,
+                                attempt,
+                                guard,
+                                steps,
+                            };
+                            return stream_answer(res, answer, context);
                         }
                         SendRace::Ended(end) => {
                             self.post_failure(request, attempt, &end);
@@ -131,21 +142,6 @@
         }
     }
 
-    fn stream(
-        &self,
-        res: &mut Response,
-        answer: BegunAnswer,
-        (request, attempt): (RequestKey, AttemptKey),
-        guard: CallerGuard,
-    ) {
-        res.status_code(answer.status);
-        if let Some(value) = answer.headers.get(header::CONTENT_TYPE) {
-            res.headers_mut().insert(header::CONTENT_TYPE, value.clone());
-        }
-        write_identity(res, request, CompletedCode::Complete.number());
-        res.stream(answer.into_stream(self.handle.clone(), request, attempt, guard));
-    }
-
     /// Sends a request until its answer begins or the core decides otherwise.
     async fn race(
         &self,
@@ -195,6 +191,15 @@
     }
 }
 
+fn stream_answer(res: &mut Response, answer: BegunAnswer, context: RelayContext) {
+    res.status_code(answer.status);
+    if let Some(value) = answer.headers.get(header::CONTENT_TYPE) {
+        res.headers_mut().insert(header::CONTENT_TYPE, value.clone());
+    }
+    write_identity(res, context.call.request, CompletedCode::Complete.number());
+    res.stream(relay_answer(context, answer));
+}
+
 /// What came first: the end of sending, or another step from the core.
 enum SendRace {
     Ended(SendEnd),
@@ -204,10 +209,11 @@
 async fn read_call(
     req: &mut Request,
     request: RequestKey,
-    body_bytes_max: usize,
+    limits: &LimitSettings,
 ) -> Result<CallerRequest, NotRunCode> {
-    let body = req.payload_with_max_size(body_bytes_max).await;
-    let body = match body {
+    let body = req.payload_with_max_size(limits.body_bytes);
+    let body = tokio::time::timeout(limits.body_wait, body).await;
+    let body = match body.map_err(|_| NotRunCode::BodyTimeout)? {
         Ok(body) => body.clone(),
         Err(salvo::http::ParseError::PayloadTooLarge) => return Err(NotRunCode::BodyTooLarge),
         Err(_) => return Err(NotRunCode::MalformedRequest),
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -13,7 +13,10 @@
 mod observe;
 mod platform;
 mod prompt;
+mod relay;
+mod retention;
 mod run;
 mod serve;
+mod shutdown;
 
 pub use crate::run::{RunError, run_router};
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod steps;
 mod tables;
+mod torture;
 
 use std::process::ExitCode;
 
@@ -32,6 +33,18 @@
         /// Breaks nothing, to measure how fast edits are in force.
         calm: bool,
     },
+    /// Kills, freezes and cuts off a fleet's processes and judges the history of its calls.
+    #[bpaf(command)]
+    Torture {
+        /// Time for which faults are shown, in minutes.
+        #[bpaf(argument("MINUTES"), fallback(1.0))]
+        minutes: f64,
+        /// Seed of callers and faults.
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Tortures a build whose ledger does not wait for its claims; this must fail.
+        broken: bool,
+    },
     /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
     #[bpaf(command)]
     Measure {
@@ -44,6 +57,9 @@
 fn main() -> ExitCode {
     let ended = match task().run() {
         Task::Ci => ci::run_ci(),
+        Task::Torture { minutes, seed, broken } => {
+            torture::run_torture(torture::TorturePlan { minutes, seed, broken })
+        }
         Task::Demo { keep } => demo::run_demo(keep),
         Task::Tables { freeze: true, .. } => tables::run_tables(RunFaults::Freeze),
         Task::Tables { calm: true, .. } => tables::run_tables(RunFaults::None),
