Add a bench of one router

Change: `cargo xtask bench` measures added latency as a ratio in one run, throughput for each second of a core, start time and resting memory on a release build.

--- /dev/null
+++ b/xtask/src/bench.rs
@@ -0,0 +1,159 @@
+//! The bench of one router: added latency, throughput on one core, start time, resting memory.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use error_stack::{Report, ResultExt};
+use hdrhistogram::Histogram;
+use http::Method;
+use local_fleet::{ChatPrompt, FleetPlan, HttpCaller, LocalFleet};
+
+use crate::steps::{TaskError, cargo, program_folder};
+
+const ENGINES: usize = 12;
+const PAIRS: usize = 1000;
+const WARM_PAIRS: usize = 50;
+const CALLERS: usize = 64;
+const LOAD_TIME: Duration = Duration::from_secs(5);
+const REST_TIME: Duration = Duration::from_secs(1);
+const PATH: &str = "/v1/chat/completions";
+/// Clock ticks of `/proc/PID/stat` in a second.
+const TICKS_PER_SECOND: f64 = 100.0;
+const START_POLL: Duration = Duration::from_millis(2);
+
+/// Builds a release fleet of one router and 12 engines and prints what is measured.
+pub(crate) fn run_bench() -> Result<(), Report<TaskError>> {
+    cargo(&["build", "--locked", "--release", "--package", "knapweedport", "--package", "fakes"])?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(TaskError)?;
+    runtime.block_on(measure())
+}
+
+async fn measure() -> Result<(), Report<TaskError>> {
+    let programs = program_folder("release")?;
+    let plan = FleetPlan::new(&programs, &programs.join("bench"));
+    let plan = plan.routers(1).domains(1).engines(ENGINES).services(1);
+    let mut fleet = LocalFleet::start(plan).await.change_context(TaskError)?;
+    fleet.put_tables().await.change_context(TaskError)?;
+    measure_latency(&fleet).await?;
+    measure_throughput(&fleet).await?;
+    measure_start(&mut fleet).await
+}
+
+/// Calls an engine directly and through the router by turns, on kept connections.
+async fn measure_latency(fleet: &LocalFleet) -> Result<(), Report<TaskError>> {
+    let mut direct = histogram()?;
+    let mut routed = histogram()?;
+    for pair in 0..WARM_PAIRS + PAIRS {
+        let engine = fleet.engines[pair % ENGINES].address;
+        let first = timed_call(fleet.caller(), engine).await?;
+        let second = timed_call(fleet.caller(), fleet.routers[0].caller).await?;
+        if pair >= WARM_PAIRS {
+            direct.record(first).change_context(TaskError)?;
+            routed.record(second).change_context(TaskError)?;
+        }
+    }
+    for quantile in [0.5, 0.99] {
+        let (straight, through) =
+            (direct.value_at_quantile(quantile), routed.value_at_quantile(quantile));
+        println!(
+            "p{:<3} direct {straight} us, through the router {through} us, ratio {:.3}",
+            quantile * 100.0,
+            through as f64 / straight as f64,
+        );
+    }
+    Ok(())
+}
+
+/// Keeps the router busy and divides the answers by its processor time.
+async fn measure_throughput(fleet: &LocalFleet) -> Result<(), Report<TaskError>> {
+    let router = &fleet.routers[0];
+    let process = router.process.as_ref().ok_or_else(|| Report::new(TaskError))?.id();
+    let whole = Arc::new(AtomicU64::new(0));
+    let before = processor_seconds(process)?;
+    let end = Instant::now() + LOAD_TIME;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            tokio::spawn(call_until(fleet.caller().clone(), router.caller, end, whole.clone()))
+        })
+        .collect();
+    for caller in callers {
+        caller.await.change_context(TaskError)?;
+    }
+    let spent = processor_seconds(process)? - before;
+    let answers = whole.load(Ordering::Relaxed) as f64;
+    println!(
+        "{:.0} whole answers a second from {CALLERS} callers; {:.0} for each second of one core",
+        answers / LOAD_TIME.as_secs_f64(),
+        answers / spent,
+    );
+    Ok(())
+}
+
+/// Starts the router anew, until it is ready, and reads its memory at rest.
+async fn measure_start(fleet: &mut LocalFleet) -> Result<(), Report<TaskError>> {
+    fleet.routers[0].process = None;
+    let start = Instant::now();
+    fleet.start_router(0).change_context(TaskError)?;
+    let operator = fleet.routers[0].operator;
+    loop {
+        let ready = fleet.caller().call(Method::GET, operator, "/ready", &[], "").await;
+        if ready.is_ok_and(|answer| answer.status.is_success()) {
+            break;
+        }
+        tokio::time::sleep(START_POLL).await;
+    }
+    println!("ready {} ms after its start", start.elapsed().as_millis());
+    tokio::time::sleep(REST_TIME).await;
+    let process = fleet.routers[0].process.as_ref().ok_or_else(|| Report::new(TaskError))?.id();
+    println!("rests at {:.1} MB", resident_megabytes(process)?);
+    Ok(())
+}
+
+async fn timed_call(caller: &HttpCaller, address: SocketAddr) -> Result<u64, Report<TaskError>> {
+    let prompt = ChatPrompt { text: "A short prompt.".into(), tokens: 1 };
+    let start = Instant::now();
+    let answer = caller.call(Method::POST, address, PATH, &[], prompt.body()).await;
+    let elapsed = start.elapsed();
+    let answer = answer.change_context(TaskError)?;
+    if prompt.check(&answer).is_err() {
+        return Err(Report::new(TaskError).attach("an answer is not whole"));
+    }
+    u64::try_from(elapsed.as_micros()).change_context(TaskError)
+}
+
+async fn call_until(caller: HttpCaller, address: SocketAddr, end: Instant, whole: Arc<AtomicU64>) {
+    while Instant::now() < end {
+        if timed_call(&caller, address).await.is_ok() {
+            whole.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn histogram() -> Result<Histogram<u64>, Report<TaskError>> {
+    Histogram::new(3).change_context(TaskError)
+}
+
+/// User and system time of a process, fields 14 and 15 of its `stat`.
+fn processor_seconds(process: u32) -> Result<f64, Report<TaskError>> {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).change_context(TaskError)?;
+    let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+    let ticks: f64 = fields.skip(11).take(2).filter_map(|field| field.parse::<f64>().ok()).sum();
+    Ok(ticks / TICKS_PER_SECOND)
+}
+
+fn resident_megabytes(process: u32) -> Result<f64, Report<TaskError>> {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).change_context(TaskError)?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kilobytes.map(|kilobytes| kilobytes / 1024.0).ok_or_else(|| Report::new(TaskError))
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! The project's automation. `cargo xtask --help` lists the tasks.
 
+mod bench;
 mod ci;
 mod demo;
 mod steps;
@@ -34,6 +35,9 @@
         /// Tortures a build whose ledger does not wait for its claims; this must fail.
         broken: bool,
     },
+    /// Measures a release router: added latency, throughput, start time, memory.
+    #[bpaf(command)]
+    Bench,
     /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
     #[bpaf(command)]
     Measure {
@@ -49,6 +53,7 @@
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
+        Task::Bench => bench::run_bench(),
         Task::Demo { keep } => demo::run_demo(keep),
         Task::Measure { arguments } => steps::run_measure(&arguments),
     };
