--- a/crates/base-settings/tests/settings.rs
+++ b/crates/base-settings/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use base_settings::{FileReader, LimitSettings, LogFormat, RouterSettings};
+use base_settings::{FileReader, LimitSettings, LogFormat, LogSettings, RouterSettings};
 use base_types::test_cases;
 use insta::assert_snapshot;
 use proptest::prelude::*;
@@ -152,3 +152,22 @@
         assert!(fault.line.is_none_or(|line| (1..=lines).contains(&line)));
     }
 }
+
+/// The example in the docs names every setting and shows the defaults.
+#[test]
+fn the_documented_example_shows_the_defaults() {
+    let text = include_str!("../../../docs/examples/router.toml");
+    let files = key_files();
+    let named =
+        [("ca.pem", "cert.pem"), ("router-0.pem", "cert.pem"), ("router-0-key.pem", "key.pem")];
+    let copies = named.map(|(name, of)| (name.to_owned(), files.0[of].clone()));
+    let files = MemoryFiles(copies.into());
+    let settings = RouterSettings::parse(text, &files).unwrap();
+    assert_eq!(settings.limits, LimitSettings::default());
+    assert_eq!(settings.log, LogSettings::default());
+    assert_eq!(settings.peers.control_bytes_per_second, 3000);
+    let optional =
+        text.replace("# [", "[").replace("# certificate", "certificate").replace("# key", "key");
+    let settings = RouterSettings::parse(&optional, &files).unwrap();
+    assert!(settings.caller_tls.is_some() && settings.operator_tls.is_some());
+}
--- a/crates/knapweedport/tests/command.rs
+++ b/crates/knapweedport/tests/command.rs
@@ -2,9 +2,12 @@
 
 use std::{
     fs,
+    io::{Read, Write},
+    net::TcpListener,
     os::unix::fs::PermissionsExt,
     path::PathBuf,
     process::{Command, Output},
+    thread,
 };
 
 use base_types::test_cases;
@@ -138,3 +141,60 @@
     assert!(!String::from_utf8_lossy(&shown.stdout).contains("PRIVATE"));
     fs::remove_dir_all(folder).unwrap();
 }
+
+const TOKEN: &str = "a-token-that-is-never-shown";
+
+/// Answers one call with fixed bytes and returns the call.
+fn answer_once(answer: &'static str) -> (String, thread::JoinHandle<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let call = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut bytes = [0; 4096];
+        let length = stream.read(&mut bytes).unwrap();
+        stream.write_all(answer.as_bytes()).unwrap();
+        String::from_utf8_lossy(&bytes[..length]).into_owned()
+    });
+    (address, call)
+}
+
+fn check_answer(answer: &'static str, code: i32) {
+    let (address, call) = answer_once(answer);
+    let token = write(&format!("token-{}", address.replace(':', "-")), TOKEN);
+    let token = token.display().to_string();
+    let output = run(&[
+        "route",
+        "delete",
+        "chat",
+        "--router",
+        &address,
+        "--token-file",
+        &token,
+        "--if-version",
+        "9",
+        "--reason",
+        "test",
+    ]);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    let call = call.join().unwrap();
+    assert!(call.starts_with("DELETE /admin/v1/routes/chat HTTP/1.1"), "{call}");
+    for header in [format!("authorization: Bearer {TOKEN}"), "if-match: \"9\"".to_owned()] {
+        assert!(call.contains(&header), "{call}");
+    }
+    let shown = [output.stdout, output.stderr].concat();
+    assert!(!String::from_utf8_lossy(&shown).contains(TOKEN));
+}
+
+test_cases! {
+    check_answer:
+    a_deleted_row("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", 0);
+    faults_found_by_the_router("HTTP/1.1 422 F\r\ncontent-length: 0\r\n\r\n", 3);
+    a_router_without_its_platform("HTTP/1.1 503 F\r\ncontent-length: 0\r\n\r\n", 4);
+    a_token_without_the_right("HTTP/1.1 403 F\r\ncontent-length: 0\r\n\r\n", 5);
+    an_unknown_token("HTTP/1.1 401 F\r\ncontent-length: 0\r\n\r\n", 5);
+    another_version("HTTP/1.1 412 F\r\ncontent-length: 0\r\n\r\n", 6);
+    no_such_row("HTTP/1.1 404 F\r\ncontent-length: 0\r\n\r\n", 7);
+    an_edit_that_nobody_answers_for("HTTP/1.1 504 F\r\ncontent-length: 0\r\n\r\n", 8);
+    a_connection_closed_without_an_answer("", 8);
+    an_answer_cut_short("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{", 8);
+}
