--- a/crates/core-router/tests/attempts.rs
+++ b/crates/core-router/tests/attempts.rs
@@ -13,6 +13,7 @@
 
 const REQUEST: RequestKey = RequestKey(1);
 const NOW: TimePoint = TimePoint(1_000_000);
+const DEADLINE: TimePoint = TimePoint(5_000_000);
 const TABLES: &str = r#"
 [[pool]]
 name = "pool"
@@ -66,7 +67,7 @@
         content: ContentDigest(1),
         prompt_head: Bytes::new(),
         tokens: 1,
-        deadline: TimePoint(5_000_000),
+        deadline: DEADLINE,
     };
     core.on_event(NOW, Event::Arrived(arrival))
 }
@@ -94,12 +95,25 @@
     run(core, NOW, Event::AttemptEnded(REQUEST, attempt, end))
 }
 
+/// The retry of a lost attempt waits, as its content is suspect; fires timers until it is sent.
+fn fire_until_sent(core: &mut RouterCore) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    while !effects.iter().any(|effect| matches!(effect, Effect::Step(_, RequestStep::Send { .. })))
+        && core.next_deadline() < DEADLINE
+    {
+        effects.extend(core.on_event(core.next_deadline(), Event::TimerFired));
+    }
+    effects
+}
+
 /// The first attempt is lost and another is in flight; then the first one ends once more.
 fn check_abandoned(late: AttemptEnd) {
     let mut core = core(true);
     let first = sent_attempt(&arrive(&mut core));
     let lost = AttemptEnd::LostEarly(UnknownCode::TargetLost);
-    let second = sent_attempt(&end(&mut core, first, lost));
+    let mut effects = end(&mut core, first, lost);
+    effects.extend(fire_until_sent(&mut core));
+    let second = sent_attempt(&effects);
     assert_ne!(first, second);
     assert_eq!(end(&mut core, first, late), []);
     assert_eq!(core.status().requests, 1);
