Send each piece of an answer at once

The HTTP server sets no TCP_NODELAY, so the last piece of a streamed answer waits for a delayed acknowledgement. Ruled out: the ledger, which the repeatable call does not use.

--- a/crates/io-router/src/serve.rs
+++ b/crates/io-router/src/serve.rs
@@ -7,17 +7,20 @@
 use salvo::{
     Listener, Router, Server,
     conn::{
-        Acceptor, TcpListener,
-        rustls::{Keycert, RustlsConfig},
+        Acceptor,
+        rustls::{Keycert, RustlsConfig, RustlsListener},
+        tcp::TcpAcceptor,
     },
     fuse::FuseConfig,
     server::ServerHandle,
 };
-
-use tokio::task::JoinHandle;
+use tokio::{net::TcpSocket, task::JoinHandle};
 
 use crate::RunError;
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// A port that is being served.
 pub(crate) struct ServerTask {
     /// Stops the port.
@@ -33,18 +36,37 @@
     limits: &LimitSettings,
     router: Router,
 ) -> Result<ServerTask, Report<RunError>> {
-    let listener = TcpListener::new(address);
+    let listener = PromptListener(address);
     let refused = || format!("cannot listen on {address}");
     let Some(tls) = tls else {
         let acceptor = listener.try_bind().await.change_context(RunError).attach_with(refused)?;
         return Ok(spawn_server(acceptor, limits, router));
     };
     let keycert = Keycert::new().cert(tls.certificates.as_ref()).key(tls.key.reveal().as_ref());
-    let acceptor = listener.rustls(RustlsConfig::new(keycert)).try_bind().await;
+    let listener = RustlsListener::new(RustlsConfig::new(keycert), listener);
+    let acceptor = listener.try_bind().await;
     let acceptor = acceptor.change_context(RunError).attach_with(refused)?;
     Ok(spawn_server(acceptor, limits, router))
 }
 
+/// A listener whose connections send each piece at once.
+///
+/// Accepted connections take the option over from the listening socket. Without it the last piece
+/// of a streamed answer waits for the caller's delayed acknowledgement, some 40 ms.
+struct PromptListener(SocketAddr);
+
+impl Listener for PromptListener {
+    type Acceptor = TcpAcceptor;
+
+    async fn try_bind(self) -> salvo::Result<TcpAcceptor> {
+        let socket = if self.0.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_nodelay(true)?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.0)?;
+        Ok(TcpAcceptor::try_from(socket.listen(BACKLOG)?)?)
+    }
+}
+
 fn spawn_server<A: Acceptor + Send + 'static>(
     acceptor: A,
     limits: &LimitSettings,
