--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -1,9 +1,10 @@
 //! Choosing a target for a request and sending it.
 
-use std::time::Duration;
-
-use base_types::{Arrival, NotRunCode, TargetKey, TimePoint, UnknownCode};
-use policy_routing::{ChoiceQuery, ChoiceReason, TargetChoice, affinity_hash, choose_target};
+use base_types::{
+    Arrival, NotRunCode, PlacementToken, RequestKey, TargetKey, TimePoint, UnknownCode, key_types,
+};
+use policy_retries::BudgetKey;
+use policy_routing::{ChoiceQuery, ChoiceReason, affinity_hash, choose_target};
 use state_tables::PoolRow;
 
 use crate::{
@@ -13,9 +14,60 @@
 };
 
 const ATTEMPTS_MAX: usize = 3;
-const HOLD_AFTER_REFUSAL: Duration = Duration::from_secs(2);
+
+key_types! {
+    /// A chosen target and the placement that the chat has after it.
+    pub(super) struct ChosenTarget {
+        target: TargetKey,
+        placement: PlacementToken,
+    }
+}
+
+key_types! {
+    /// Where a request may go.
+    pub(super) enum TargetPick {
+        /// To a target, now.
+        Target(ChosenTarget),
+        /// Its content is suspect and waits until a point in time.
+        Later(TimePoint),
+        /// Its content is refused until a point in time.
+        Condemned(TimePoint),
+        /// No target takes it.
+        Nowhere,
+    }
+}
 
 impl RouterCore {
+    /// Keeps a request until a point in time.
+    fn park(&mut self, now: TimePoint, live: LiveRequest, until: TimePoint) {
+        let Some(key) = live.waiting_key() else { return };
+        self.note(now, key, "Waits until its suspect content may run once more.".to_owned());
+        self.wakes.insert((until, key));
+        self.requests.insert(key, live);
+    }
+
+    /// Goes on with a request whose wait has ended.
+    pub(super) fn on_wake(&mut self, now: TimePoint, key: RequestKey) {
+        match self.requests.remove(&key) {
+            Some(LiveRequest::Fresh(request)) => {
+                let Some(pool) = self.table.pool(&request.pool).cloned() else {
+                    return self.refuse_fresh(now, request, NotRunCode::PoolMissing);
+                };
+                self.dispatch_fresh(now, request, &pool);
+            }
+            Some(LiveRequest::Repeating(request)) => {
+                self.dispatch_again(now, request, UnknownCode::TargetLost);
+            }
+            Some(live) => drop(self.requests.insert(key, live)),
+            None => {}
+        }
+    }
+
+    /// Whether the budget allows a try; first tries are free.
+    fn may_try<State>(&mut self, request: &Request<State>) -> bool {
+        request.tried.is_empty() || self.budgets.spend(&budget_key(request))
+    }
+
     pub(super) fn dispatch_fresh(
         &mut self,
         now: TimePoint,
@@ -28,13 +80,25 @@
         if request.tried.len() >= ATTEMPTS_MAX {
             return self.refuse_fresh(now, request, NotRunCode::RetriesSpent);
         }
-        let Some(choice) = self.choose(now, &request.arrival, &request.tried, pool) else {
-            let code = self.refusal_without_choice(now, &request.tried, pool);
-            return self.refuse_fresh(now, request, code);
+        let choice = match self.pick(now, &request.arrival, &request.tried, pool) {
+            TargetPick::Target(choice) => choice,
+            TargetPick::Later(at) if at < request.arrival.deadline => {
+                return self.park(now, LiveRequest::Fresh(request), at);
+            }
+            TargetPick::Later(until) | TargetPick::Condemned(until) => {
+                return self.refuse_until(now, request, NotRunCode::ContentSuspect, until);
+            }
+            TargetPick::Nowhere => {
+                let code = self.refusal_without_choice(now, &request.tried, pool);
+                return self.refuse_fresh(now, request, code);
+            }
         };
+        if !self.may_try(&request) {
+            return self.refuse_fresh(now, request, NotRunCode::RetriesSpent);
+        }
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
-        self.send(now, sent);
+        self.send(now, sent, choice.placement);
     }
 
     pub(super) fn dispatch_again(
@@ -50,12 +114,20 @@
         if request.tried.len() >= ATTEMPTS_MAX || request.arrival.deadline.passed(now) {
             return self.give_up(now, request, code);
         }
-        let Some(choice) = self.choose(now, &request.arrival, &request.tried, &pool) else {
-            return self.give_up(now, request, code);
+        let choice = match self.pick(now, &request.arrival, &request.tried, &pool) {
+            TargetPick::Target(choice) => choice,
+            TargetPick::Later(at) if at < request.arrival.deadline => {
+                return self.park(now, LiveRequest::Repeating(request), at);
+            }
+            _ => return self.give_up(now, request, code),
         };
+        if !self.may_try(&request) {
+            self.note(now, request.arrival.request, "The retry budget is spent.".to_owned());
+            return self.give_up(now, request, code);
+        }
         let attempt = self.next_attempt();
         let sent = request.send(attempt, choice.target);
-        self.send(now, sent);
+        self.send(now, sent, choice.placement);
     }
 
     pub(super) fn choose(
@@ -64,10 +136,14 @@
         arrival: &Arrival,
         tried: &[TargetKey],
         pool: &PoolRow,
-    ) -> Option<TargetChoice> {
+    ) -> Option<ChosenTarget> {
         let views = self.targets.views(&pool.group, pool.target_slots, now);
+        let affinity = affinity(arrival, pool);
+        let placement = arrival.placement.or_else(|| self.holders.find(affinity));
         let query = ChoiceQuery {
-            affinity: affinity(arrival, pool),
+            affinity,
+            placement,
+            chat_begins: arrival.chat_begins,
             max_load_ratio: pool.max_load_ratio,
             reuse_bias: pool.reuse_bias,
             place: self.peer_loads.place(&self.name),
@@ -89,7 +165,23 @@
             choice.bound,
         );
         self.note(now, arrival.request, sentence);
-        Some(choice)
+        self.place(arrival, pool, choice.target)
+    }
+
+    /// Notes where a chat goes.
+    pub(super) fn place(
+        &mut self,
+        arrival: &Arrival,
+        pool: &PoolRow,
+        target: TargetKey,
+    ) -> Option<ChosenTarget> {
+        let affinity = affinity(arrival, pool);
+        let former = arrival.placement.or_else(|| self.holders.find(affinity));
+        let hash = self.targets.record(target)?.hash;
+        let first = PlacementToken::first(hash);
+        let placement = former.map_or(first, |former| former.sent_to(hash));
+        self.holders.put(affinity, placement);
+        Some(ChosenTarget { target, placement })
     }
 
     pub(super) fn refusal_without_choice(
@@ -102,20 +194,21 @@
             return NotRunCode::RetriesSpent;
         }
         let views = self.targets.views(&pool.group, pool.target_slots, now);
-        if views.iter().any(|view| view.open) {
+        if views.iter().any(|view| view.percent > 0) {
             NotRunCode::TargetsFull
         } else {
             NotRunCode::NoTarget
         }
     }
 
-    pub(super) fn send(&mut self, now: TimePoint, request: Request<Sent>) {
+    fn send(&mut self, now: TimePoint, request: Request<Sent>, placement: PlacementToken) {
         let Some(record) = self.targets.record_mut(request.state.target) else { return };
         record.own_in_flight += 1;
         let key = request.arrival.request;
         let step = RequestStep::Send {
             attempt: request.state.attempt,
             target: request.state.target,
+            placement,
             address: record.address.clone(),
             once: request.claim.is_some(),
         };
@@ -128,16 +221,13 @@
 
     pub(super) fn hold_target(&mut self, now: TimePoint, target: TargetKey) {
         let Some(record) = self.targets.record_mut(target) else { return };
-        record.held_until = now.after(HOLD_AFTER_REFUSAL);
+        record.life.on_failure(now);
     }
 
-    pub(super) fn on_load(&mut self, target: TargetKey, report: LoadReport) {
-        // Shares of the routers count alike for all targets; a report is the fallback.
-        if !self.peer_loads.is_empty() {
-            return;
-        }
+    pub(super) fn on_load(&mut self, now: TimePoint, target: TargetKey, report: LoadReport) {
+        let shares_count = !self.peer_loads.is_empty();
         let Some(record) = self.targets.record_mut(target) else { return };
-        record.others_in_flight = report.in_flight.saturating_sub(record.own_in_flight);
+        record.adopt_report(now, report, shares_count);
     }
 
     pub(super) fn free_slot(&mut self, target: TargetKey) {
@@ -147,6 +237,11 @@
     }
 }
 
+/// Whose retries a request counts against.
+pub(super) fn budget_key<State>(request: &Request<State>) -> BudgetKey {
+    BudgetKey { pool: request.pool.clone(), account: request.arrival.account.clone() }
+}
+
 fn affinity(arrival: &Arrival, pool: &PoolRow) -> u64 {
     if let Some(chat) = &arrival.chat {
         return affinity_hash(chat.as_str().as_bytes());
--- a/crates/core-router/src/core/shares.rs
+++ b/crates/core-router/src/core/shares.rs
@@ -65,8 +65,9 @@
     pub(super) fn on_notice(&mut self, now: TimePoint, notice: PeerNotice) {
         match notice {
             PeerNotice::Load(share) => self.on_share(now, share),
-            // FIXME: accounts and suspects of other routers are not used yet.
-            PeerNotice::Accounts(_) | PeerNotice::Suspect(_) => {}
+            PeerNotice::Suspect(notice) => self.suspects.hear(now, notice),
+            // FIXME: accounts of other routers are not used yet.
+            PeerNotice::Accounts(_) => {}
         }
     }
 
@@ -75,7 +76,7 @@
             return;
         }
         self.peer_loads.expire(now);
-        self.targets.adopt_peer_loads(&self.peer_loads);
+        self.targets.adopt_peer_loads(now, &self.peer_loads);
     }
 
     /// Tells the others of this router's load when it changed and a share is due.
@@ -99,7 +100,7 @@
             return;
         }
         if self.peer_loads.hear(now, share) {
-            self.targets.adopt_peer_loads(&self.peer_loads);
+            self.targets.adopt_peer_loads(now, &self.peer_loads);
         }
     }
 }
--- a/crates/core-router/tests/attempts.rs
+++ b/crates/core-router/tests/attempts.rs
@@ -60,6 +60,8 @@
         path: "/".into(),
         account: AccountName::new("counter"),
         chat: None,
+        chat_begins: false,
+        placement: None,
         operation: Some(OperationName::new("payment")),
         content: ContentDigest(1),
         prompt_head: Bytes::new(),
--- a/crates/io-router/src/admin/status.rs
+++ b/crates/io-router/src/admin/status.rs
@@ -1,10 +1,14 @@
 //! What a router shows of itself and of its decisions.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
+use base_types::TimePoint;
+use core_peers::PeerStatus;
 use core_router::RouterCore;
+use io_wire::TrafficCounter;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, writing::Json};
 use serde_json::{Value, json};
+use state_membership::MemberRecord;
 use state_tables::{HeldRow, RowContent};
 
 use crate::admin::AdminState;
@@ -17,7 +21,12 @@
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let calls = self.0.platform.calls();
         let status = self.0.handle.query(move |core| status_body(core, calls)).await;
-        res.render(Json(status.unwrap_or_default()));
+        let mut status = status.unwrap_or_default();
+        let now = self.0.clock.now();
+        let peers = self.0.peers.query(move |core| peer_body(&core.status(), now)).await;
+        status["peers"] = peers.unwrap_or_default();
+        status["control"] = control_body(self.0.peers.traffic());
+        res.render(Json(status));
     }
 }
 
@@ -36,7 +45,8 @@
         .map(|target| {
             json!({
                 "name": target.name,
-                "open": target.open,
+                "open": core.takes_work(target),
+                "phase": format!("{:?}", core.phase(target)),
                 "own_in_flight": target.own_in_flight,
                 "others_in_flight": target.others_in_flight,
             })
@@ -55,6 +65,39 @@
     })
 }
 
+fn peer_body(status: &PeerStatus, now: TimePoint) -> Value {
+    let member = |record: &MemberRecord| {
+        json!({
+            "host": record.row.name,
+            "failure_domain": record.row.failure_domain,
+            "state": record.state.as_str(),
+            "incarnation": record.incarnation,
+        })
+    };
+    json!({
+        "members": status.members.iter().map(member).collect::<Vec<_>>(),
+        "linked": status.linked,
+        "watches": status.watches,
+        "isolated": status.trusted_until.passed(now),
+        "shed": status.shed,
+    })
+}
+
+fn control_body(traffic: &TrafficCounter) -> Value {
+    let report = traffic.report();
+    let kinds = traffic.sent_by_kind().into_iter();
+    let kinds: BTreeMap<&str, u64> = kinds.map(|(kind, bytes)| (kind.as_str(), bytes)).collect();
+    json!({
+        "sent_bytes": report.sent_bytes,
+        "sent_datagrams": report.sent_datagrams,
+        "received_bytes": report.received_bytes,
+        "received_datagrams": report.received_datagrams,
+        "refused_peers": report.refused_peers,
+        "refused_messages": report.refused_messages,
+        "sent_by_kind": kinds,
+    })
+}
+
 fn held_body(held: HeldRow) -> Value {
     let faults: Vec<String> = held.faults.iter().map(ToString::to_string).collect();
     json!({
--- a/crates/io-router/src/observe.rs
+++ b/crates/io-router/src/observe.rs
@@ -2,9 +2,10 @@
 
 use std::{sync::Arc, time::Instant};
 
+use base_types::TimePoint;
 use core_router::RouterCore;
 use io_platform::PlatformClient;
-use io_telemetry::{FleetGauges, RequestSample, RouterMetrics, TargetGauge};
+use io_telemetry::{ControlGauge, FleetGauges, RequestSample, RouterMetrics, TargetGauge};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
     http::{HeaderValue, StatusCode, header},
@@ -15,6 +16,8 @@
 use crate::{
     answer::{REQUEST_ID, RESULT_CODE},
     handle::LoopHandle,
+    peers::PeerHandle,
+    run::LoopClock,
 };
 
 const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
@@ -23,6 +26,8 @@
 pub(crate) struct ObserveState {
     pub(crate) handle: LoopHandle,
     pub(crate) platform: PlatformClient,
+    pub(crate) peers: PeerHandle,
+    pub(crate) clock: LoopClock,
     pub(crate) metrics: Arc<RouterMetrics>,
 }
 
@@ -80,7 +85,8 @@
 #[async_trait]
 impl Handler for ReadyHandler {
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let obstacle = self.0.handle.query(unready_reason).await;
+        let now = self.0.clock.now();
+        let obstacle = self.0.handle.query(move |core| unready_reason(core, now)).await;
         match obstacle.unwrap_or(Some("the router has ended")) {
             None => write_probe(res, true, "the router takes new work"),
             Some(reason) => write_probe(res, false, reason),
@@ -93,7 +99,9 @@
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let state = &self.0;
         let calls = state.platform.calls();
-        let gauges = state.handle.query(move |core| fleet_gauges(core, calls)).await;
+        let now = state.clock.now();
+        let control = control_gauges(&state.peers);
+        let gauges = state.handle.query(move |core| fleet_gauges(core, now, calls, control)).await;
         let scraped = gauges.and_then(|gauges| state.metrics.scrape(&gauges).ok());
         let Some(text) = scraped else {
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
@@ -105,7 +113,7 @@
 }
 
 /// Why the router takes no new work; `None` when it does.
-fn unready_reason(core: &RouterCore) -> Option<&'static str> {
+fn unready_reason(core: &RouterCore, now: TimePoint) -> Option<&'static str> {
     let status = core.status();
     if status.leaving {
         return Some("the router is shutting down");
@@ -113,24 +121,38 @@
     if !status.tables_complete {
         return Some("the router has no tables yet");
     }
+    if status.trusted_until.passed(now) {
+        return Some("the router hears neither the platform nor its peers");
+    }
     None
 }
 
-fn fleet_gauges(core: &RouterCore, platform_calls: u64) -> FleetGauges {
+fn fleet_gauges(
+    core: &RouterCore,
+    now: TimePoint,
+    platform_calls: u64,
+    control: Vec<ControlGauge>,
+) -> FleetGauges {
     let target = |target: &core_router::TargetRecord| TargetGauge {
         name: target.name.clone(),
         own_in_flight: u64::from(target.own_in_flight),
-        open: target.open,
+        open: core.takes_work(target),
     };
     FleetGauges {
         requests_in_flight: core.status().requests as u64,
-        ready: unready_reason(core).is_none(),
+        ready: unready_reason(core, now).is_none(),
         rows: core.table().changes().count() as u64,
         platform_calls,
         targets: core.targets().map(target).collect(),
+        control,
     }
 }
 
+fn control_gauges(peers: &PeerHandle) -> Vec<ControlGauge> {
+    let kinds = peers.traffic().sent_by_kind().into_iter();
+    kinds.map(|(kind, sent_bytes)| ControlGauge { kind: kind.as_str(), sent_bytes }).collect()
+}
+
 fn write_probe(res: &mut Response, good: bool, reason: &str) {
     if !good {
         res.status_code(StatusCode::SERVICE_UNAVAILABLE);
--- /dev/null
+++ b/crates/io-router/src/peers/answer.rs
@@ -0,0 +1,53 @@
+//! What a link brings: frames, and calls of the peer.
+
+use core_peers::{LinkKey, PeerEvent, SyncAsk};
+use error_stack::Report;
+use io_wire::{
+    CallStream, LinkInput, PeerCall, PeerLink, PeerReply, WireError, decode_message, encode_message,
+};
+
+use crate::{handle::LoopHandle, peers::PeerHandle};
+
+/// Reads a link until it closes.
+pub(super) async fn serve_link(
+    key: LinkKey,
+    link: PeerLink,
+    handle: PeerHandle,
+    router: LoopHandle,
+) {
+    while let Ok(input) = link.receive().await {
+        match input {
+            LinkInput::Message(bytes) => match decode_message(&bytes) {
+                Ok(frame) => handle.post(PeerEvent::FrameHeard(key, frame)),
+                Err(_) => handle.traffic().add_refused_message(),
+            },
+            LinkInput::Call(call, stream) => {
+                tokio::task::spawn_local(answer(call, stream, handle.clone(), router.clone()));
+            }
+        }
+    }
+    handle.post(PeerEvent::LinkClosed(key));
+}
+
+/// A caller that has left by the time of the reply needs none.
+async fn answer(call: PeerCall, stream: CallStream, handle: PeerHandle, router: LoopHandle) {
+    let reply = match call {
+        PeerCall::Sync(bytes) => match sync_reply(&bytes, &handle).await {
+            Ok(reply) => reply,
+            Err(_) => return handle.traffic().add_refused_message(),
+        },
+        PeerCall::Explain(request) => {
+            let sentences = router
+                .query(move |core| core.explain(request).map(|record| record.sentences.clone()));
+            PeerReply::Explained(sentences.await.flatten().unwrap_or_default())
+        }
+    };
+    drop(stream.reply(&reply).await);
+}
+
+async fn sync_reply(bytes: &[u8], handle: &PeerHandle) -> Result<PeerReply, Report<WireError>> {
+    let ask: SyncAsk = decode_message(bytes)?;
+    let reply = handle.query(move |core| core.answer_sync(&ask)).await;
+    let reply = reply.ok_or_else(|| Report::new(WireError::Closed))?;
+    Ok(PeerReply::Synced(encode_message(&reply)?))
+}
