Test the explanations of targets, accounts and rows

Cause: explain had process tests of one row only. Change: ten cases in virtual time check the sentences and that they name the inputs used.

--- /dev/null
+++ b/crates/core-router/tests/explain.rs
@@ -0,0 +1,119 @@
+//! Explanations are plain sentences that name the inputs used.
+
+use base_types::{AccountName, DomainName, HostName, RowVersion, TimePoint, test_cases};
+use core_router::{Event, HostEntry, HostRole, HostState, RouterCore};
+use serde_json::{Value, json};
+use state_tables::{RowChange, RowKey, TableKind, TableRevision};
+
+const NOW: TimePoint = TimePoint(0);
+
+fn host(name: &str, state: HostState) -> HostEntry {
+    HostEntry {
+        name: HostName::new(name),
+        role: HostRole::Target,
+        group: "assistant".into(),
+        address: "127.0.0.1:9000".into(),
+        failure_domain: DomainName::new("domain-0"),
+        peer: None,
+        state,
+    }
+}
+
+fn row(key: RowKey, version: u64, row: Option<Value>) -> RowChange {
+    let record = json!({ "edit": "1-0000000000000001", "row": row });
+    RowChange::from_object(key, RowVersion(version), Some(record))
+}
+
+fn pool() -> Value {
+    json!({
+        "name": "assistant", "team": "renewals", "group": "assistant", "kind": "engine",
+        "repeatable": true, "target_slots": 16,
+    })
+}
+
+fn route(pool: &str) -> Value {
+    json!({ "name": "chat", "team": "renewals", "path": "/v1/chat", "pool": pool })
+}
+
+/// A router that has read a table with a pool and a route, and has heard of two targets.
+fn router() -> RouterCore {
+    let mut core = RouterCore::new(HostName::new("router-0"), 1);
+    let hosts = vec![host("engine-0", HostState::Live), host("engine-1", HostState::Leaving)];
+    core.on_event(NOW, Event::HostsListed(hosts));
+    let revision = RowVersion(7);
+    let reads = TableKind::ALL.map(|table| TableRevision { table, revision }).to_vec();
+    let rows = vec![
+        row(TableKind::Pools.row("assistant"), 3, Some(pool())),
+        row(TableKind::Routes.row("chat"), 4, Some(route("assistant"))),
+    ];
+    core.on_event(NOW, Event::TablesListed(reads, rows));
+    core.on_event(NOW, Event::TablesComplete);
+    core
+}
+
+fn check_target(name: &str, expected: &str) {
+    let text = router().explain_target(NOW, name).join(" ");
+    assert!(text.contains(expected), "{text}");
+}
+
+test_cases! {
+    check_target:
+    a_live_target_takes_work("engine-0", "It takes new work.");
+    a_leaving_target_gets_none("engine-1", "It gets no new work: the platform's host list says");
+    an_unknown_target_was_never_listed("engine-2", "has never named the target");
+    the_pool_and_its_bounds_are_named("engine-0", "Pool `assistant` selects its group");
+}
+
+fn check_row(changes: Vec<RowChange>, key: &RowKey, expected: &[&str]) {
+    let mut core = router();
+    for change in changes {
+        core.on_event(NOW, Event::RowHeard(change));
+    }
+    assert_eq!(core.explain_row(key), expected);
+}
+
+test_cases! {
+    check_row:
+    a_row_in_force(
+        Vec::new(),
+        &TableKind::Routes.row("chat"),
+        &["Version 4 of route `chat` is in force."],
+    );
+    a_deleted_row(
+        vec![row(TableKind::Routes.row("chat"), 9, None)],
+        &TableKind::Routes.row("chat"),
+        &["The route `chat` was deleted at version 9."],
+    );
+    a_row_that_was_never_there(
+        Vec::new(),
+        &TableKind::Pools.row("other"),
+        &["No pool `other` is in force: the platform had none when this router read the table at \
+           revision 7, and none was heard of since."],
+    );
+    a_route_to_a_pool_that_is_not_there(
+        vec![row(TableKind::Routes.row("chat"), 9, Some(route("other")))],
+        &TableKind::Routes.row("chat"),
+        &[
+            "Version 4 of route `chat` is in force.",
+            "Version 9 is not in force, version 4 stays. Cause: route.chat.pool: no pool is named \
+             `other`; create the pool first, and delete it after its routes.",
+        ],
+    );
+    a_pool_deleted_past_the_api_while_a_route_names_it(
+        vec![row(TableKind::Pools.row("assistant"), 9, None)],
+        &TableKind::Pools.row("assistant"),
+        &[
+            "Version 3 of pool `assistant` is in force.",
+            "Version 9 is not in force, version 3 stays. Cause: route.chat.pool: no pool is named \
+             `assistant`; create the pool first, and delete it after its routes.",
+        ],
+    );
+}
+
+#[test]
+fn an_account_without_requests_has_none_in_care() {
+    let sentences = router().explain_account(&AccountName::new("counter"));
+    let expected =
+        "This router has 0 requests of client account `counter` at targets and 0 that wait.";
+    assert_eq!(&*sentences[0], expected);
+}
