--- a/crates/core-router/src/core/arrivals.rs
+++ b/crates/core-router/src/core/arrivals.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     RequestStep,
-    core::{COME_BACK, RouterCore},
+    core::{COME_BACK, RouterCore, dispatch::budget_key},
     request::Request,
 };
 
@@ -20,6 +20,7 @@
         arrival.deadline = deadline;
         self.deadlines.insert((deadline, arrival.request));
         let request = Request::new(arrival, pool.name.clone());
+        self.budgets.on_first_try(&budget_key(&request));
         if pool.repeatable {
             return self.dispatch_fresh(now, request, &pool);
         }
@@ -34,6 +35,9 @@
         if !self.tables_complete {
             return Err(NotRunCode::TablesMissing);
         }
+        if self.trusted_until.passed(now) {
+            return Err(NotRunCode::RouterIsolated);
+        }
         let route = self.table.match_route(&arrival.path).ok_or(NotRunCode::UnknownRoute)?;
         let pool = self.table.pool(&route.pool).ok_or(NotRunCode::PoolMissing)?;
         if !pool.repeatable && arrival.operation.is_none() {
--- a/crates/core-router/src/event.rs
+++ b/crates/core-router/src/event.rs
@@ -1,57 +1,14 @@
 //! Events that the core takes and effects that it asks for.
 
-use std::net::SocketAddr;
-
 use base_types::{
-    Arrival, AttemptKey, CompletedCode, DomainName, HostName, PeerNotice, Refusal, RequestKey,
-    TargetKey, UnknownCode, key_types, message_types, value_types,
+    Arrival, AttemptKey, CompletedCode, HostEntry, PeerNotice, PlacementToken, Refusal, RequestKey,
+    TargetKey, TimePoint, UnknownCode, message_types,
 };
 use state_ledger::{ClaimOutcome, OperationClaim, StoredAnswer};
 use state_tables::{RowChange, TableRevision};
 
 use crate::LoadReport;
 
-key_types! {
-    /// What a host of the platform's list runs.
-    #[serde(rename_all = "kebab-case")]
-    pub enum HostRole {
-        /// A router.
-        Entry,
-        /// A target.
-        Target,
-    }
-
-    /// Whether a host stays.
-    #[serde(rename_all = "kebab-case")]
-    pub enum HostState {
-        /// The host takes work.
-        Live,
-        /// The host is about to go.
-        Leaving,
-    }
-}
-
-value_types! {
-    /// A row of the platform's host list.
-    #[derive(Eq, PartialOrd, Ord)]
-    pub struct HostEntry {
-        /// Name of the host.
-        pub name: HostName,
-        /// What the host runs.
-        pub role: HostRole,
-        /// Group that pools select by.
-        pub group: Box<str>,
-        /// IP address and port.
-        pub address: Box<str>,
-        /// Address that other routers connect to; only on entry hosts.
-        pub peer: Option<SocketAddr>,
-        /// Failure domain of the host.
-        pub failure_domain: DomainName,
-        /// Whether the host stays.
-        pub state: HostState,
-    }
-}
-
 message_types! {
     /// How an attempt ended after its request may have reached the target.
     pub enum AttemptEnd {
@@ -83,6 +40,8 @@
         RowHeard(RowChange),
         /// Whole tables were read, each at a revision; rows that they lack were deleted by then.
         TablesListed(Vec<TableRevision>, Vec<RowChange>),
+        /// The platform or a peer was heard; new work may be taken until this point.
+        TrustedUntil(TimePoint),
         /// All rows have been read once.
         TablesComplete,
         /// A target reported its load.
@@ -105,6 +64,8 @@
             attempt: AttemptKey,
             /// Key of the target, for load reports.
             target: TargetKey,
+            /// Placement of the chat after this attempt, for its caller to send back.
+            placement: PlacementToken,
             /// IP address and port of the target.
             address: Box<str>,
             /// Whether the call may not be repeated after it was sent.
--- a/crates/core-router/src/lib.rs
+++ b/crates/core-router/src/lib.rs
@@ -12,7 +12,8 @@
 pub use crate::{
     core::{CoreStatus, RouterCore, SharePace},
     decision::DecisionRecord,
-    event::{AttemptEnd, Effect, Event, HostEntry, HostRole, HostState, RequestStep},
+    event::{AttemptEnd, Effect, Event, RequestStep},
     targets::{LoadReport, TargetRecord},
 };
+pub use base_types::{HostEntry, HostRole, HostState};
 pub use state_ledger::{ClaimOutcome, OperationClaim, StoredAnswer};
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! The project's automation. `cargo xtask --help` lists the tasks.
 
 mod ci;
+mod claims;
 mod demo;
 mod steps;
 mod tables;
@@ -25,6 +26,9 @@
         /// Leaves the fleet up until a line is read from standard input.
         keep: bool,
     },
+    /// Measures what claiming an operation costs.
+    #[bpaf(command)]
+    Claims,
     /// Edits the tables while routers and the platform fail, and checks what was in force where.
     #[bpaf(command)]
     Tables {
@@ -57,6 +61,7 @@
 fn main() -> ExitCode {
     let ended = match task().run() {
         Task::Ci => ci::run_ci(),
+        Task::Claims => claims::measure_claims(),
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
