--- a/crates/io-wire/tests/links.rs
+++ b/crates/io-wire/tests/links.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, UdpSocket},
+    sync::Arc,
     time::Duration,
 };
 
@@ -9,7 +10,12 @@
 use bytes::Bytes;
 use io_wire::{
     LinkInput, MESSAGE_BYTES_MAX, PeerCall, PeerLink, PeerReply, PeerTls, TrafficKind,
-    WireEndpoint, WireError, keys::FleetAuthority,
+    WireEndpoint, WireError,
+    keys::{FLEET_NAME, FleetAuthority},
+};
+use rustls::{
+    RootCertStore,
+    pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
 };
 use tokio::sync::mpsc;
 
@@ -156,3 +162,50 @@
     assert_eq!(*refused.current_context(), WireError::Oversize);
     check_exchange(&dialled, &link).await;
 }
+
+/// A connection of a host of the fleet that does not keep to the protocol.
+async fn raw_connection(tls: &PeerTls, address: SocketAddr) -> quinn::Connection {
+    let certificate = CertificateDer::from_pem_slice(tls.certificate.as_bytes()).unwrap();
+    let key = PrivateKeyDer::from_pem_slice(tls.key.as_bytes()).unwrap();
+    let mut roots = RootCertStore::empty();
+    roots.add(CertificateDer::from_pem_slice(tls.ca.as_bytes()).unwrap()).unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .unwrap()
+        .with_root_certificates(roots)
+        .with_client_auth_cert(vec![certificate], key)
+        .unwrap();
+    config.alpn_protocols = vec![b"knapweedport/1".to_vec()];
+    let config = quinn::crypto::rustls::QuicClientConfig::try_from(config).unwrap();
+    let mut endpoint = quinn::Endpoint::client(loopback()).unwrap();
+    endpoint.set_default_client_config(quinn::ClientConfig::new(Arc::new(config)));
+    endpoint.connect(address, FLEET_NAME).unwrap().await.unwrap()
+}
+
+#[tokio::test]
+async fn a_member_that_sends_garbage_and_oversize_is_counted_and_harms_nobody() {
+    let authority = FleetAuthority::generate().unwrap();
+    let (mut server, address) = peer(&authority, "router-1");
+    let (friend, _) = peer(&authority, "router-2");
+    let hostile = raw_connection(&tls(&authority, "router-3"), address).await;
+    let link = accepted(&mut server).await;
+    assert_eq!(link.host().as_str(), "router-3");
+    let reader = tokio::spawn(async move { link.receive().await.map(drop) });
+    let (mut garbage, _reply) = hostile.open_bi().await.unwrap();
+    garbage.write_all(&[0xff; 100]).await.unwrap();
+    garbage.finish().unwrap();
+    let mut oversize = hostile.open_uni().await.unwrap();
+    let written = oversize.write_all(&vec![0; 4 * MESSAGE_BYTES_MAX]).await;
+    assert!(written.is_err(), "the reader stops at the bound");
+    let counted = async {
+        while server.wire.traffic().report().refused_messages < 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(WAIT, counted).await.unwrap();
+    assert!(!reader.is_finished(), "the link lives and brings nothing");
+    let dialled = friend.wire.connect(address).await.unwrap();
+    let link = accepted(&mut server).await;
+    check_exchange(&dialled, &link).await;
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,14 +1,17 @@
 //! The project's automation. `cargo xtask --help` lists the tasks.
 
+mod capacity;
 mod ci;
 mod demo;
 mod steps;
 mod torture;
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
 
+use crate::capacity::CapacityPlan;
+
 /// Runs one of the project's tasks.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
@@ -34,6 +37,21 @@
         /// Tortures a build whose ledger does not wait for its claims; this must fail.
         broken: bool,
     },
+    /// Measures control traffic, processor time and memory on real processes.
+    #[bpaf(command)]
+    Capacity {
+        /// Numbers of routers; 7, 14, 28 and 56 when none is given.
+        #[bpaf(argument("ROUTERS"), many)]
+        size: Vec<usize>,
+        /// Length of each phase in seconds.
+        #[bpaf(argument("SECONDS"), fallback(20))]
+        seconds: u64,
+        /// Folder of the binaries; the release build when absent.
+        #[bpaf(argument("FOLDER"), optional)]
+        programs: Option<PathBuf>,
+        /// Refreshes the tables of docs/CAPACITY.md.
+        write: bool,
+    },
     /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
     #[bpaf(command)]
     Measure {
@@ -50,6 +68,10 @@
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
         Task::Demo { keep } => demo::run_demo(keep),
+        Task::Capacity { size, seconds, programs, write } => {
+            let sizes = if size.is_empty() { vec![7, 14, 28, 56] } else { size };
+            capacity::run_capacity(&CapacityPlan { sizes, seconds, programs, write })
+        }
         Task::Measure { arguments } => steps::run_measure(&arguments),
     };
     match ended {
