--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -7,6 +7,7 @@
 mod macros;
 mod names;
 mod notices;
+mod placement;
 mod request;
 mod time;
 
@@ -19,6 +20,7 @@
         TeamName,
     },
     notices::{AccountLoad, AccountShare, LoadShare, PeerNotice, SuspectNotice, TargetLoad},
+    placement::{PlacementError, PlacementToken},
     request::{Arrival, Refusal},
     time::TimePoint,
 };
--- a/crates/core-router/src/event.rs
+++ b/crates/core-router/src/event.rs
@@ -1,8 +1,8 @@
 //! Events that the core takes and effects that it asks for.
 
 use base_types::{
-    Arrival, AttemptKey, CompletedCode, HostEntry, PeerNotice, Refusal, RequestKey, TargetKey,
-    TimePoint, UnknownCode, message_types,
+    Arrival, AttemptKey, CompletedCode, HostEntry, PeerNotice, PlacementToken, Refusal, RequestKey,
+    TargetKey, TimePoint, UnknownCode, message_types,
 };
 use state_ledger::{ClaimOutcome, OperationClaim, StoredAnswer};
 use state_tables::{RowChange, TableRevision};
@@ -64,6 +64,8 @@
             attempt: AttemptKey,
             /// Key of the target, for load reports.
             target: TargetKey,
+            /// Placement of the chat after this attempt, for its caller to send back.
+            placement: PlacementToken,
             /// IP address and port of the target.
             address: Box<str>,
             /// Whether the call may not be repeated after it was sent.
--- a/crates/io-router/src/admin/rows.rs
+++ b/crates/io-router/src/admin/rows.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 use state_tables::{
     EditKey, EditRecord, EditRequest, EditTarget, EditVerdict, ObjectPort, RowChange, RowContent,
-    RowKey, RowRecord, StoredObject, TableKind, TableSet, read_audit, submit_edit,
+    RowKey, RowRecord, StoredObject, TableKind, read_audit, submit_edit,
 };
 
 use crate::admin::{
@@ -126,8 +126,8 @@
         let reason = change_reason(req)?;
         let dry_run = req.query::<bool>("dry_run").unwrap_or_default();
         let after = self.row_after(&row, req).await?;
-        let known = self.state.handle.query(|core| (core.name().clone(), core.table().clone()));
-        let (router, tables): (_, TableSet) = known.await.ok_or(CallFault::Unavailable)?;
+        let router = self.state.handle.query(|core| core.name().clone()).await;
+        let router = router.ok_or(CallFault::Unavailable)?;
         Ok(EditRequest {
             operator: operator.name.clone(),
             team: operator.team.clone(),
@@ -140,7 +140,6 @@
             after,
             dry_run,
             nonce: rand::random(),
-            tables,
         })
     }
 
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -15,6 +15,7 @@
 mod platform;
 mod prompt;
 mod relay;
+mod retention;
 mod run;
 mod serve;
 mod shutdown;
--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -15,8 +15,8 @@
 };
 
 const WORKERS: usize = 4;
-const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.15 };
-const REUSE_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.75, reuse_bias: 0.35 };
+const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.12 };
+const REUSE_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 2.0, reuse_bias: 0.42 };
 
 /// The results could not be written.
 #[derive(Debug)]
@@ -65,7 +65,7 @@
     if plan.name.starts_with("curve") {
         for step in 0..=8 {
             let reuse_bias = f64::from(step) / 8.0;
-            policies.push(PolicyKind::Module(ModuleSetting { max_load_ratio: 1.75, reuse_bias }));
+            policies.push(PolicyKind::Module(ModuleSetting { max_load_ratio: 2.0, reuse_bias }));
         }
         return policies;
     }
@@ -90,12 +90,28 @@
                 });
             }
         }
+        if base.targets != 12 {
+            plans.extend(twelve(&base));
+        }
         plans.extend(faulty(deployment, &base));
         plans.push(base.clone().named(&format!("curve {deployment}")));
     }
     plans
 }
 
+/// The smaller deployment's chats on as many targets as the larger has.
+fn twelve(base: &ScenarioPlan) -> Vec<ScenarioPlan> {
+    let cases = [(16, 100), (16, 500), (64, 100), (64, 500)];
+    let plan = |(in_flight, view_ms)| ScenarioPlan {
+        in_flight,
+        targets: 12,
+        slots: in_flight * 4,
+        view_age: Duration::from_millis(view_ms),
+        ..base.clone().named(&format!("twelve {in_flight} in flight {view_ms} ms"))
+    };
+    cases.into_iter().map(plan).collect()
+}
+
 fn faulty(deployment: &str, base: &ScenarioPlan) -> Vec<ScenarioPlan> {
     let at = |seconds: u64, kind| FaultPlan { at: Duration::from_secs(seconds), kind };
     let flaps = (0..8).flat_map(|flap| {
@@ -122,8 +138,16 @@
         plan("leave", vec![at(80, FaultKind::Leave(4))]),
         plan("join", vec![at(80, FaultKind::Join(0))]),
         plan("flaps", flaps.chain(two_flap).collect()),
-        plan("churn", churn),
+        plan("churn", churn.clone()),
         plan("surge", vec![at(80, surge), at(110, FaultKind::SurgeEnd)]),
+        plan(
+            "crashers",
+            vec![
+                at(70, FaultKind::Crasher(1)),
+                at(71, FaultKind::Crasher(2)),
+                at(110, FaultKind::Crasher(3)),
+            ],
+        ),
         plan(
             "half fail",
             vec![at(80, FaultKind::FailBegin(base.targets / 2)), at(110, FaultKind::FailEnd)],
@@ -132,6 +156,11 @@
             view_lag: Duration::from_millis(1000),
             ..base.clone().named(&format!("late views {deployment}"))
         },
+        ScenarioPlan {
+            token_share: 1.0,
+            ..base.clone().named(&format!("all send tokens {deployment}"))
+        },
+        ScenarioPlan { token_share: 1.0, ..plan("churn, all send tokens", churn) },
         ScenarioPlan { routers: 28, ..base.clone().named(&format!("28 routers {deployment}")) },
     ]
 }
@@ -162,7 +191,7 @@
 
 fn header() -> String {
     format!(
-        "{:36} {:21} {:>6} {:>5} {:>5} {:>5} {:>5} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7}",
+        "{:36} {:21} {:>6} {:>5} {:>5} {:>5} {:>5} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>5} {:>5}",
         "scenario",
         "policy",
         "reuse",
@@ -178,7 +207,9 @@
         "moved",
         "first",
         "bytes",
-        "lat99"
+        "lat99",
+        "crash",
+        "innoc"
     )
 }
 
@@ -186,7 +217,7 @@
     let figures = &row.figures;
     let requests = figures.requests.max(1) as f64;
     format!(
-        "{:36} {:21} {:6.3} {:5.2} {:5.2} {:5.2} {:5.2} {:6.4} {:6.2} {:7.2} {:6.4} {:6.3} {:6.3} {:6.3} {:6.0} {:7.2}",
+        "{:36} {:21} {:6.3} {:5.2} {:5.2} {:5.2} {:5.2} {:6.4} {:6.2} {:7.2} {:6.4} {:6.3} {:6.3} {:6.3} {:6.0} {:7.2} {:5} {:5}",
         row.plan.name,
         row.policy.name(),
         figures.reuse,
@@ -203,19 +234,21 @@
         figures.first_moved as f64 / figures.first_returned.max(1) as f64,
         figures.control_bytes,
         figures.quiet_latency.p99,
+        figures.lost_to_crashers.values().max().copied().unwrap_or(0),
+        figures.innocents_refused,
     )
 }
 
 fn write_files(folder: &Path, seed: u64, rows: &[MeasuredRow]) -> Result<(), Report<SuiteError>> {
     std::fs::create_dir_all(folder).change_context(SuiteError)?;
     let mut csv = String::from(
-        "seed,scenario,policy,reuse,skew_p50,skew_p99,skew_p999,skew_max,over_bound,token_skew_p99,in_flight,requests,completed,refused,unknown,attempts,moved,returned,first_moved,first_returned,control_bytes_per_router_second,quiet_latency_p99_s,surging_latency_p99_s\n",
+        "seed,scenario,policy,reuse,skew_p50,skew_p99,skew_p999,skew_max,over_bound,token_skew_p99,in_flight,requests,completed,refused,unknown,attempts,moved,returned,first_moved,first_returned,control_bytes_per_router_second,quiet_latency_p99_s,surging_latency_p99_s,lost_to_one_content_max,innocents_refused\n",
     );
     for row in rows {
         let f = &row.figures;
         let _ = writeln!(
             csv,
-            "{seed},{},{},{:.4},{:.3},{:.3},{:.3},{:.3},{:.5},{:.3},{:.2},{},{},{},{},{},{},{},{},{},{:.0},{:.3},{:.3}",
+            "{seed},{},{},{:.4},{:.3},{:.3},{:.3},{:.3},{:.5},{:.3},{:.2},{},{},{},{},{},{},{},{},{},{:.0},{:.3},{:.3},{},{}",
             row.plan.name,
             row.policy.name(),
             f.reuse,
@@ -238,6 +271,8 @@
             f.control_bytes,
             f.quiet_latency.p99,
             f.surging_latency.p99,
+            f.lost_to_crashers.values().max().copied().unwrap_or(0),
+            f.innocents_refused,
         );
     }
     std::fs::write(folder.join("routing.csv"), csv).change_context(SuiteError)?;
--- a/crates/state-tables/tests/fuzz.rs
+++ b/crates/state-tables/tests/fuzz.rs
@@ -1,53 +1,143 @@
-//! Table files: arbitrary text and mutated files are parsed or refused, and checks never panic.
-
-use proptest::prelude::*;
-use state_tables::{TableFile, check_rows};
-
-const FILE: &str = r#"[[pool]]
-name = "assistant"
-team = "renewals"
-group = "assistant"
-kind = "engine"
-repeatable = true
-max_load_ratio = 1.5
-target_slots = 8
-
-[[route]]
-name = "chat"
-team = "renewals"
-path = "/v1/chat"
-pool = "assistant"
-deadline_ms = 1000
-"#;
-
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+//! Stateful fuzzing of edits and of the rows in force, in virtual time.
+//!
+//! Editors run step by step; each of their platform calls is answered, lost, delayed or refused as
+//! the generated case says. Routers hear old and new changes in any order and any number of times.
+//! The oracle replays the audit trail. Each broken variant must be caught.
 
-    #[test]
-    fn arbitrary_text_is_parsed_or_refused(text in ".{0,200}") {
-        check_file(&text);
-    }
+#[path = "fuzz/bench.rs"]
+mod bench;
+#[path = "fuzz/oracle.rs"]
+mod oracle;
+#[path = "fuzz/sim.rs"]
+mod sim;
 
-    #[test]
-    fn a_mutated_file_is_parsed_or_refused(
-        cut in 0..FILE.len(), length in 0..20_usize, noise in "[\\x00-\\x7f]{0,8}",
-    ) {
-        let end = (cut + length).min(FILE.len());
-        check_file(&format!("{}{noise}{}", &FILE[..cut], &FILE[end..]));
+use std::marker::PhantomData;
+
+use bench::{Bench, SimStep};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, TestRunner},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use sim::Breakage;
+
+const CASES: u32 = 300;
+const STEPS: std::ops::Range<usize> = 80..400;
+
+/// Generates steps; which of them are possible is decided when they are taken.
+struct StepMachine;
+
+impl ReferenceStateMachine for StepMachine {
+    type State = ();
+    type Transition = SimStep;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
     }
 
-    #[test]
-    fn a_mutated_number_is_kept_or_refused(number in any::<f64>()) {
-        check_file(&FILE.replace("1.5", &format!("{number:?}")));
+    fn transitions((): &()) -> BoxedStrategy<SimStep> {
+        SimStep::strategy()
     }
+
+    fn apply((): (), _: &SimStep) {}
 }
 
-/// A set of rows that passes the check has a usable bound in every pool.
-fn check_file(text: &str) {
-    let Ok(file) = TableFile::parse(text) else { return };
-    let routes = file.routes.into_iter().map(|row| (row.name.clone(), row)).collect();
-    let pools = file.pools.into_iter().map(|row| (row.name.clone(), row)).collect();
-    if check_rows(&routes, &pools).is_empty() {
-        assert!(pools.values().all(|pool| pool.max_load_ratio >= 1.0 && pool.target_slots > 0));
+/// Which variant a test runs.
+trait Variant {
+    const BREAKAGE: Breakage;
+}
+
+struct TablesTest<V>(PhantomData<V>);
+
+impl<V: Variant> StateMachineTest for TablesTest<V> {
+    type SystemUnderTest = Bench;
+    type Reference = StepMachine;
+
+    fn init_test((): &()) -> Bench {
+        Bench::new(V::BREAKAGE)
+    }
+
+    fn apply(mut bench: Bench, (): &(), step: SimStep) -> Bench {
+        bench.take(step);
+        bench
     }
+
+    fn check_invariants(bench: &Bench, (): &()) {
+        bench.check();
+    }
+
+    fn teardown(bench: Bench) {
+        bench.finish();
+    }
+}
+
+macro_rules! variants {
+    ($($name:ident;)*) => {
+        $(
+            struct $name;
+            impl Variant for $name {
+                const BREAKAGE: Breakage = Breakage::$name;
+            }
+        )*
+    };
+}
+
+variants! {
+    Sound;
+    LostAnswersTrusted;
+    GuardUnconditional;
+    RowsUnconditional;
+    RowsTakenBackwards;
+    FloorsForgotten;
+    AuditDropped;
+}
+
+prop_state_machine! {
+    #![proptest_config(Config { cases: CASES, ..Config::default() })]
+
+    #[test]
+    fn edits_and_rows_in_force_agree_with_the_oracle(sequential STEPS => TablesTest<Sound>);
+}
+
+/// Checks that a variant fails, and for the reason expected of it.
+fn check_caught<V: Variant>(reason: &str) {
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new(config.clone());
+    let strategy = StepMachine::sequential_strategy(STEPS);
+    let ended = runner.run(&strategy, |(state, steps, counter)| {
+        TablesTest::<V>::test_sequential(config.clone(), state, steps, counter);
+        Ok(())
+    });
+    let error = ended.expect_err("the broken variant was not caught").to_string();
+    assert!(error.contains(reason), "{error}");
+}
+
+#[test]
+fn a_lost_answer_taken_for_a_failure_is_caught() {
+    check_caught::<LostAnswersTrusted>("was refused");
+}
+
+#[test]
+fn edits_without_an_order_are_caught() {
+    check_caught::<GuardUnconditional>("an edit was answered by another");
+}
+
+#[test]
+fn rows_written_without_a_condition_are_caught() {
+    check_caught::<RowsUnconditional>("is not as its last edit left it");
+}
+
+#[test]
+fn rows_taken_backwards_are_caught() {
+    check_caught::<RowsTakenBackwards>("went backwards");
+}
+
+#[test]
+fn deleted_rows_that_return_are_caught() {
+    check_caught::<FloorsForgotten>("came back");
+}
+
+#[test]
+fn accepted_edits_without_an_audit_entry_are_caught() {
+    check_caught::<AuditDropped>("an audit entry is missing");
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,15 +2,17 @@
 
 mod capacity;
 mod ci;
+mod claims;
 mod demo;
 mod steps;
+mod tables;
 mod torture;
 
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
 
-use crate::capacity::CapacityPlan;
+use crate::{capacity::CapacityPlan, tables::RunFaults};
 
 /// Runs one of the project's tasks.
 #[derive(Debug, Clone, Bpaf)]
@@ -25,6 +27,17 @@
         /// Leaves the fleet up until a line is read from standard input.
         keep: bool,
     },
+    /// Measures what claiming an operation costs.
+    #[bpaf(command)]
+    Claims,
+    /// Edits the tables while routers and the platform fail, and checks what was in force where.
+    #[bpaf(command)]
+    Tables {
+        /// Freezes a router for longer than an edit may take, to show that the check can fail.
+        freeze: bool,
+        /// Breaks nothing, to measure how fast edits are in force.
+        calm: bool,
+    },
     /// Kills, freezes and cuts off a fleet's processes and judges the history of its calls.
     #[bpaf(command)]
     Torture {
@@ -64,6 +77,7 @@
 fn main() -> ExitCode {
     let ended = match task().run() {
         Task::Ci => ci::run_ci(),
+        Task::Claims => claims::measure_claims(),
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
@@ -72,6 +86,9 @@
             let sizes = if size.is_empty() { vec![7, 14, 28, 56] } else { size };
             capacity::run_capacity(&CapacityPlan { sizes, seconds, programs, write })
         }
+        Task::Tables { freeze: true, .. } => tables::run_tables(RunFaults::Freeze),
+        Task::Tables { calm: true, .. } => tables::run_tables(RunFaults::None),
+        Task::Tables { .. } => tables::run_tables(RunFaults::All),
         Task::Measure { arguments } => steps::run_measure(&arguments),
     };
     match ended {
