--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! The project's automation. `cargo xtask --help` lists the tasks.
 
 mod bench;
+mod capacity;
 mod ci;
 mod claims;
 mod demo;
@@ -8,11 +9,11 @@
 mod tables;
 mod torture;
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
 
-use crate::tables::RunFaults;
+use crate::{capacity::CapacityPlan, tables::RunFaults};
 
 /// Runs one of the project's tasks.
 #[derive(Debug, Clone, Bpaf)]
@@ -53,6 +54,21 @@
     /// Measures a release router: added latency, throughput, start time, memory.
     #[bpaf(command)]
     Bench,
+    /// Measures control traffic, processor time and memory on real processes.
+    #[bpaf(command)]
+    Capacity {
+        /// Numbers of routers; 7, 14, 28 and 56 when none is given.
+        #[bpaf(argument("ROUTERS"), many)]
+        size: Vec<usize>,
+        /// Length of each phase in seconds.
+        #[bpaf(argument("SECONDS"), fallback(20))]
+        seconds: u64,
+        /// Folder of the binaries; the release build when absent.
+        #[bpaf(argument("FOLDER"), optional)]
+        programs: Option<PathBuf>,
+        /// Refreshes the tables of docs/CAPACITY.md.
+        write: bool,
+    },
     /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
     #[bpaf(command)]
     Measure {
@@ -71,6 +87,10 @@
         }
         Task::Bench => bench::run_bench(),
         Task::Demo { keep } => demo::run_demo(keep),
+        Task::Capacity { size, seconds, programs, write } => {
+            let sizes = if size.is_empty() { vec![7, 14, 28, 56] } else { size };
+            capacity::run_capacity(&CapacityPlan { sizes, seconds, programs, write })
+        }
         Task::Tables { freeze: true, .. } => tables::run_tables(RunFaults::Freeze),
         Task::Tables { calm: true, .. } => tables::run_tables(RunFaults::None),
         Task::Tables { .. } => tables::run_tables(RunFaults::All),
