Let requests wait fairly for room

Cause: the core refused a request when every target was at its bound, whoever had filled them.

Change: a request that finds no room waits up to 1.5 s in its pool's fair queue, and new ones wait behind it; a full queue or an ended wait is answered at once. `account_token_rate` of a pool limits an account over all routers, divided by the shares that routers tell of their heaviest accounts once a second while a limit is in use.

--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod explain;
 mod operations;
+mod queueing;
 mod shares;
 mod suspects;
 
@@ -16,7 +17,8 @@
     time::Duration,
 };
 
-use base_types::{AttemptKey, HostName, RequestKey, TimePoint, message_types};
+use base_types::{AttemptKey, HostName, PoolName, RequestKey, TimePoint, message_types};
+use policy_admission::{AccountLimits, FairQueue};
 use policy_retries::{RetryBudgets, SuspectLedger};
 use policy_routing::{HolderMemory, PeerLoads};
 use policy_targets::TargetPhase;
@@ -57,6 +59,10 @@
     peer_loads: PeerLoads,
     share: OwnShare,
     latest: TimePoint,
+    queues: BTreeMap<PoolName, FairQueue>,
+    limits: AccountLimits,
+    accounts_due: TimePoint,
+    accounts_sequence: u64,
     holders: HolderMemory,
     budgets: RetryBudgets,
     suspects: SuspectLedger,
@@ -82,6 +88,10 @@
             peer_loads: PeerLoads::default(),
             share: OwnShare::default(),
             latest: TimePoint(0),
+            queues: BTreeMap::new(),
+            limits: AccountLimits::default(),
+            accounts_due: TimePoint::NEVER,
+            accounts_sequence: 0,
             holders: HolderMemory::new(HOLDERS_MAX),
             budgets: RetryBudgets::default(),
             suspects: SuspectLedger::default(),
@@ -120,7 +130,9 @@
             Event::StopForced => self.on_stop_forced(now),
             Event::TimerFired => self.on_timer(now),
         }
+        self.drain_queues(now);
         self.tell_load(now);
+        self.tell_accounts(now);
         std::mem::take(&mut self.effects)
     }
 
@@ -128,7 +140,13 @@
     pub fn next_deadline(&self) -> TimePoint {
         let request = self.deadlines.first().map_or(TimePoint::NEVER, |(deadline, _)| *deadline);
         let wake = self.wakes.first().map_or(TimePoint::NEVER, |(at, _)| *at);
-        request.min(wake).min(self.share.next_deadline()).min(self.peer_loads.next_expiry())
+        let waits = self.queues.values().map(FairQueue::next_deadline).min();
+        let wait = waits.unwrap_or(TimePoint::NEVER).min(self.accounts_due);
+        request
+            .min(wake)
+            .min(wait)
+            .min(self.share.next_deadline())
+            .min(self.peer_loads.next_expiry())
     }
 
     /// Name of the router's host.
--- a/crates/core-router/src/core/arrivals.rs
+++ b/crates/core-router/src/core/arrivals.rs
@@ -17,6 +17,10 @@
             Ok(admitted) => admitted,
             Err(code) => return self.refuse_arrival(now, &arrival, code),
         };
+        if let Err(come_back) = self.within_limit(now, &arrival, &pool) {
+            let refusal = Refusal::NotRun(NotRunCode::AccountLimited, come_back);
+            return self.finish(now, arrival.request, RequestStep::Refuse(refusal));
+        }
         arrival.deadline = deadline;
         self.deadlines.insert((deadline, arrival.request));
         let request = Request::new(arrival, pool.name.clone());
--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -32,6 +32,8 @@
         Later(TimePoint),
         /// Its content is refused until a point in time.
         Condemned(TimePoint),
+        /// The one target that it may run on is full.
+        TrialFull,
         /// No target takes it.
         Nowhere,
     }
@@ -80,6 +82,26 @@
         if request.tried.len() >= ATTEMPTS_MAX {
             return self.refuse_fresh(now, request, NotRunCode::RetriesSpent);
         }
+        if self.must_wait(&pool.name) {
+            return self.enqueue(now, request);
+        }
+        self.dispatch_now(now, request, pool);
+    }
+
+    /// Whether a waiting request finds room now.
+    pub(super) fn has_room(
+        &mut self,
+        now: TimePoint,
+        request: &Request<Fresh>,
+        pool: &PoolRow,
+    ) -> bool {
+        let query = self.query(&request.arrival, &request.tried, pool);
+        let views = self.targets.views(&pool.group, pool.target_slots, now);
+        choose_target(&query, &views).is_some()
+    }
+
+    /// Sends a request for which no other waits.
+    pub(super) fn dispatch_now(&mut self, now: TimePoint, request: Request<Fresh>, pool: &PoolRow) {
         let choice = match self.pick(now, &request.arrival, &request.tried, pool) {
             TargetPick::Target(choice) => choice,
             TargetPick::Later(at) if at < request.arrival.deadline => {
@@ -88,8 +110,14 @@
             TargetPick::Later(until) | TargetPick::Condemned(until) => {
                 return self.refuse_until(now, request, NotRunCode::ContentSuspect, until);
             }
+            TargetPick::TrialFull => {
+                return self.refuse_fresh(now, request, NotRunCode::TargetsFull);
+            }
             TargetPick::Nowhere => {
                 let code = self.refusal_without_choice(now, &request.tried, pool);
+                if code == NotRunCode::TargetsFull {
+                    return self.enqueue(now, request);
+                }
                 return self.refuse_fresh(now, request, code);
             }
         };
@@ -138,17 +166,7 @@
         pool: &PoolRow,
     ) -> Option<ChosenTarget> {
         let views = self.targets.views(&pool.group, pool.target_slots, now);
-        let affinity = affinity(arrival, pool);
-        let placement = arrival.placement.or_else(|| self.holders.find(affinity));
-        let query = ChoiceQuery {
-            affinity,
-            placement,
-            chat_begins: arrival.chat_begins,
-            max_load_ratio: pool.max_load_ratio,
-            reuse_bias: pool.reuse_bias,
-            place: self.peer_loads.place(&self.name),
-            tried,
-        };
+        let query = self.query(arrival, tried, pool);
         let choice = choose_target(&query, &views)?;
         let record = self.targets.record(choice.target)?;
         let reason = match choice.reason {
@@ -168,6 +186,24 @@
         self.place(arrival, pool, choice.target)
     }
 
+    fn query<'query>(
+        &self,
+        arrival: &Arrival,
+        tried: &'query [TargetKey],
+        pool: &PoolRow,
+    ) -> ChoiceQuery<'query> {
+        let affinity = affinity(arrival, pool);
+        ChoiceQuery {
+            affinity,
+            placement: arrival.placement.or_else(|| self.holders.find(affinity)),
+            chat_begins: arrival.chat_begins,
+            max_load_ratio: pool.max_load_ratio,
+            reuse_bias: pool.reuse_bias,
+            place: self.peer_loads.place(&self.name),
+            tried,
+        }
+    }
+
     /// Notes where a chat goes.
     pub(super) fn place(
         &mut self,
--- a/crates/core-router/src/core/shares.rs
+++ b/crates/core-router/src/core/shares.rs
@@ -66,8 +66,8 @@
         match notice {
             PeerNotice::Load(share) => self.on_share(now, share),
             PeerNotice::Suspect(notice) => self.suspects.hear(now, notice),
-            // FIXME: accounts of other routers are not used yet.
-            PeerNotice::Accounts(_) => {}
+            PeerNotice::Accounts(share) if share.router == self.name => {}
+            PeerNotice::Accounts(share) => self.limits.hear(now, share),
         }
     }
 
--- a/crates/core-router/src/core/suspects.rs
+++ b/crates/core-router/src/core/suspects.rs
@@ -71,10 +71,10 @@
             return TargetPick::Later(earliest);
         }
         let Some(view) = calm.get(trial.target_index(calm.len())) else {
-            return TargetPick::Nowhere;
+            return TargetPick::TrialFull;
         };
         if view.load() >= view.slots || tried.contains(&view.target) {
-            return TargetPick::Nowhere;
+            return TargetPick::TrialFull;
         }
         let sentence = format!(
             "Its content was in flight when a target was lost; it runs once more as suspect {} of that loss, apart from the others.",
@@ -82,6 +82,6 @@
         );
         self.note(now, arrival.request, sentence);
         let target = view.target;
-        self.place(arrival, pool, target).map_or(TargetPick::Nowhere, TargetPick::Target)
+        self.place(arrival, pool, target).map_or(TargetPick::TrialFull, TargetPick::Target)
     }
 }
--- a/crates/measure/src/figures.rs
+++ b/crates/measure/src/figures.rs
@@ -44,6 +44,8 @@
         pub innocents_refused: u64,
         /// Bytes of notices a router and second, to all others.
         pub control_bytes: f64,
+        /// Refusals of accounts that do not surge.
+        pub quiet_refused: u64,
         /// Latency of requests by whether their account surged, in seconds.
         pub quiet_latency: TimeShare,
         /// Latency of requests of accounts that surge, in seconds.
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -96,6 +96,7 @@
         repeatable: true,
         max_load_ratio: setting.max_load_ratio,
         reuse_bias: setting.reuse_bias,
+        account_token_rate: 0,
         target_slots: plan.slots,
         prefix_bytes: 1024,
         identity: None,
--- a/crates/measure/src/run.rs
+++ b/crates/measure/src/run.rs
@@ -327,7 +327,7 @@
     fn on_refusal(&mut self, request: RequestKey, refusal: Refusal) {
         let Some(turn) = self.turns.remove(&request) else { return };
         let crashes = turn.chat.chat >= CRASHERS;
-        self.totals.count_refusal(self.now, refusal, crashes);
+        self.totals.count_refusal(self.now, refusal, &turn, crashes);
         if crashes {
             return self.send_crasher(turn.chat.chat, CRASHER_AGAIN);
         }
--- a/crates/measure/src/run/totals.rs
+++ b/crates/measure/src/run/totals.rs
@@ -118,7 +118,15 @@
         *self.figures.lost_to_crashers.entry(chat).or_default() += 1;
     }
 
-    pub(super) fn count_refusal(&mut self, now: TimePoint, refusal: Refusal, crashes: bool) {
+    pub(super) fn count_refusal(
+        &mut self,
+        now: TimePoint,
+        refusal: Refusal,
+        turn: &LiveTurn,
+        crashes: bool,
+    ) {
+        let quiet = turn.chat.account >= self.surging_accounts;
+        self.figures.quiet_refused += if quiet { self.counted(now) } else { 0 };
         let suspect = matches!(refusal, Refusal::NotRun(NotRunCode::ContentSuspect, _));
         self.figures.innocents_refused += u64::from(suspect && !crashes);
         match refusal {
--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -129,6 +129,10 @@
         at(110, FaultKind::Leave(2)),
         at(125, FaultKind::Join(0)),
     ];
+    let tenfold = |factor| {
+        let surge = FaultKind::SurgeBegin { accounts: 2, factor };
+        vec![at(80, surge), at(140, FaultKind::SurgeEnd)]
+    };
     let plan = |name: &str, faults| ScenarioPlan {
         faults,
         ..base.clone().named(&format!("{name} {deployment}"))
@@ -140,6 +144,8 @@
         plan("flaps", flaps.chain(two_flap).collect()),
         plan("churn", churn.clone()),
         plan("surge", vec![at(80, surge), at(110, FaultKind::SurgeEnd)]),
+        ScenarioPlan { slots: 24, ..plan("tenfold reference", tenfold(1)) },
+        ScenarioPlan { slots: 24, ..plan("tenfold surge", tenfold(10)) },
         plan(
             "crashers",
             vec![
@@ -191,7 +197,7 @@
 
 fn header() -> String {
     format!(
-        "{:36} {:21} {:>6} {:>5} {:>5} {:>5} {:>5} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>5} {:>5}",
+        "{:36} {:21} {:>6} {:>5} {:>5} {:>5} {:>5} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>5} {:>5} {:>7}",
         "scenario",
         "policy",
         "reuse",
@@ -209,7 +215,8 @@
         "bytes",
         "lat99",
         "crash",
-        "innoc"
+        "innoc",
+        "qrefuse"
     )
 }
 
@@ -217,7 +224,7 @@
     let figures = &row.figures;
     let requests = figures.requests.max(1) as f64;
     format!(
-        "{:36} {:21} {:6.3} {:5.2} {:5.2} {:5.2} {:5.2} {:6.4} {:6.2} {:7.2} {:6.4} {:6.3} {:6.3} {:6.3} {:6.0} {:7.2} {:5} {:5}",
+        "{:36} {:21} {:6.3} {:5.2} {:5.2} {:5.2} {:5.2} {:6.4} {:6.2} {:7.2} {:6.4} {:6.3} {:6.3} {:6.3} {:6.0} {:7.2} {:5} {:5} {:7}",
         row.plan.name,
         row.policy.name(),
         figures.reuse,
@@ -236,19 +243,20 @@
         figures.quiet_latency.p99,
         figures.lost_to_crashers.values().max().copied().unwrap_or(0),
         figures.innocents_refused,
+        figures.quiet_refused,
     )
 }
 
 fn write_files(folder: &Path, seed: u64, rows: &[MeasuredRow]) -> Result<(), Report<SuiteError>> {
     std::fs::create_dir_all(folder).change_context(SuiteError)?;
     let mut csv = String::from(
-        "seed,scenario,policy,reuse,skew_p50,skew_p99,skew_p999,skew_max,over_bound,token_skew_p99,in_flight,requests,completed,refused,unknown,attempts,moved,returned,first_moved,first_returned,control_bytes_per_router_second,quiet_latency_p99_s,surging_latency_p99_s,lost_to_one_content_max,innocents_refused\n",
+        "seed,scenario,policy,reuse,skew_p50,skew_p99,skew_p999,skew_max,over_bound,token_skew_p99,in_flight,requests,completed,refused,unknown,attempts,moved,returned,first_moved,first_returned,control_bytes_per_router_second,quiet_latency_p99_s,surging_latency_p99_s,lost_to_one_content_max,innocents_refused,quiet_refused\n",
     );
     for row in rows {
         let f = &row.figures;
         let _ = writeln!(
             csv,
-            "{seed},{},{},{:.4},{:.3},{:.3},{:.3},{:.3},{:.5},{:.3},{:.2},{},{},{},{},{},{},{},{},{},{:.0},{:.3},{:.3},{},{}",
+            "{seed},{},{},{:.4},{:.3},{:.3},{:.3},{:.3},{:.5},{:.3},{:.2},{},{},{},{},{},{},{},{},{},{:.0},{:.3},{:.3},{},{},{}",
             row.plan.name,
             row.policy.name(),
             f.reuse,
@@ -273,6 +281,7 @@
             f.surging_latency.p99,
             f.lost_to_crashers.values().max().copied().unwrap_or(0),
             f.innocents_refused,
+            f.quiet_refused,
         );
     }
     std::fs::write(folder.join("routing.csv"), csv).change_context(SuiteError)?;
--- a/crates/state-tables/src/rows.rs
+++ b/crates/state-tables/src/rows.rs
@@ -53,6 +53,9 @@
         /// Place between even load (0) and kept prompt caches (1).
         #[serde(default = "default_reuse_bias")]
         pub reuse_bias: f64,
+        /// Tokens a second of one client account over all routers; zero is no limit.
+        #[serde(default)]
+        pub account_token_rate: u32,
         /// Requests that one target runs at once.
         #[serde(default = "default_target_slots")]
         pub target_slots: u32,
