--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -166,7 +166,7 @@
             token_share: 1.0,
             ..base.clone().named(&format!("all send tokens {deployment}"))
         },
-        ScenarioPlan { token_share: 1.0, ..plan("churn, all send tokens", churn) },
+        ScenarioPlan { token_share: 1.0, ..plan("churn with tokens", churn) },
         ScenarioPlan { routers: 28, ..base.clone().named(&format!("28 routers {deployment}")) },
     ]
 }
