--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -41,6 +41,8 @@
         pub requests: usize,
         /// Whether the tables have been read.
         pub tables_complete: bool,
+        /// Point until which new work is taken, as the platform or a peer was heard.
+        pub trusted_until: TimePoint,
         /// Whether the router is shutting down.
         pub leaving: bool,
     }
@@ -54,6 +56,7 @@
     attempts: u64,
     table: TableSet,
     tables_complete: bool,
+    trusted_until: TimePoint,
     leaving: bool,
     targets: TargetArena,
     peer_loads: PeerLoads,
@@ -83,6 +86,7 @@
             attempts: 0,
             table: TableSet::default(),
             tables_complete: false,
+            trusted_until: TimePoint::NEVER,
             leaving: false,
             targets: TargetArena::default(),
             peer_loads: PeerLoads::default(),
@@ -123,6 +127,7 @@
             Event::HostsListed(hosts) => self.on_hosts(now, hosts),
             Event::RowHeard(change) => self.on_row(change),
             Event::TablesListed(tables, rows) => self.table.adopt_lists(&tables, rows),
+            Event::TrustedUntil(until) => self.trusted_until = until,
             Event::TablesComplete => self.tables_complete = true,
             Event::LoadHeard(target, report) => self.on_load(now, target, report),
             Event::NoticeHeard(notice) => self.on_notice(now, notice),
@@ -164,6 +169,7 @@
         CoreStatus {
             requests: self.requests.len(),
             tables_complete: self.tables_complete,
+            trusted_until: self.trusted_until,
             leaving: self.leaving,
         }
     }
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -20,6 +20,7 @@
     entry::EntryHandler,
     forward::{BegunAnswer, CallerRequest, OnceEnd, SendEnd, TargetClients},
     handle::{CallerGuard, LoopHandle},
+    peers::PeerHandle,
     prompt::ChatPrompt,
     relay::{RelayContext, relay_answer},
     run::LoopClock,
@@ -37,8 +38,13 @@
 }
 
 /// The routes of the callers' port.
-pub(crate) fn caller_router(handle: LoopHandle, clock: LoopClock, limits: LimitSettings) -> Router {
-    let entry = EntryHandler(handle.clone());
+pub(crate) fn caller_router(
+    handle: LoopHandle,
+    peers: PeerHandle,
+    clock: LoopClock,
+    limits: LimitSettings,
+) -> Router {
+    let entry = EntryHandler(peers);
     let clients = TargetClients::new();
     let front = Arc::new(CallerFront { handle, clock, clients, limits });
     Router::new()
--- a/crates/io-telemetry/src/lib.rs
+++ b/crates/io-telemetry/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub use crate::{
     logs::{format_record, start_logs},
-    metrics::{FleetGauges, MetricsError, RequestSample, RouterMetrics, TargetGauge},
+    metrics::{ControlGauge, FleetGauges, MetricsError, RequestSample, RouterMetrics, TargetGauge},
 };
--- a/crates/io-telemetry/src/metrics.rs
+++ b/crates/io-telemetry/src/metrics.rs
@@ -48,6 +48,14 @@
         pub open: bool,
     }
 
+    /// Control traffic of one kind.
+    pub struct ControlGauge {
+        /// What the bytes were spent on.
+        pub kind: &'static str,
+        /// Bytes sent on the wire since the start.
+        pub sent_bytes: u64,
+    }
+
     /// State of the router at the time of a scrape.
     pub struct FleetGauges {
         /// Requests in any state of their life.
@@ -60,6 +68,8 @@
         pub platform_calls: u64,
         /// The targets.
         pub targets: Vec<TargetGauge>,
+        /// Control traffic by kind.
+        pub control: Vec<ControlGauge>,
     }
 }
 
@@ -77,6 +87,7 @@
     platform_calls: Gauge<u64>,
     target_in_flight: Gauge<u64>,
     target_open: Gauge<u64>,
+    control_bytes: Gauge<u64>,
 }
 
 impl RouterMetrics {
@@ -124,6 +135,11 @@
                 "knapweedport_target_open",
                 "1 while a target takes new work.",
             ),
+            control_bytes: gauge(
+                &meter,
+                "knapweedport_control_sent_bytes",
+                "Bytes of control traffic sent on the wire, by kind.",
+            ),
             _provider: provider,
         })
     }
@@ -150,6 +166,9 @@
             self.target_in_flight.record(target.own_in_flight, &name);
             self.target_open.record(u64::from(target.open), &name);
         }
+        for control in &gauges.control {
+            self.control_bytes.record(control.sent_bytes, &[KeyValue::new("kind", control.kind)]);
+        }
         TextEncoder::new().encode_to_string(&self.registry.gather()).change_context(MetricsError)
     }
 }
--- a/crates/io-wire/src/traffic.rs
+++ b/crates/io-wire/src/traffic.rs
@@ -52,6 +52,23 @@
     }
 }
 
+impl TrafficKind {
+    /// The word that stands in status and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Handshake => "handshake",
+            Self::Transport => "transport",
+            Self::Heartbeat => "heartbeat",
+            Self::Member => "member",
+            Self::Row => "row",
+            Self::Host => "host",
+            Self::Notice => "notice",
+            Self::Repair => "repair",
+            Self::Call => "call",
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct TrafficState {
     report: TrafficReport,
