--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -90,6 +90,8 @@
         reuse_bias: setting.reuse_bias,
         target_slots: plan.slots,
         prefix_bytes: 1024,
+        serving: None,
+        may_interrupt: false,
         identity: None,
     };
     let route = RouteRow {
--- a/crates/state-tables/src/check.rs
+++ b/crates/state-tables/src/check.rs
@@ -4,7 +4,7 @@
 
 use base_types::{PoolName, RouteName, value_types};
 
-use crate::{PoolRow, RouteRow, RowContent, RowKey};
+use crate::{PoolRow, RouteRow, RowContent, RowKey, ServiceKind, ServingSpec};
 
 const LOAD_RATIO_MIN: f64 = 1.0;
 const LOAD_RATIO_MAX: f64 = 100.0;
@@ -114,11 +114,44 @@
     if !(0.0..=1.0).contains(&row.reuse_bias) {
         faults.push(fault(key("reuse_bias"), "must lie between 0 and 1"));
     }
+    if let Some(spec) = &row.serving {
+        check_serving(row.kind, spec, &key("serving"), faults);
+    }
     if row.target_slots == 0 {
         faults.push(fault(key("target_slots"), "must be above zero"));
     }
 }
 
+fn check_serving(kind: ServiceKind, spec: &ServingSpec, key: &str, faults: &mut Vec<RowFault>) {
+    if kind != ServiceKind::Engine {
+        faults.push(fault(key.to_owned(), "only a pool of kind `engine` takes orders"));
+    }
+    check_name(&spec.model, &format!("{key}.model"), faults);
+    check_name(&spec.version, &format!("{key}.version"), faults);
+    for adapter in &spec.adapters {
+        check_name(adapter, &format!("{key}.adapters"), faults);
+    }
+    if !spec.role.is_empty() {
+        check_name(&spec.role, &format!("{key}.role"), faults);
+    }
+}
+
+/// Checks that no other pool gives orders to the engines of a pool's group.
+///
+/// Only edits are checked for it: should two such pools be in force for a moment, as rows arrive in
+/// any order, the first by name gives the orders.
+pub(crate) fn check_orders<'a>(
+    row: &PoolRow,
+    pools: impl IntoIterator<Item = &'a PoolRow>,
+) -> Option<RowFault> {
+    let gives_orders = |other: &&PoolRow| other.serving.is_some() && other.group == row.group;
+    let other = pools.into_iter().filter(gives_orders).find(|other| other.name != row.name)?;
+    row.serving.as_ref()?;
+    let remedy =
+        format!("pool `{}` gives orders to the same group; change one of the two", other.name);
+    Some(fault(format!("pool.{}.serving", row.name), &remedy))
+}
+
 fn check_name(name: &str, key: &str, faults: &mut Vec<RowFault>) {
     let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
     if name.is_empty() || name.len() > NAME_BYTES_MAX || !name.chars().all(allowed) {
--- a/crates/state-tables/src/editor/request.rs
+++ b/crates/state-tables/src/editor/request.rs
@@ -6,6 +6,7 @@
 use super::TableView;
 use crate::{
     EditKey, EditRecord, RowContent, RowFault, RowKey, RowRecord, TableKind,
+    check::check_orders,
     port::{StoredObject, parse_value},
 };
 
@@ -123,6 +124,9 @@
         let content = read_after(request, tables)?;
         check_team(request, &content, tables, before.as_ref())?;
         let mut faults = tables.in_force.faults_with(&request.row, &content);
+        if let RowContent::Pool(row) = &content {
+            faults.extend(check_orders(row, tables.in_force.pools()));
+        }
         faults.extend(unsettled_routes(&request.row, &content, tables));
         if !faults.is_empty() {
             return Err(EditRefusal::Invalid(faults));
--- a/crates/state-tables/src/lib.rs
+++ b/crates/state-tables/src/lib.rs
@@ -26,6 +26,6 @@
         AUDIT_PREFIX, EditKey, EditKeyError, EditOutcome, EditRecord, GUARD_OBJECT, GuardRecord,
         RowRecord, audit_object,
     },
-    rows::{PoolRow, RouteRow, ServiceKind, TableFile, TableFileError},
+    rows::{PoolRow, RouteRow, ServiceKind, ServingSpec, TableFile, TableFileError},
     table::{HeldRow, RowChange, RowContent, TableSet},
 };
--- a/crates/state-tables/src/rows.rs
+++ b/crates/state-tables/src/rows.rs
@@ -1,6 +1,6 @@
 //! Rows of the two tables and their TOML form.
 
-use std::fmt;
+use std::{collections::BTreeSet, fmt};
 
 use base_types::{PoolIdentity, PoolName, RouteName, TeamName, key_types, value_types};
 use error_stack::{Report, ResultExt};
@@ -18,6 +18,22 @@
 }
 
 value_types! {
+    /// What the model engines of a pool are to serve.
+    #[derive(Eq)]
+    #[serde(deny_unknown_fields)]
+    pub struct ServingSpec {
+        /// Name of the model.
+        pub model: Box<str>,
+        /// Version of its weights.
+        pub version: Box<str>,
+        /// Adapters to load beside it.
+        #[serde(default)]
+        pub adapters: BTreeSet<Box<str>>,
+        /// Role of the engine, such as `prefill`; empty for all work.
+        #[serde(default)]
+        pub role: Box<str>,
+    }
+
     /// A route: requests whose path starts with a prefix go to a pool.
     #[serde(deny_unknown_fields)]
     pub struct RouteRow {
@@ -59,6 +75,12 @@
         /// Leading bytes of the prompt that name its prefix group.
         #[serde(default = "default_prefix_bytes")]
         pub prefix_bytes: u32,
+        /// What the pool's engines are ordered to serve; absent to give no orders.
+        #[serde(default)]
+        pub serving: Option<ServingSpec>,
+        /// Whether an engine may be ordered to load although less than a majority then serves.
+        #[serde(default)]
+        pub may_interrupt: bool,
         /// Identity given when the pool was created; absent in an operator's file.
         #[serde(default)]
         pub identity: Option<PoolIdentity>,
