cargo xtask configure: edits on real processes under faults, judged by their history

Change: four racing operators edit four pools through any of 7 routers while routers are killed and frozen and the platform is out or loses its answers; a watcher looks at each router every 25 ms; the history checker gives one verdict.

--- /dev/null
+++ b/xtask/src/configure/faults.rs
@@ -0,0 +1,74 @@
+//! Faults that may delay an edit on its way to all routers.
+
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use fakes::FaultOrder;
+use history_check::FaultSpan;
+use local_fleet::LocalFleet;
+
+use crate::{configure::ConfigureRun, steps::TaskError};
+
+const SHOWN: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Clone, Copy)]
+pub(super) enum TableFault {
+    RouterKilled,
+    RouterFrozen,
+    PlatformOut,
+    PlatformAnswersLost,
+}
+
+impl TableFault {
+    pub(super) const ALL: [Self; 4] =
+        [Self::RouterKilled, Self::PlatformOut, Self::PlatformAnswersLost, Self::RouterFrozen];
+
+    /// Shows the fault for some time and notes for how long.
+    pub(super) async fn show(
+        self,
+        run: &ConfigureRun,
+        fleet: &mut LocalFleet,
+        router: usize,
+    ) -> Result<(), Report<TaskError>> {
+        let from = run.now();
+        self.begin(fleet, router).await?;
+        tokio::time::sleep(SHOWN).await;
+        self.end(fleet, router).await?;
+        let until = run.now();
+        println!("{self:?} at router {router} from {} to {} ms", from.0 / 1000, until.0 / 1000);
+        run.history.borrow_mut().faults.push(FaultSpan { from, until });
+        Ok(())
+    }
+
+    async fn begin(self, fleet: &mut LocalFleet, router: usize) -> Result<(), Report<TaskError>> {
+        let order = match self {
+            Self::RouterKilled => {
+                fleet.routers[router].process = None;
+                return Ok(());
+            }
+            Self::RouterFrozen => {
+                fleet.routers[router].process.iter().for_each(|process| process.freeze());
+                return Ok(());
+            }
+            Self::PlatformOut => FaultOrder { refuse: true, ..FaultOrder::default() },
+            Self::PlatformAnswersLost => {
+                FaultOrder { lose_answers: u32::MAX, ..FaultOrder::default() }
+            }
+        };
+        fleet.order_faults(fleet.platform, &order).await.change_context(TaskError)
+    }
+
+    async fn end(self, fleet: &mut LocalFleet, router: usize) -> Result<(), Report<TaskError>> {
+        match self {
+            Self::RouterKilled => fleet.start_router(router).change_context(TaskError),
+            Self::RouterFrozen => {
+                fleet.routers[router].process.iter().for_each(|process| process.wake());
+                Ok(())
+            }
+            Self::PlatformOut | Self::PlatformAnswersLost => {
+                let order = FaultOrder::default();
+                fleet.order_faults(fleet.platform, &order).await.change_context(TaskError)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/configure/operators.rs
@@ -0,0 +1,112 @@
+//! Operators who edit the same few rows through several routers.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use base_types::RowVersion;
+use history_check::{EditCall, EditEnd};
+use http::{Method, StatusCode};
+use local_fleet::{CallAnswer, HttpCaller, LocalFleet};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde_json::{Value, json};
+
+use crate::configure::{ConfigurePlan, ConfigureRun};
+
+const ROWS: u32 = 4;
+const PAUSE_MAX_MS: u64 = 400;
+
+/// An operator who reads a row and edits it on condition of what was read.
+pub(super) struct RacingOperator {
+    run: Rc<ConfigureRun>,
+    caller: HttpCaller,
+    routers: Vec<SocketAddr>,
+    platform: SocketAddr,
+    index: usize,
+    edits: u64,
+    rng: SmallRng,
+    broken: bool,
+}
+
+impl RacingOperator {
+    pub(super) fn new(
+        run: Rc<ConfigureRun>,
+        fleet: &LocalFleet,
+        index: usize,
+        plan: ConfigurePlan,
+    ) -> Self {
+        Self {
+            run,
+            caller: fleet.caller().clone(),
+            routers: fleet.routers.iter().map(|router| router.operator).collect(),
+            platform: fleet.platform,
+            index,
+            edits: 0,
+            rng: SmallRng::seed_from_u64(plan.seed.wrapping_add(index as u64 + 1)),
+            broken: plan.broken && index == 0,
+        }
+    }
+
+    pub(super) async fn edit_until_over(mut self) {
+        while !self.run.is_over() {
+            self.edit().await;
+            let pause = self.rng.random_range(0..PAUSE_MAX_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    async fn edit(&mut self) {
+        self.edits += 1;
+        let name = format!("edit-{}-{}", self.index, self.edits);
+        let row = format!("row-{}", self.rng.random_range(0..ROWS));
+        let router = self.routers[self.rng.random_range(0..self.routers.len())];
+        let path = format!("/admin/v1/pools/{row}");
+        let read = self.caller.call(Method::GET, router, &path, &[], "").await;
+        let Ok(read) = read else { return };
+        let tag = read.header("etag").to_owned();
+        let method = match read.status {
+            StatusCode::OK if self.rng.random_bool(0.15) => Method::DELETE,
+            StatusCode::OK | StatusCode::NOT_FOUND => Method::PUT,
+            _ => return,
+        };
+        if self.broken && self.rng.random_bool(0.2) {
+            return self.write_past(&row).await;
+        }
+        let mut headers = vec![("x-change-reason", &*name)];
+        if !tag.is_empty() {
+            headers.push(("if-match", &*tag));
+        }
+        let body = if method == Method::PUT { self.pool(&row).to_string() } else { String::new() };
+        let answer = self.caller.call(method, router, &path, &headers, body).await;
+        let end = answer.map_or(EditEnd::Unknown, |answer| edit_end(&answer));
+        let call = EditCall {
+            name: name.into(),
+            row: format!("pools/{row}").into(),
+            answered: self.run.now(),
+            end,
+        };
+        self.run.history.borrow_mut().edits.push(call);
+    }
+
+    fn pool(&mut self, row: &str) -> Value {
+        json!({
+            "name": row, "team": "renewals", "group": "assistant", "kind": "engine",
+            "repeatable": true, "target_slots": self.rng.random_range(1..1000),
+        })
+    }
+
+    /// Writes a row as no operator may: without an order, an entry or a condition.
+    async fn write_past(&mut self, row: &str) {
+        let pool = self.pool(row);
+        let body = json!({ "edit": "1-0000000000000000", "row": pool }).to_string();
+        let path = format!("/objects/pools/{row}");
+        let _ = self.caller.call(Method::PUT, self.platform, &path, &[], body).await;
+    }
+}
+
+fn edit_end(answer: &CallAnswer) -> EditEnd {
+    let body: Value = answer.json().unwrap_or_default();
+    match (body["outcome"].as_str(), body["version"].as_u64()) {
+        (Some("accepted"), Some(version)) => EditEnd::Accepted(RowVersion(version)),
+        (Some("not-accepted"), _) => EditEnd::NotAccepted,
+        _ => EditEnd::Unknown,
+    }
+}
--- /dev/null
+++ b/xtask/src/configure/watchers.rs
@@ -0,0 +1,41 @@
+//! Looking at what a router has in force.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use base_types::RowVersion;
+use history_check::TableSighting;
+use local_fleet::HttpCaller;
+use serde_json::{Value, json};
+
+use crate::configure::ConfigureRun;
+
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+
+/// Notes what a router has in force, again and again.
+pub(super) async fn watch_router(
+    run: Rc<ConfigureRun>,
+    caller: HttpCaller,
+    router: usize,
+    operator: SocketAddr,
+) {
+    loop {
+        let asked = run.now();
+        let status = caller.read::<Value>(operator, "/admin/v1/status").await;
+        let whole = |status: &Value| status["tables_complete"] == json!(true);
+        if let Some(status) = status.ok().filter(whole) {
+            let sighting =
+                TableSighting { router, asked, heard: run.now(), rows: row_versions(&status) };
+            run.history.borrow_mut().sightings.push(sighting);
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+fn row_versions(status: &Value) -> BTreeMap<Box<str>, RowVersion> {
+    let rows = status["rows"].as_array().into_iter().flatten();
+    rows.filter_map(|row| {
+        let version = row["version"].as_u64()?;
+        Some((row["key"].as_str()?.into(), RowVersion(version)))
+    })
+    .collect()
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! The project's automation. `cargo xtask --help` lists the tasks.
 
 mod ci;
+mod configure;
 mod demo;
 mod steps;
 mod torture;
@@ -34,6 +35,18 @@
         /// Tortures a build whose ledger does not wait for its claims; this must fail.
         broken: bool,
     },
+    /// Edits a fleet's tables under faults and judges what each router had in force.
+    #[bpaf(command)]
+    Configure {
+        /// Time for which operators edit, in seconds.
+        #[bpaf(argument("SECONDS"), fallback(60))]
+        seconds: u64,
+        /// Seed of operators and faults.
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Also writes rows past the administration API; this must fail.
+        broken: bool,
+    },
     /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
     #[bpaf(command)]
     Measure {
@@ -49,6 +62,9 @@
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
+        Task::Configure { seconds, seed, broken } => {
+            configure::run_configure(configure::ConfigurePlan { seconds, seed, broken })
+        }
         Task::Demo { keep } => demo::run_demo(keep),
         Task::Measure { arguments } => steps::run_measure(&arguments),
     };
