Routers order engines under a lease, and the stand-in engine takes orders

Change: io-router's task (rendezvous over the live routers of the host list names whose task it is; the object `orders/lease` decides), setting `orders.load_every_ms` for the weight store's rate, stand-in `POST /orders` with a fencing number that it can be told to ignore. Without a pool that gives orders no call is made.

Three engines that ignore numbers are loaded; the router that holds the lease is frozen, the other waits the lease out and goes on, and the woken one does no harm: numbers rise at each engine and each version is loaded once.

--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -3,6 +3,7 @@
 mod files;
 mod limits;
 mod logs;
+mod orders;
 mod peers;
 mod stop;
 mod tls;
@@ -17,6 +18,7 @@
     files::FileReader,
     limits::LimitSettings,
     logs::{LogFormat, LogSettings},
+    orders::OrderSettings,
     peers::{PeerSettings, PeerTlsSettings},
     stop::StopSettings,
     tls::TlsSettings,
@@ -53,6 +55,8 @@
     pub limits: LimitSettings,
     /// What is logged and how.
     pub log: LogSettings,
+    /// Orders to model engines.
+    pub orders: OrderSettings,
     /// How the router takes its leave.
     pub stop: StopSettings,
     /// Operators who may use the administration API.
@@ -94,6 +98,7 @@
         let operator_tls = TlsSettings::read(root, "operator_tls", files);
         let limits = LimitSettings::read(root);
         let log = LogSettings::read(root);
+        let orders = OrderSettings::read(root);
         let stop = StopSettings::read(root);
         let operators = read_operators(root);
         Some(Self {
@@ -107,6 +112,7 @@
             operator_tls,
             limits,
             log,
+            orders,
             stop,
             operators,
         })
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -25,6 +25,7 @@
 use crate::{
     cache::PrefixCache,
     faults::FaultState,
+    orders::order_routes,
     serve::{FakeError, read_body, serve},
 };
 
@@ -48,7 +49,8 @@
     });
     let router = Router::new()
         .push(Router::with_path("v1/chat/completions").post(ChatHandler(state.clone())))
-        .push(Router::with_path("load").get(LoadHandler(state)));
+        .push(Router::with_path("load").get(LoadHandler(state)))
+        .push(order_routes(faults.clone()));
     serve(listen, router, faults).await
 }
 
--- a/crates/fakes/src/faults.rs
+++ b/crates/fakes/src/faults.rs
@@ -21,6 +21,8 @@
     pub lose_answers: u32,
     /// Breaks off this many answers after their first piece.
     pub cut_answers: u32,
+    /// Takes orders to load whatever their fencing number.
+    pub ignore_fence: bool,
     /// Ends the process when a request's body contains this text.
     pub crash_on: Option<Box<str>>,
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod faults;
 mod journal;
+mod orders;
 mod platform;
 mod serve;
 mod service;
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -11,6 +11,7 @@
 mod handle;
 mod ledger;
 mod observe;
+mod orders;
 mod platform;
 mod prompt;
 mod relay;
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -23,6 +23,7 @@
     handle::{LoopHandle, LoopInput, LoopInputs},
     ledger::OperationLedger,
     observe::{ObserveState, RequestHoop, observe_router},
+    orders::give_orders,
     platform::watch_platform,
     retention::sweep_operations,
     serve::{ServerTask, serve},
@@ -52,7 +53,7 @@
         TimePoint(0).after(self.start.elapsed())
     }
 
-    fn instant(self, point: TimePoint) -> tokio::time::Instant {
+    pub(crate) fn instant(self, point: TimePoint) -> tokio::time::Instant {
         let wait = point.since(self.now());
         tokio::time::Instant::now() + wait
     }
@@ -85,6 +86,10 @@
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
     tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
     tokio::task::spawn_local(sweep_operations(platform.clone(), handle.clone()));
+    let load_every = settings.orders.load_every;
+    let orders =
+        give_orders(platform.clone(), handle.clone(), clock, settings.host.clone(), load_every);
+    tokio::task::spawn_local(orders);
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -45,6 +45,7 @@
     host_lag: Duration,
     linger: Duration,
     drain: Duration,
+    load_every: Duration,
 }
 
 impl FleetPlan {
@@ -60,6 +61,7 @@
             engines: 12,
             services: 4,
             host_lag: Duration::from_millis(500),
+            load_every: Duration::from_secs(10),
             linger: Duration::from_secs(12),
             drain: Duration::from_secs(600),
         }
@@ -89,6 +91,12 @@
         Self { services, ..self }
     }
 
+    /// Sets the least time between two loads of engines.
+    #[must_use]
+    pub fn load_every(self, load_every: Duration) -> Self {
+        Self { load_every, ..self }
+    }
+
     /// Sets how long the platform's host list lags.
     #[must_use]
     pub fn host_lag(self, host_lag: Duration) -> Self {
@@ -399,7 +407,7 @@
             "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
              operator_listen = \"{}\"\nplatform = \"{}\"\npeer_listen = \"{}\"\n\
              peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n\n\
-             [stop]\nlinger_ms = {}\ndrain_ms = {}\n{}",
+             [orders]\nload_every_ms = {}\n\n[stop]\nlinger_ms = {}\ndrain_ms = {}\n{}",
             router.host,
             router.failure_domain,
             router.caller,
@@ -410,6 +418,7 @@
             self.key_path("authority.crt").display(),
             self.key_path(&format!("{}.crt", router.host)).display(),
             self.key_path(&format!("{}.key", router.host)).display(),
+            self.plan.load_every.as_millis(),
             self.plan.linger.as_millis(),
             self.plan.drain.as_millis(),
             operator_settings(),
