--- a/crates/io-router/src/entry.rs
+++ b/crates/io-router/src/entry.rs
@@ -1,28 +1,51 @@
 //! The answer to callers that ask which routers to use.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait, writing::Json};
 use serde_json::json;
+use state_membership::MemberRecord;
 
-use crate::handle::LoopHandle;
+use crate::peers::PeerHandle;
 
-const ENTRY_KEEP: Duration = Duration::from_secs(10);
+/// Time for which callers may keep an answer; with the time in which all hear of a leaving router
+/// it stays within the time for which that router lingers.
+const ENTRY_KEEP: Duration = Duration::from_secs(9);
 
-/// Answers `GET /v1/entry`.
-pub(crate) struct EntryHandler(pub(crate) LoopHandle);
+/// Answers `GET /v1/entry`, whose query may name `chat`, `account` and `route`.
+pub(crate) struct EntryHandler(pub(crate) PeerHandle);
 
 #[async_trait]
 impl Handler for EntryHandler {
-    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let addresses = self.0.query(|core| {
-            let entry = |host: &core_router::HostEntry| {
-                json!({ "address": host.address, "failure_domain": host.failure_domain })
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let affinity = affinity(req);
+        let addresses = self.0.query(move |core| {
+            let address = |record: &MemberRecord| {
+                json!({
+                    "address": record.row.caller,
+                    "failure_domain": record.row.failure_domain,
+                })
             };
-            core.entries().map(entry).collect::<Vec<_>>()
+            core.entries(affinity).into_iter().map(address).collect::<Vec<_>>()
         });
         let addresses = addresses.await.unwrap_or_default();
-        let body = json!({ "addresses": addresses, "keep_ms": ENTRY_KEEP.as_millis() });
-        res.render(salvo::writing::Json(body));
+        let keep_until = SystemTime::now() + ENTRY_KEEP;
+        let keep_until = keep_until.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        res.render(Json(json!({
+            "addresses": addresses,
+            "keep_ms": ENTRY_KEEP.as_millis(),
+            "keep_until_ms": keep_until.as_millis(),
+        })));
     }
 }
+
+/// A chat keeps its order of routers, else a client account does; other answers vary, so that
+/// callers spread.
+fn affinity(req: &Request) -> u64 {
+    if let Some(chat) = req.query::<String>("chat") {
+        return policy_routing::affinity_hash(chat.as_bytes());
+    }
+    let Some(account) = req.query::<String>("account") else { return rand::random() };
+    let route = req.query::<String>("route").unwrap_or_default();
+    policy_routing::affinity_hash(format!("{route}/{account}").as_bytes())
+}
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod observe;
 mod orders;
+mod peers;
 mod platform;
 mod prompt;
 mod relay;
--- a/crates/io-router/src/orders.rs
+++ b/crates/io-router/src/orders.rs
@@ -8,9 +8,10 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base_types::{HostName, RowVersion, TimePoint};
-use core_router::{HostState, RouterCore};
+use core_router::{HostState, RouterCore, TargetRecord};
 use io_platform::{ObjectKey, ObjectRecord, PlatformClient, PlatformError, WriteGuard};
 use policy_routing::{affinity_hash, rendezvous_score};
+use policy_targets::TargetPhase;
 use state_leases::LeaseOwner;
 use state_orders::{
     EngineOrder, EngineReport, EngineView, OrderBook, OrderRecord, OrderStep, OrderTimes, PoolView,
@@ -57,7 +58,7 @@
         engines: EngineClient::new(),
         clock,
     };
-    while let Some(scene) = handle.query(order_scene).await {
+    while let Some(scene) = handle.query(move |core| order_scene(core, clock.now())).await {
         if scene.pools.is_empty() {
             tokio::time::sleep(IDLE_LOOK_EVERY).await;
             continue;
@@ -153,12 +154,13 @@
     }
 }
 
-fn order_scene(core: &RouterCore) -> OrderScene {
+fn order_scene(core: &RouterCore, now: TimePoint) -> OrderScene {
     let mut addresses = BTreeMap::new();
     let mut pools = Vec::new();
     for row in core.table().pools() {
         let Some(spec) = row.serving.clone() else { continue };
-        let members = core.targets().filter(|target| target.open && target.group == row.group);
+        let members =
+            core.targets().filter(|target| stays(target, now) && target.group == row.group);
         let members: Vec<_> = members.collect();
         addresses.extend(members.iter().map(|t| (t.name.clone(), t.address.clone())));
         let view = |name: &HostName| EngineView { name: name.clone(), report: None };
@@ -172,6 +174,11 @@
     OrderScene { assigned: is_assigned(core), pools, addresses }
 }
 
+/// Whether an engine is to be ordered; one that failed lately still counts as part of its pool.
+fn stays(target: &TargetRecord, now: TimePoint) -> bool {
+    !matches!(target.life.phase(now), TargetPhase::Leaving(_) | TargetPhase::Unlisted)
+}
+
 /// Whether this router is the first of the live ones by rendezvous for the task.
 fn is_assigned(core: &RouterCore) -> bool {
     let task = affinity_hash(TASK_NAME);
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -3,8 +3,8 @@
 use core_router::{Effect, Event, RouterCore, SharePace};
 
 use base_types::{
-    AccountName, Arrival, ChatName, ContentDigest, HostName, PoolName, RequestKey, RouteName,
-    RowVersion, TeamName, TimePoint,
+    AccountName, Arrival, ChatName, ContentDigest, HostName, PlacementToken, PoolName, RequestKey,
+    RouteName, RowVersion, TeamName, TimePoint,
 };
 use bytes::Bytes;
 use state_tables::{PoolRow, RouteRow, RowChange, RowContent, RowKey, ServiceKind};
@@ -63,6 +63,7 @@
     request: RequestKey,
     chat: &ChatState,
     tokens: u32,
+    placement: Option<PlacementToken>,
     deadline: TimePoint,
 ) -> Arrival {
     Arrival {
@@ -70,14 +71,21 @@
         path: PATH.into(),
         account: AccountName::new(&format!("account-{}", chat.account)),
         chat: Some(ChatName::new(&format!("chat-{}", chat.chat))),
+        placement,
+        chat_begins: chat.history == 0,
         operation: None,
-        content: ContentDigest::of(&request.0.to_le_bytes()),
+        content: content_of(chat),
         prompt_head: Bytes::from(format!("group-{}", chat.group)),
         tokens,
         deadline,
     }
 }
 
+/// A turn that is sent again has the same content.
+fn content_of(chat: &ChatState) -> ContentDigest {
+    ContentDigest::of(format!("{} {}", chat.chat, chat.history).as_bytes())
+}
+
 fn rows(plan: &ScenarioPlan, setting: ModuleSetting) -> [RowChange; 2] {
     let team = TeamName::new("measure");
     let pool = PoolRow {
--- a/crates/measure/src/plan.rs
+++ b/crates/measure/src/plan.rs
@@ -44,6 +44,9 @@
         },
         /// Chats of the surge end.
         SurgeEnd,
+        /// A caller sends a request that crashes each target that runs it, and sends it again
+        /// through any router whenever it is given up. The content is that of this number.
+        Crasher(u64),
         /// Each attempt on the first targets fails after it was sent.
         FailBegin(u32),
         /// Attempts no longer fail.
@@ -106,6 +109,8 @@
         pub view_lag: Duration,
         /// Share of turns that enter at the router where the chat entered before.
         pub sticky: f64,
+        /// Share of chats whose callers send the placement token back.
+        pub token_share: f64,
         /// Memory of the caches as a multiple of all chats' history.
         pub cache_ratio: f64,
         /// Shape of the chats.
@@ -176,6 +181,7 @@
             view_age: Duration::from_millis(500),
             view_lag: Duration::ZERO,
             sticky: 0.7,
+            token_share: 0.0,
             cache_ratio: 1.5,
             trace: TraceShape::AGENCY,
             faults: Vec::new(),
