--- a/crates/history-check/src/lib.rs
+++ b/crates/history-check/src/lib.rs
@@ -1,4 +1,5 @@
-//! Checks histories of calls and executions against the promises to callers.
+//! Checks histories of calls and executions against the promises to callers, and histories of
+//! edits against what each router had in force.
 //!
 //! A history names every call with what its caller was told, and every execution with the
 //! request that caused it. The checks need no knowledge of how the router works.
@@ -7,9 +8,14 @@
 mod history;
 mod register;
 mod rows;
+mod tables;
 
 pub use crate::{
     check::{HistoryChecker, Violation},
     history::{CallEnd, CallRecord, RunHistory, RunRecord},
     rows::{AcceptedEdit, DelaySummary, RowEdition, RowHistory, RowView, RowViolation},
+    tables::{
+        AuditedEdit, EditCall, EditEnd, FaultSpan, REPAIR_TIME, TableHistory, TableSighting,
+        TableViolation,
+    },
 };
--- a/crates/io-router/src/admin/explain.rs
+++ b/crates/io-router/src/admin/explain.rs
@@ -2,15 +2,20 @@
 
 use std::sync::Arc;
 
-use base_types::{AccountName, RequestKey, TimePoint};
+use base_types::{AccountName, HostName, RequestKey, TimePoint};
 use core_router::RouterCore;
+use futures_util::future::join_all;
+use io_wire::{PeerCall, PeerReply};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait, http::StatusCode, writing::Json,
 };
 use serde_json::json;
 use state_tables::TableKind;
 
-use crate::admin::{AdminState, write_error};
+use crate::{
+    admin::{AdminState, write_error},
+    peers::PeerHandle,
+};
 
 /// What an explanation is asked about.
 #[derive(Debug, Clone, Copy)]
@@ -51,7 +56,6 @@
 }
 
 impl ExplainHandler {
-    // FIXME: a request that another router served is asked of that router only.
     async fn explain_request(&self, text: &str, res: &mut Response) {
         let Ok(number) = u128::from_str_radix(text, 16) else {
             let message = "a request id is 32 hexadecimal digits";
@@ -60,13 +64,59 @@
         let sentences = self.state.handle.query(move |core| {
             core.explain(RequestKey(number)).map(|record| record.sentences.clone())
         });
-        match sentences.await.flatten() {
-            Some(sentences) => res.render(Json(json!({ "request": text, "decisions": sentences }))),
-            None => {
-                write_error(res, StatusCode::NOT_FOUND, "this router remembers no such request")
+        let own = sentences.await.flatten();
+        if let Some(sentences) = own {
+            return res.render(Json(json!({ "request": text, "decisions": sentences })));
+        }
+        let asked = ask_peers(&self.state.peers, RequestKey(number)).await;
+        let Some((router, sentences)) = asked.explained else {
+            return write_error(res, StatusCode::NOT_FOUND, &asked.unexplained());
+        };
+        let body = json!({ "request": text, "router": router, "decisions": sentences });
+        res.render(Json(body));
+    }
+}
+
+/// What the routers that this one has links to say of a request.
+#[derive(Debug, Default)]
+struct PeerExplanation {
+    explained: Option<(HostName, Vec<Box<str>>)>,
+    unknown: Vec<HostName>,
+    silent: Vec<HostName>,
+}
+
+impl PeerExplanation {
+    fn unexplained(&self) -> String {
+        let list = |hosts: &[HostName]| {
+            let names: Vec<&str> = hosts.iter().map(HostName::as_str).collect();
+            if names.is_empty() { "none".to_owned() } else { names.join(", ") }
+        };
+        format!(
+            "this router remembers no such request; peers that remember none either: {}; peers \
+             that did not answer: {}",
+            list(&self.unknown),
+            list(&self.silent),
+        )
+    }
+}
+
+/// Asks all linked routers at once. A router without a link to this one is not asked.
+async fn ask_peers(peers: &PeerHandle, request: RequestKey) -> PeerExplanation {
+    let linked = peers.query(|core| core.status().linked).await.unwrap_or_default();
+    let call = PeerCall::Explain(request);
+    let asked = linked.iter().map(|host| peers.call(host, &call));
+    let replies = join_all(asked).await;
+    let mut explanation = PeerExplanation::default();
+    for (host, reply) in linked.into_iter().zip(replies) {
+        match reply {
+            Ok(PeerReply::Explained(sentences)) if sentences.is_empty() => {
+                explanation.unknown.push(host);
             }
+            Ok(PeerReply::Explained(sentences)) => explanation.explained = Some((host, sentences)),
+            _ => explanation.silent.push(host),
         }
     }
+    explanation
 }
 
 fn explain_name(
--- a/crates/io-router/src/peers/handle.rs
+++ b/crates/io-router/src/peers/handle.rs
@@ -64,7 +64,6 @@
     /// # Errors
     ///
     /// Fails when there is no link, or no reply in time; the call may then have taken effect.
-    #[expect(dead_code, reason = "calls of the ledger and of explain come with their owners")]
     pub(crate) async fn call(
         &self,
         host: &HostName,
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -24,6 +24,7 @@
     handle::{LoopHandle, LoopInput, LoopInputs},
     ledger::OperationLedger,
     observe::{ObserveState, RequestHoop, observe_router},
+    orders::give_orders,
     peers::{PeerHandle, PeerLoop},
     platform::watch_platform,
     retention::sweep_operations,
@@ -95,6 +96,10 @@
     tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone(), peers.clone()));
     tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
     tokio::task::spawn_local(sweep_operations(platform.clone(), handle.clone()));
+    let load_every = settings.orders.load_every;
+    let orders =
+        give_orders(platform.clone(), handle.clone(), clock, settings.host.clone(), load_every);
+    tokio::task::spawn_local(orders);
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
     log::info!(host = settings.host.as_str(); "router started");
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -99,6 +99,8 @@
         account_token_rate: 0,
         target_slots: plan.slots,
         prefix_bytes: 1024,
+        serving: None,
+        may_interrupt: false,
         identity: None,
     };
     let route = RouteRow {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod ci;
 mod claims;
+mod configure;
 mod demo;
 mod steps;
 mod tables;
@@ -69,6 +70,18 @@
         /// Refreshes the tables of docs/CAPACITY.md.
         write: bool,
     },
+    /// Edits a fleet's tables under faults and judges what each router had in force.
+    #[bpaf(command)]
+    Configure {
+        /// Time for which operators edit, in seconds.
+        #[bpaf(argument("SECONDS"), fallback(60))]
+        seconds: u64,
+        /// Seed of operators and faults.
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Also writes rows past the administration API; this must fail.
+        broken: bool,
+    },
     /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
     #[bpaf(command)]
     Measure {
@@ -86,6 +99,9 @@
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
         Task::Bench => bench::run_bench(),
+        Task::Configure { seconds, seed, broken } => {
+            configure::run_configure(configure::ConfigurePlan { seconds, seed, broken })
+        }
         Task::Demo { keep } => demo::run_demo(keep),
         Task::Capacity { size, seconds, programs, write } => {
             let sizes = if size.is_empty() { vec![7, 14, 28, 56] } else { size };
