--- a/crates/io-router/tests/ports/tls.rs
+++ b/crates/io-router/tests/ports/tls.rs
@@ -45,3 +45,14 @@
         assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
 }
+
+/// The callers' port knows none of the operators' paths, and says so through TLS.
+#[test]
+fn a_caller_who_trusts_the_authority_gets_the_routers_own_answer() {
+    let client = OperatorClient::new(FLEET.tls.caller);
+    let client = client.trusting(FLEET.authority.as_bytes(), FLEET_NAME).unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let report = runtime.block_on(client.read("status")).unwrap_err();
+    assert_eq!(*report.current_context(), OperatorError::NotFound);
+    assert!(format!("{report:?}").contains("\"code\":1001"), "{report:?}");
+}
