--- a/crates/state-tables/tests/fuzz/oracle.rs
+++ b/crates/state-tables/tests/fuzz/oracle.rs
@@ -84,7 +84,7 @@
         for (key, row) in replay.rows.iter().filter(|(key, _)| !self.past.contains(key)) {
             let object = state.objects.get(&key.object()).expect("the row's object exists");
             let record: RowRecord = serde_json::from_value(object.value.clone()).unwrap();
-            assert_eq!(record.row, *row, "{key}");
+            assert_eq!(record.row, *row, "{key} is not as its last edit left it");
         }
     }
 
@@ -172,7 +172,7 @@
     let entry = |sequence: u64| -> Option<EditRecord> {
         let object = state.objects.get(&audit_object(sequence))?;
         let entry: EditRecord = serde_json::from_value(object.value.clone()).unwrap();
-        assert_eq!(entry.edit.sequence, sequence);
+        assert_eq!(entry.edit.sequence, sequence, "an audit entry is at another place");
         Some(entry)
     };
     let trail: Vec<EditRecord> = (1..=guard.sequence).filter_map(entry).collect();
