Send small pieces of answers at once

Ruled out: a larger buffer, which would hold tokens back; setting the option on each connection, which salvo's acceptor does not let through. Change: ports listen on sockets with TCP_NODELAY, which accepted connections inherit.

--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -10,6 +10,7 @@
 mod front;
 mod handle;
 mod ledger;
+mod listen;
 mod observe;
 mod platform;
 mod prompt;
--- a/crates/io-router/src/serve.rs
+++ b/crates/io-router/src/serve.rs
@@ -7,8 +7,8 @@
 use salvo::{
     Listener, Router, Server,
     conn::{
-        Acceptor, TcpListener,
-        rustls::{Keycert, RustlsConfig},
+        Acceptor,
+        rustls::{Keycert, RustlsConfig, RustlsListener},
     },
     fuse::FuseConfig,
     server::ServerHandle,
@@ -16,7 +16,7 @@
 
 use tokio::task::JoinHandle;
 
-use crate::RunError;
+use crate::{RunError, listen::NodelayListener};
 
 /// A port that is being served.
 pub(crate) struct ServerTask {
@@ -33,14 +33,14 @@
     limits: &LimitSettings,
     router: Router,
 ) -> Result<ServerTask, Report<RunError>> {
-    let listener = TcpListener::new(address);
+    let listener = NodelayListener(address);
     let refused = || format!("cannot listen on {address}");
     let Some(tls) = tls else {
         let acceptor = listener.try_bind().await.change_context(RunError).attach_with(refused)?;
         return Ok(spawn_server(acceptor, limits, router));
     };
     let keycert = Keycert::new().cert(tls.certificates.as_ref()).key(tls.key.reveal().as_ref());
-    let acceptor = listener.rustls(RustlsConfig::new(keycert)).try_bind().await;
+    let acceptor = RustlsListener::new(RustlsConfig::new(keycert), listener).try_bind().await;
     let acceptor = acceptor.change_context(RunError).attach_with(refused)?;
     Ok(spawn_server(acceptor, limits, router))
 }
