--- a/crates/core-router/src/core.rs
+++ b/crates/core-router/src/core.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod operations;
 mod shares;
+mod suspects;
 
 pub use crate::core::shares::SharePace;
 
@@ -16,7 +17,9 @@
 };
 
 use base_types::{AttemptKey, HostName, RequestKey, TimePoint, message_types};
-use policy_routing::PeerLoads;
+use policy_retries::{RetryBudgets, SuspectLedger};
+use policy_routing::{HolderMemory, PeerLoads};
+use policy_targets::TargetPhase;
 use state_tables::TableSet;
 
 use crate::{
@@ -24,6 +27,9 @@
     decision::DecisionLog, request::LiveRequest, targets::TargetArena,
 };
 
+/// Chats whose targets a router remembers; about 100 bytes each.
+const HOLDERS_MAX: usize = 65_536;
+
 const COME_BACK: Duration = Duration::from_secs(1);
 
 message_types! {
@@ -33,6 +39,8 @@
         pub requests: usize,
         /// Whether the tables have been read.
         pub tables_complete: bool,
+        /// Point until which new work is taken, as the platform or a peer was heard.
+        pub trusted_until: TimePoint,
         /// Whether the router is shutting down.
         pub leaving: bool,
     }
@@ -46,10 +54,16 @@
     attempts: u64,
     table: TableSet,
     tables_complete: bool,
+    trusted_until: TimePoint,
     leaving: bool,
     targets: TargetArena,
     peer_loads: PeerLoads,
     share: OwnShare,
+    latest: TimePoint,
+    holders: HolderMemory,
+    budgets: RetryBudgets,
+    suspects: SuspectLedger,
+    wakes: BTreeSet<(TimePoint, RequestKey)>,
     entries: Vec<HostEntry>,
     requests: BTreeMap<RequestKey, LiveRequest>,
     deadlines: BTreeSet<(TimePoint, RequestKey)>,
@@ -66,10 +80,16 @@
             attempts: 0,
             table: TableSet::default(),
             tables_complete: false,
+            trusted_until: TimePoint::NEVER,
             leaving: false,
             targets: TargetArena::default(),
             peer_loads: PeerLoads::default(),
             share: OwnShare::default(),
+            latest: TimePoint(0),
+            holders: HolderMemory::new(HOLDERS_MAX),
+            budgets: RetryBudgets::default(),
+            suspects: SuspectLedger::default(),
+            wakes: BTreeSet::new(),
             entries: Vec::new(),
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
@@ -86,6 +106,7 @@
 
     /// Takes an event and returns what is to be done.
     pub fn on_event(&mut self, now: TimePoint, event: Event) -> Vec<Effect> {
+        self.latest = now;
         match event {
             Event::Arrived(arrival) => self.on_arrival(now, arrival),
             Event::ClaimAnswered(request, outcome) => self.on_claim(now, request, outcome),
@@ -93,11 +114,12 @@
             Event::AttemptUnsent(request, attempt) => self.on_unsent(now, request, attempt),
             Event::AttemptEnded(request, attempt, end) => self.on_end(now, request, attempt, end),
             Event::CallerLeft(request) => self.on_caller_left(now, request),
-            Event::HostsListed(hosts) => self.on_hosts(hosts),
+            Event::HostsListed(hosts) => self.on_hosts(now, hosts),
             Event::RowHeard(change) => self.on_row(change),
             Event::TablesListed(tables, rows) => self.table.adopt_lists(&tables, rows),
+            Event::TrustedUntil(until) => self.trusted_until = until,
             Event::TablesComplete => self.tables_complete = true,
-            Event::LoadHeard(target, report) => self.on_load(target, report),
+            Event::LoadHeard(target, report) => self.on_load(now, target, report),
             Event::NoticeHeard(notice) => self.on_notice(now, notice),
             Event::ShutdownAsked => self.leaving = true,
             Event::StopForced => self.on_stop_forced(now),
@@ -110,7 +132,8 @@
     /// The next point at which [`Event::TimerFired`] is due.
     pub fn next_deadline(&self) -> TimePoint {
         let request = self.deadlines.first().map_or(TimePoint::NEVER, |(deadline, _)| *deadline);
-        request.min(self.share.next_deadline()).min(self.peer_loads.next_expiry())
+        let wake = self.wakes.first().map_or(TimePoint::NEVER, |(at, _)| *at);
+        request.min(wake).min(self.share.next_deadline()).min(self.peer_loads.next_expiry())
     }
 
     /// Name of the router's host.
@@ -128,10 +151,21 @@
         CoreStatus {
             requests: self.requests.len(),
             tables_complete: self.tables_complete,
+            trusted_until: self.trusted_until,
             leaving: self.leaving,
         }
     }
 
+    /// The state of a target at the latest event.
+    pub fn phase(&self, target: &TargetRecord) -> TargetPhase {
+        target.life.phase(self.latest)
+    }
+
+    /// Whether a target took new work at the latest event.
+    pub fn takes_work(&self, target: &TargetRecord) -> bool {
+        target.life.percent(self.latest) > 0
+    }
+
     /// The targets that the router knows.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
         self.targets.records()
--- a/crates/io-router/src/lib.rs
+++ b/crates/io-router/src/lib.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod listen;
 mod observe;
+mod peers;
 mod platform;
 mod prompt;
 mod relay;
--- /dev/null
+++ b/crates/io-router/src/peers.rs
@@ -0,0 +1,238 @@
+//! The loop that owns the peer core, and its links to other routers.
+
+mod answer;
+mod handle;
+
+use std::{collections::BTreeMap, net::SocketAddr, time::SystemTime};
+
+use base_settings::RouterSettings;
+use bytes::Bytes;
+use core_peers::{
+    FrameItem, LinkKey, PeerCore, PeerEffect, PeerEvent, PeerFrame, PeerPlan, SpreadEntry, SyncAsk,
+    SyncReply,
+};
+use core_router::Event;
+use error_stack::{Report, ResultExt};
+use io_wire::{
+    PeerCall, PeerLink, PeerReply, PeerTls, TrafficCounter, TrafficKind, WireEndpoint, WireError,
+    decode_message, encode_message,
+};
+use state_membership::MemberRow;
+use tokio::sync::{mpsc, watch};
+
+pub(crate) use self::handle::PeerHandle;
+use self::{
+    answer::serve_link,
+    handle::{CALL_TIMEOUT, PeerInput},
+};
+use crate::{
+    handle::LoopHandle,
+    run::{LoopClock, RunError},
+};
+
+/// The peer loop and what it needs to run.
+pub(crate) struct PeerLoop {
+    core: PeerCore,
+    clock: LoopClock,
+    wire: WireEndpoint,
+    router: LoopHandle,
+    handle: PeerHandle,
+    links: BTreeMap<LinkKey, PeerLink>,
+    next_link: u64,
+    watches: watch::Sender<bool>,
+}
+
+impl PeerLoop {
+    /// Binds the peer address and starts the loop.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the keys cannot be used or the address cannot be bound.
+    pub(crate) fn start(
+        settings: &RouterSettings,
+        clock: LoopClock,
+        router: LoopHandle,
+    ) -> Result<PeerHandle, Report<RunError>> {
+        let tls = peer_tls(settings);
+        let (wire, accepted) =
+            WireEndpoint::bind(settings.peers.listen, &tls).change_context(RunError)?;
+        let (watches, watching) = watch::channel(true);
+        let (handle, inputs) = PeerHandle::new(wire.traffic().clone(), watching);
+        let peers = Self {
+            core: PeerCore::new(clock.now(), peer_plan(settings)),
+            clock,
+            wire,
+            router,
+            handle: handle.clone(),
+            links: BTreeMap::new(),
+            next_link: 0,
+            watches,
+        };
+        tokio::task::spawn_local(accept_links(accepted, handle.clone()));
+        tokio::task::spawn_local(peers.run(inputs));
+        Ok(handle)
+    }
+
+    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<PeerInput>) {
+        loop {
+            let timer = tokio::time::sleep_until(self.clock.instant(self.core.next_deadline()));
+            let input = tokio::select! {
+                input = inputs.recv() => input,
+                () = timer => {
+                    let sent = self.wire.traffic().report().sent_bytes;
+                    self.on_event(PeerEvent::WireSent(sent));
+                    self.on_event(PeerEvent::TimerFired);
+                    continue;
+                }
+            };
+            match input {
+                None => return,
+                Some(PeerInput::Post(event)) => self.on_event(event),
+                Some(PeerInput::Query(question)) => question(&self.core),
+                Some(PeerInput::Linked(link, dialled)) => self.on_linked(link, dialled),
+                Some(PeerInput::FindLink(host, sender)) => {
+                    let link = self.links.values().find(|link| *link.host() == host);
+                    drop(sender.send(link.cloned()));
+                }
+                Some(PeerInput::Stop(done)) => {
+                    self.on_event(PeerEvent::GoneAsked);
+                    self.wire.close().await;
+                    let _ = done.send(());
+                    return;
+                }
+            }
+        }
+    }
+
+    fn on_event(&mut self, event: PeerEvent) {
+        for effect in self.core.on_event(self.clock.now(), event) {
+            self.run_effect(effect);
+        }
+    }
+
+    fn on_linked(&mut self, link: PeerLink, dialled: Option<SocketAddr>) {
+        self.next_link += 1;
+        let key = LinkKey(self.next_link);
+        let host = link.host().clone();
+        self.links.insert(key, link.clone());
+        let (handle, router) = (self.handle.clone(), self.router.clone());
+        tokio::task::spawn_local(serve_link(key, link, handle, router));
+        self.on_event(PeerEvent::LinkOpened(key, host, dialled));
+    }
+
+    fn run_effect(&mut self, effect: PeerEffect) {
+        match effect {
+            PeerEffect::Dial(address) => {
+                tokio::task::spawn_local(dial(self.wire.clone(), address, self.handle.clone()));
+            }
+            PeerEffect::Close(key) => {
+                if let Some(link) = self.links.remove(&key) {
+                    link.close();
+                }
+            }
+            PeerEffect::Send(key, frame) => self.send(key, &frame),
+            PeerEffect::Ask(key, ask) => {
+                let Some(link) = self.links.get(&key).cloned() else { return };
+                tokio::task::spawn_local(ask_peer(key, link, ask, self.handle.clone()));
+            }
+            PeerEffect::RowAdopted(change) => self.router.post(Event::RowHeard(change)),
+            PeerEffect::TablesComplete => self.router.post(Event::TablesComplete),
+            PeerEffect::HostsChanged(hosts) => self.router.post(Event::HostsListed(hosts)),
+            PeerEffect::NoticeHeard(notice) => self.router.post(Event::NoticeHeard(notice)),
+            PeerEffect::TrustedUntil(until) => self.router.post(Event::TrustedUntil(until)),
+            PeerEffect::WatchChanged(watches) => drop(self.watches.send_replace(watches)),
+            PeerEffect::Log(sentence) => log::info!("{sentence}"),
+        }
+    }
+
+    /// A link that has closed meanwhile says so by itself.
+    fn send(&self, key: LinkKey, frame: &PeerFrame) {
+        let Some(link) = self.links.get(&key).cloned() else { return };
+        let Ok(bytes) = encode_message(frame) else {
+            return log::error!("a frame is too large and was not sent");
+        };
+        count_frame(self.wire.traffic(), frame, bytes.len());
+        tokio::task::spawn_local(async move { drop(link.send(Bytes::from(bytes)).await) });
+    }
+}
+
+async fn accept_links(mut accepted: mpsc::Receiver<PeerLink>, handle: PeerHandle) {
+    while let Some(link) = accepted.recv().await {
+        handle.input(PeerInput::Linked(link, None));
+    }
+}
+
+async fn dial(wire: WireEndpoint, address: SocketAddr, handle: PeerHandle) {
+    match wire.connect(address).await {
+        Ok(link) => handle.input(PeerInput::Linked(link, Some(address))),
+        Err(report) => {
+            log::debug!("{address} was not reached: {report:?}");
+            handle.post(PeerEvent::DialFailed(address));
+        }
+    }
+}
+
+async fn ask_peer(key: LinkKey, link: PeerLink, ask: SyncAsk, handle: PeerHandle) {
+    match exchange_sync(&link, &ask).await {
+        Ok(reply) => handle.post(PeerEvent::SyncAnswered(key, reply)),
+        Err(report) => {
+            log::debug!("{} did not answer: {report:?}", link.host());
+            handle.post(PeerEvent::SyncFailed(key));
+        }
+    }
+}
+
+async fn exchange_sync(link: &PeerLink, ask: &SyncAsk) -> Result<SyncReply, Report<WireError>> {
+    let call = PeerCall::Sync(encode_message(ask)?);
+    match link.call(&call, CALL_TIMEOUT).await? {
+        PeerReply::Synced(bytes) => decode_message(&bytes),
+        _ => Err(Report::new(WireError::Malformed)),
+    }
+}
+
+/// Counts each part of a frame by its kind; what remains is the heartbeat.
+fn count_frame(traffic: &TrafficCounter, frame: &PeerFrame, bytes: usize) {
+    let mut rest = bytes;
+    for item in &frame.items {
+        let kind = match item {
+            FrameItem::Accusation(_) | FrameItem::Entry(SpreadEntry::Member(_)) => {
+                TrafficKind::Member
+            }
+            FrameItem::Entry(SpreadEntry::Row(_)) => TrafficKind::Row,
+            FrameItem::Entry(SpreadEntry::Host(_)) => TrafficKind::Host,
+            FrameItem::Notice(_) => TrafficKind::Notice,
+        };
+        let size = core_peers::item_bytes(item).min(rest);
+        traffic.add_payload(kind, size);
+        rest -= size;
+    }
+    traffic.add_payload(TrafficKind::Heartbeat, rest);
+}
+
+fn peer_tls(settings: &RouterSettings) -> PeerTls {
+    let tls = &settings.peers.tls;
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned().into_boxed_str();
+    PeerTls { ca: text(&tls.ca), certificate: text(&tls.certificate), key: text(tls.key.reveal()) }
+}
+
+fn peer_plan(settings: &RouterSettings) -> PeerPlan {
+    let row = MemberRow {
+        name: settings.host.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        peer: settings.peers.listen,
+        caller: settings.caller_listen.to_string().into(),
+    };
+    let bytes = settings.peers.control_bytes_per_second;
+    PeerPlan {
+        row,
+        seeds: settings.peers.seeds.clone(),
+        incarnation: wall_clock_ms(),
+        bytes_per_second: u32::try_from(bytes).unwrap_or(u32::MAX),
+    }
+}
+
+/// Nothing depends on the clock: a router that starts lower than it is known rises when told.
+fn wall_clock_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(1, |since| u64::try_from(since.as_millis()).unwrap_or(1))
+}
--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -9,6 +9,7 @@
 
 use base_settings::{RouterSettings, StopSettings};
 use base_types::{RequestKey, TimePoint};
+use core_peers::PeerEvent;
 use core_router::{Effect, Event, RequestStep, RouterCore};
 use error_stack::{Report, ResultExt};
 use io_platform::PlatformClient;
@@ -23,6 +24,7 @@
     handle::{LoopHandle, LoopInput, LoopInputs},
     ledger::OperationLedger,
     observe::{ObserveState, RequestHoop, observe_router},
+    peers::{PeerHandle, PeerLoop},
     platform::watch_platform,
     retention::sweep_operations,
     serve::{ServerTask, serve},
@@ -52,7 +54,7 @@
         TimePoint(0).after(self.start.elapsed())
     }
 
-    fn instant(self, point: TimePoint) -> tokio::time::Instant {
+    pub(crate) fn instant(self, point: TimePoint) -> tokio::time::Instant {
         let wait = point.since(self.now());
         tokio::time::Instant::now() + wait
     }
@@ -74,15 +76,23 @@
     let (handle, mut inputs) = LoopHandle::new();
     let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
     let limits = &settings.limits;
-    let front = caller_router(handle.clone(), clock, limits.clone());
+    let peers = PeerLoop::start(&settings, clock, handle.clone())?;
+    let front = caller_router(handle.clone(), peers.clone(), clock, limits.clone());
     let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
     let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
-    let observe = ObserveState { handle: handle.clone(), platform: platform.clone(), metrics };
-    let admin = operator_router(handle.clone(), platform.clone(), clock, settings.operators);
+    let observe = ObserveState {
+        handle: handle.clone(),
+        platform: platform.clone(),
+        peers: peers.clone(),
+        clock,
+        metrics,
+    };
+    let admin =
+        operator_router(handle.clone(), platform.clone(), peers.clone(), clock, settings.operators);
     let admin = Router::new().push(observe_router(observe)).push(admin);
     let operator =
         serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
-    tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone()));
+    tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone(), peers.clone()));
     tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
     tokio::task::spawn_local(sweep_operations(platform.clone(), handle.clone()));
     tokio::task::spawn_local(stop_on_signal(handle.clone()));
@@ -93,6 +103,7 @@
         core,
         clock,
         ledger,
+        peers: peers.clone(),
         steps: BTreeMap::new(),
         stop: settings.stop,
         leave: LeaveState::Staying,
@@ -100,6 +111,7 @@
     core_loop.run(&mut inputs).await;
     let wait = core_loop.leave.flush_wait(clock.now());
     core_loop.run_until(&mut inputs, flush_servers(caller, operator, wait)).await;
+    peers.stop().await;
     log::info!("router stopped");
     Ok(())
 }
@@ -115,6 +127,7 @@
     core: RouterCore,
     clock: LoopClock,
     ledger: OperationLedger,
+    peers: PeerHandle,
     steps: BTreeMap<RequestKey, mpsc::UnboundedSender<RequestStep>>,
     stop: StopSettings,
     leave: LeaveState,
@@ -203,6 +216,7 @@
         match event {
             Event::ShutdownAsked => {
                 self.leave = LeaveState::leave(self.clock.now(), &self.stop);
+                self.peers.post(PeerEvent::LeaveAsked);
                 log::info!(requests = self.core.status().requests; "router is leaving");
             }
             Event::StopForced => {
@@ -230,8 +244,7 @@
             Effect::Release(claim) => {
                 return self.ledger.on_order(now, None, LedgerOrder::Release(claim));
             }
-            // FIXME: notices are not sent yet.
-            Effect::Notify(_) => {}
+            Effect::Notify(notice) => self.peers.post(PeerEvent::NoticeGiven(notice)),
         }
         Vec::new()
     }
--- a/crates/measure/src/run.rs
+++ b/crates/measure/src/run.rs
@@ -6,13 +6,15 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base_types::{
-    AttemptKey, DomainName, HostName, PeerNotice, Refusal, RequestKey, TimePoint, UnknownCode,
-    message_types,
+    AttemptKey, DomainName, HostName, PeerNotice, PlacementToken, Refusal, RequestKey, TimePoint,
+    UnknownCode, message_types,
 };
 use core_router::{
     AttemptEnd, Effect, Event, HostEntry, HostRole, HostState, LoadReport, RequestStep,
 };
 
+use policy_routing::unit_hash;
+
 use crate::{
     FakeEngine, FaultKind, PolicyKind, PromptParts, RunFigures, ScenarioPlan,
     engine::BegunRun,
@@ -29,6 +31,12 @@
 const LIST_LAG_SPREAD_MS: u32 = 1800;
 const RETURNS_MAX: u32 = 5;
 
+/// Chats from this number on crash the targets that run them.
+const CRASHERS: u64 = 1 << 60;
+
+const CRASH_AFTER: Duration = Duration::from_millis(50);
+const CRASHER_AGAIN: Duration = Duration::from_millis(300);
+
 /// Runs a policy through a scenario.
 pub fn run_scenario(plan: &ScenarioPlan, policy: PolicyKind) -> RunFigures {
     let mut run = ScenarioRun::new(plan.clone(), policy);
@@ -46,6 +54,7 @@
         Timer(u32),
         Fault(FaultKind),
         Gone(u32),
+        Crash(u32, u64),
         Sample,
     }
 
@@ -88,6 +97,7 @@
     attempts: BTreeMap<AttemptKey, LiveAttempt>,
     holders: BTreeMap<u64, u32>,
     marked: BTreeMap<u64, u32>,
+    tokens: BTreeMap<u64, PlacementToken>,
     surging: bool,
     requests: u64,
     cache_tokens: u64,
@@ -110,6 +120,7 @@
             attempts: BTreeMap::new(),
             holders: BTreeMap::new(),
             marked: BTreeMap::new(),
+            tokens: BTreeMap::new(),
             surging: false,
             requests: 0,
             cache_tokens,
@@ -159,6 +170,7 @@
                 }
             }
             Happening::Fault(kind) => self.on_fault(kind),
+            Happening::Crash(target, chat) => self.on_crash(target, chat),
             Happening::Gone(target) => self.targets[target as usize].up = false,
             Happening::Sample => {
                 self.totals.sample(&self.targets);
@@ -186,8 +198,9 @@
         let turn = LiveTurn { router, chat, prompt, began: self.now, returns };
         self.totals.count_request(self.now);
         let tokens = prompt.chat_tokens + prompt.group_tokens + prompt.answer_tokens;
+        let placement = self.tokens.get(&chat.chat).copied();
         let deadline = self.now.after(CALLER_WAIT);
-        let arrival = arrival(request, &turn.chat, tokens, deadline);
+        let arrival = arrival(request, &turn.chat, tokens, placement, deadline);
         self.turns.insert(request, turn);
         self.deliver(router, Event::Arrived(arrival));
     }
@@ -207,7 +220,8 @@
 
     fn on_effect(&mut self, router: u32, effect: Effect) {
         match effect {
-            Effect::Step(request, RequestStep::Send { attempt, address, .. }) => {
+            Effect::Step(request, RequestStep::Send { attempt, address, placement, .. }) => {
+                self.keep_token(request, placement);
                 self.on_send(router, request, attempt, &address);
             }
             Effect::Step(request, RequestStep::Refuse(refusal)) => {
@@ -218,6 +232,15 @@
         }
     }
 
+    /// A caller of some chats sends its placement back.
+    fn keep_token(&mut self, request: RequestKey, placement: PlacementToken) {
+        let Some(turn) = self.turns.get(&request) else { return };
+        let chat = turn.chat.chat;
+        if unit_hash(chat) < self.plan.token_share {
+            self.tokens.insert(chat, placement);
+        }
+    }
+
     fn spread(&mut self, router: u32, notice: &PeerNotice) {
         self.totals.count_notice(self.now, notice);
         for peer in (0..self.plan.routers).filter(|peer| *peer != router) {
@@ -243,6 +266,9 @@
         let (chat, prompt) = (turn.chat, turn.prompt);
         self.note_holder(&chat, target);
         self.attempts.insert(attempt, LiveAttempt { target, request });
+        if chat.chat >= CRASHERS {
+            self.plan_in(CRASH_AFTER, Happening::Crash(target, chat.chat));
+        }
         let begun = self.targets[target as usize].engine.take(attempt, prompt);
         self.schedule(target, begun);
     }
@@ -271,7 +297,8 @@
         let Some(live) = self.attempts.remove(&attempt) else { return };
         let Some(turn) = self.turns.remove(&live.request) else { return };
         self.totals.count_answer(self.now, &turn);
-        let in_flight = self.targets[target as usize].engine.load().in_flight;
+        // The report counts the request that it comes with.
+        let in_flight = self.targets[target as usize].engine.load().in_flight + 1;
         let report = LoadReport { in_flight, heard: self.now };
         let key = base_types::TargetKey(target);
         self.deliver(turn.router, Event::LoadHeard(key, report));
@@ -286,6 +313,7 @@
         chat.turns_left = chat.turns_left.saturating_sub(1);
         if chat.turns_left == 0 {
             self.holders.remove(&chat.chat);
+            self.tokens.remove(&chat.chat);
             chat = if chat.surging {
                 self.source.open_for(chat.account, self.plan.routers, true)
             } else {
@@ -298,7 +326,11 @@
 
     fn on_refusal(&mut self, request: RequestKey, refusal: Refusal) {
         let Some(turn) = self.turns.remove(&request) else { return };
-        self.totals.count_refusal(self.now, refusal);
+        let crashes = turn.chat.chat >= CRASHERS;
+        self.totals.count_refusal(self.now, refusal, crashes);
+        if crashes {
+            return self.send_crasher(turn.chat.chat, CRASHER_AGAIN);
+        }
         let Refusal::NotRun(_, come_back) = refusal else {
             let pause = self.source.pause();
             return self.plan_in(pause, Happening::Turn(turn.chat, 0));
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,14 +2,18 @@
 
 mod bench;
 mod ci;
+mod claims;
 mod demo;
 mod steps;
+mod tables;
 mod torture;
 
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 
+use crate::tables::RunFaults;
+
 /// Runs one of the project's tasks.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
@@ -23,6 +27,17 @@
         /// Leaves the fleet up until a line is read from standard input.
         keep: bool,
     },
+    /// Measures what claiming an operation costs.
+    #[bpaf(command)]
+    Claims,
+    /// Edits the tables while routers and the platform fail, and checks what was in force where.
+    #[bpaf(command)]
+    Tables {
+        /// Freezes a router for longer than an edit may take, to show that the check can fail.
+        freeze: bool,
+        /// Breaks nothing, to measure how fast edits are in force.
+        calm: bool,
+    },
     /// Kills, freezes and cuts off a fleet's processes and judges the history of its calls.
     #[bpaf(command)]
     Torture {
@@ -50,11 +65,15 @@
 fn main() -> ExitCode {
     let ended = match task().run() {
         Task::Ci => ci::run_ci(),
+        Task::Claims => claims::measure_claims(),
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
         Task::Bench => bench::run_bench(),
         Task::Demo { keep } => demo::run_demo(keep),
+        Task::Tables { freeze: true, .. } => tables::run_tables(RunFaults::Freeze),
+        Task::Tables { calm: true, .. } => tables::run_tables(RunFaults::None),
+        Task::Tables { .. } => tables::run_tables(RunFaults::All),
         Task::Measure { arguments } => steps::run_measure(&arguments),
     };
     match ended {
