--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -29,7 +29,6 @@
 /// Time from the start of the load until a target and then a router are killed.
 const KILL_AFTER: Duration = Duration::from_millis(1500);
 const KILLED_ENGINE: usize = 0;
-const KILLED_ROUTER: usize = 6;
 
 /// Builds and starts the fleet, uses it, and fails when a promise was broken.
 pub(crate) fn run_demo(keep: bool) -> Result<(), Report<TaskError>> {
@@ -90,17 +89,23 @@
     Ok(())
 }
 
+/// Kills the router that serves the most requests.
 async fn kill_router(fleet: &mut LocalFleet) -> Result<(), Report<TaskError>> {
-    let router = &fleet.routers[KILLED_ROUTER];
-    let status: Value =
-        fleet.caller().read(router.operator, "/admin/v1/status").await.change_context(TaskError)?;
-    println!("killing {} while it serves {} requests", router.host, status["requests"]);
-    fleet.routers[KILLED_ROUTER].process = None;
+    let mut busiest = (0, 0);
+    for (index, router) in fleet.routers.iter().enumerate() {
+        let status = fleet.caller().read::<Value>(router.operator, "/admin/v1/status").await;
+        let requests = status.change_context(TaskError)?["requests"].as_u64().unwrap_or_default();
+        busiest = busiest.max((requests, index));
+    }
+    let (requests, index) = busiest;
+    println!("killing {} while it serves {requests} requests", fleet.routers[index].host);
+    fleet.routers[index].process = None;
     Ok(())
 }
 
 async fn explain_one(fleet: &LocalFleet) -> Result<(), Report<TaskError>> {
-    let router = &fleet.routers[0];
+    let live = fleet.routers.iter().find(|router| router.process.is_some());
+    let router = live.ok_or_else(|| Report::new(TaskError))?;
     let prompt = ChatPrompt { text: "Why here?".into(), tokens: 1 };
     let path = "/v1/chat/completions";
     let headers = [("x-chat-id", "chat-1")];
