--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! The project's automation. `cargo xtask --help` lists the tasks.
 
+mod bench;
 mod ci;
 mod claims;
 mod configure;
@@ -62,6 +63,9 @@
         /// Also writes rows past the administration API; this must fail.
         broken: bool,
     },
+    /// Measures a release router: added latency, throughput, start time, memory.
+    #[bpaf(command)]
+    Bench,
     /// Measures the routers' decisions in virtual time; `-- --help` lists what it takes.
     #[bpaf(command)]
     Measure {
@@ -81,6 +85,7 @@
         Task::Configure { seconds, seed, broken } => {
             configure::run_configure(configure::ConfigurePlan { seconds, seed, broken })
         }
+        Task::Bench => bench::run_bench(),
         Task::Demo { keep } => demo::run_demo(keep),
         Task::Tables { freeze: true, .. } => tables::run_tables(RunFaults::Freeze),
         Task::Tables { calm: true, .. } => tables::run_tables(RunFaults::None),
