Keep one check of edits on real processes

Cause: two tasks and two checkers judged edits against what routers had in force. Ruled out: keeping both; whatever the removed one finds (an accepted edit without an entry, a version that was never accepted, a router that goes back, an edit in force too late) the kept one finds too, and it also finds refused edits that took effect and routers never seen. Change: `cargo xtask tables` and its checker go, `cargo xtask configure` stays. Conclusion: one task, one checker.

--- a/crates/history-check/src/lib.rs
+++ b/crates/history-check/src/lib.rs
@@ -7,13 +7,11 @@
 mod check;
 mod history;
 mod register;
-mod rows;
 mod tables;
 
 pub use crate::{
     check::{HistoryChecker, Violation},
     history::{CallEnd, CallRecord, RunHistory, RunRecord},
-    rows::{AcceptedEdit, DelaySummary, RowEdition, RowHistory, RowView, RowViolation},
     tables::{
         AuditedEdit, EditCall, EditEnd, FaultSpan, REPAIR_TIME, TableHistory, TableSighting,
         TableViolation,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,15 +7,12 @@
 mod configure;
 mod demo;
 mod steps;
-mod tables;
 mod torture;
 
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
 
-use crate::{capacity::CapacityPlan, tables::RunFaults};
-
 /// Runs one of the project's tasks.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options)]
@@ -32,14 +29,6 @@
     /// Measures what claiming an operation costs.
     #[bpaf(command)]
     Claims,
-    /// Edits the tables while routers and the platform fail, and checks what was in force where.
-    #[bpaf(command)]
-    Tables {
-        /// Freezes a router for longer than an edit may take, to show that the check can fail.
-        freeze: bool,
-        /// Breaks nothing, to measure how fast edits are in force.
-        calm: bool,
-    },
     /// Kills, freezes and cuts off a fleet's processes and judges the history of its calls.
     #[bpaf(command)]
     Torture {
@@ -105,11 +94,8 @@
         Task::Demo { keep } => demo::run_demo(keep),
         Task::Capacity { size, seconds, programs, write } => {
             let sizes = if size.is_empty() { vec![7, 14, 28, 56] } else { size };
-            capacity::run_capacity(&CapacityPlan { sizes, seconds, programs, write })
+            capacity::run_capacity(&capacity::CapacityPlan { sizes, seconds, programs, write })
         }
-        Task::Tables { freeze: true, .. } => tables::run_tables(RunFaults::Freeze),
-        Task::Tables { calm: true, .. } => tables::run_tables(RunFaults::None),
-        Task::Tables { .. } => tables::run_tables(RunFaults::All),
         Task::Measure { arguments } => steps::run_measure(&arguments),
     };
     match ended {
