Drain targets by their pool's row, and hear targets that leave

Cause: the life cycle of targets knew drains and a target's own word, and nothing reached them, so an operator could not drain a target. Ruled out: a call for drains beside the tables, which would need spreading, audit and conflicts of its own; the row has them. Change: `drained` in a pool's row; the header `x-target-leaving` in a target's answer; watches are by table, so that writes of the ledger no longer wake the routers that watch. Conclusion: list, drain and the target's own answer each end new work; telling other routers of the answer is still to come.

--- a/crates/core-router/src/core/attempts.rs
+++ b/crates/core-router/src/core/attempts.rs
@@ -12,7 +12,7 @@
     pub(super) fn on_unsent(&mut self, now: TimePoint, key: RequestKey, attempt: AttemptKey) {
         let Some(request) = self.take_sent(key, attempt) else { return };
         self.hold_target(now, request.state.target);
-        self.note(now, key, "The target refused the connection; no byte was sent.".to_owned());
+        self.note(now, key, "The target refused the request; it was not run there.".to_owned());
         match request.unsent() {
             LiveRequest::Fresh(request) => {
                 let Some(pool) = self.table.pool(&request.pool).cloned() else {
--- a/crates/core-router/src/event.rs
+++ b/crates/core-router/src/event.rs
@@ -44,6 +44,8 @@
         TrustedUntil(TimePoint),
         /// All rows have been read once.
         TablesComplete,
+        /// A target said in an answer that it is about to go.
+        LeavingHeard(TargetKey),
         /// A target reported its load.
         LoadHeard(TargetKey, LoadReport),
         /// Another router's notice was heard.
--- a/crates/core-router/src/targets.rs
+++ b/crates/core-router/src/targets.rs
@@ -57,6 +57,15 @@
     }
 }
 
+/// An operator's drain of one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct TargetDrain<'row> {
+    /// Group of the pool whose row names the target.
+    pub(crate) group: &'row str,
+    /// Name of the target's host.
+    pub(crate) host: &'row HostName,
+}
+
 /// Arena of targets; keys are never reused.
 #[derive(Debug, Default)]
 pub(crate) struct TargetArena {
@@ -91,6 +100,14 @@
         }
     }
 
+    /// Takes over all drains of the tables in force.
+    pub(crate) fn adopt_drains(&mut self, drains: &BTreeSet<TargetDrain<'_>>) {
+        for record in &mut self.records {
+            let drain = TargetDrain { group: &record.group, host: &record.name };
+            record.life.on_drain(drains.contains(&drain));
+        }
+    }
+
     /// Takes over what other routers say they have in flight.
     pub(crate) fn adopt_peer_loads(&mut self, now: TimePoint, loads: &PeerLoads) {
         for record in &mut self.records {
--- /dev/null
+++ b/crates/core-router/tests/drain.rs
@@ -0,0 +1,145 @@
+//! Targets that leave or are drained get no new work.
+
+use std::collections::BTreeSet;
+
+use base_types::{
+    AccountName, Arrival, ChatName, ContentDigest, DomainName, HostEntry, HostName, HostRole,
+    HostState, PoolName, RequestKey, RouteName, RowVersion, TargetKey, TimePoint, test_cases,
+};
+use bytes::Bytes;
+use core_router::{AttemptEnd, Effect, Event, RequestStep, RouterCore};
+use state_tables::{PoolRow, RowChange, RowContent, RowKey, TableFile};
+
+const TARGETS: usize = 4;
+const REQUESTS: u128 = 200;
+const TABLES: &str = r#"
+[[pool]]
+name = "pool"
+team = "team"
+group = "group"
+kind = "engine"
+repeatable = true
+
+[[route]]
+name = "route"
+team = "team"
+path = "/"
+pool = "pool"
+"#;
+
+/// What makes a target go.
+enum Going {
+    Drained,
+    ListedLeaving,
+    Said,
+}
+
+fn hosts(leaving: Option<usize>) -> Event {
+    let host = |index| HostEntry {
+        name: HostName::new(&format!("target-{index}")),
+        role: HostRole::Target,
+        group: "group".into(),
+        address: format!("127.0.0.1:{index}").into(),
+        peer: None,
+        failure_domain: DomainName::new("domain"),
+        state: if leaving == Some(index) { HostState::Leaving } else { HostState::Live },
+    };
+    Event::HostsListed((0..TARGETS).map(host).collect())
+}
+
+fn pool(version: u64, drained: &[&str]) -> Event {
+    let row = TableFile::parse(TABLES).unwrap().pools.remove(0);
+    let drained: BTreeSet<HostName> = drained.iter().map(|name| HostName::new(name)).collect();
+    Event::RowHeard(RowChange {
+        key: RowKey::Pool(PoolName::new("pool")),
+        version: RowVersion(version),
+        content: RowContent::Pool(PoolRow { drained, ..row }),
+    })
+}
+
+fn core() -> RouterCore {
+    let mut core = RouterCore::new(HostName::new("router-0"), 7);
+    let route = TableFile::parse(TABLES).unwrap().routes.remove(0);
+    let route = Event::RowHeard(RowChange {
+        key: RowKey::Route(RouteName::new("route")),
+        version: RowVersion(1),
+        content: RowContent::Route(route),
+    });
+    for event in [pool(1, &[]), route, hosts(None), Event::TablesComplete] {
+        core.on_event(TimePoint(0), event);
+    }
+    core
+}
+
+/// Targets to which many chats are sent, one after the other.
+fn used_targets(core: &mut RouterCore, now: TimePoint) -> BTreeSet<TargetKey> {
+    let mut used = BTreeSet::new();
+    for number in 0..REQUESTS {
+        let request = RequestKey(number);
+        let arrival = Arrival {
+            request,
+            path: "/".into(),
+            account: AccountName::new("counter"),
+            chat: Some(ChatName::new(&format!("chat-{number}"))),
+            chat_begins: false,
+            placement: None,
+            operation: None,
+            content: ContentDigest(number),
+            prompt_head: Bytes::new(),
+            tokens: 1,
+            deadline: TimePoint::NEVER,
+        };
+        for effect in core.on_event(now, Event::Arrived(arrival)) {
+            let Effect::Step(_, RequestStep::Send { attempt, target, .. }) = effect else {
+                continue;
+            };
+            used.insert(target);
+            core.on_event(now, Event::AttemptEnded(request, attempt, AttemptEnd::Whole(None)));
+        }
+    }
+    used
+}
+
+fn check_gone(going: Going) {
+    let mut core = core();
+    let now = TimePoint(1_000_000);
+    assert_eq!(used_targets(&mut core, now).len(), TARGETS);
+    core.on_event(
+        now,
+        match going {
+            Going::Drained => pool(2, &["target-1"]),
+            Going::ListedLeaving => hosts(Some(1)),
+            Going::Said => Event::LeavingHeard(TargetKey(1)),
+        },
+    );
+    let used = used_targets(&mut core, now);
+    assert_eq!(used.len(), TARGETS - 1);
+    assert!(!used.contains(&TargetKey(1)));
+}
+
+test_cases! {
+    check_gone:
+    a_drained_target(Going::Drained);
+    a_target_listed_as_leaving(Going::ListedLeaving);
+    a_target_that_says_it_leaves(Going::Said);
+}
+
+#[test]
+fn a_drained_target_that_joins_later_gets_nothing() {
+    let mut core = core();
+    let now = TimePoint(1_000_000);
+    core.on_event(now, pool(2, &["target-1"]));
+    core.on_event(now, Event::HostsListed(Vec::new()));
+    core.on_event(now, hosts(None));
+    let later = TimePoint(60_000_000);
+    assert!(!used_targets(&mut core, later).contains(&TargetKey(1)));
+}
+
+#[test]
+fn a_drain_that_ends_brings_the_target_back() {
+    let mut core = core();
+    let now = TimePoint(1_000_000);
+    core.on_event(now, pool(2, &["target-1"]));
+    core.on_event(now, pool(3, &[]));
+    assert_eq!(used_targets(&mut core, now).len(), TARGETS);
+}
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -28,6 +28,8 @@
 
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(600);
 const OPERATION_BYTES_MAX: usize = 128;
+/// Header by which a target says in any answer that it is about to go.
+const TARGET_LEAVING: &str = "x-target-leaving";
 
 /// Handlers of the callers' port.
 pub(crate) struct CallerFront {
@@ -132,7 +134,7 @@
                     match self.race(&call, &address, &mut steps).await {
                         SendRace::Decided(step) => step,
                         SendRace::Ended(SendEnd::Answered(answer)) => {
-                            self.report_load(target, &answer.headers);
+                            self.report_target(target, &answer.headers);
                             let context = RelayContext {
                                 handle: self.handle.clone(),
                                 clients: self.clients.clone(),
@@ -195,7 +197,11 @@
         });
     }
 
-    fn report_load(&self, target: TargetKey, headers: &HeaderMap) {
+    /// Tells the core what a target's answer says of the target itself.
+    fn report_target(&self, target: TargetKey, headers: &HeaderMap) {
+        if headers.contains_key(TARGET_LEAVING) {
+            self.handle.post(Event::LeavingHeard(target));
+        }
         let value = headers.get("x-engine-in-flight").and_then(|value| value.to_str().ok());
         let Some(in_flight) = value.and_then(|text| text.parse().ok()) else { return };
         let report = LoadReport { in_flight, heard: self.clock.now() };
--- a/crates/io-router/src/platform.rs
+++ b/crates/io-router/src/platform.rs
@@ -37,21 +37,34 @@
     }
 }
 
+/// Watches each table by itself, so that writes of other objects wake nobody.
 async fn watch_tables(platform: &PlatformClient, handle: &LoopHandle, peers: &PeerHandle) {
-    let mut revision = read_tables(platform, handle, peers).await;
     loop {
-        match platform.watch("", revision, WATCH_WAIT).await {
-            Ok(answer) => {
-                revision = answer.revision;
-                peers.post(PeerEvent::PlatformHeard);
-                for change in answer.events.into_iter().filter_map(row_change) {
-                    peers.post(PeerEvent::RowRead(change));
-                }
-            }
-            Err(report) => {
-                wait_after(&report).await;
-                revision = read_tables(platform, handle, peers).await;
-            }
+        let revision = read_tables(platform, handle, peers).await;
+        let report = tokio::select! {
+            report = watch_table(platform, peers, TableKind::Pools, revision) => report,
+            report = watch_table(platform, peers, TableKind::Routes, revision) => report,
+        };
+        wait_after(&report).await;
+    }
+}
+
+/// Hears of a table's changes until a watch fails.
+async fn watch_table(
+    platform: &PlatformClient,
+    peers: &PeerHandle,
+    table: TableKind,
+    mut revision: RowVersion,
+) -> Report<PlatformError> {
+    loop {
+        let answer = match platform.watch(table.prefix(), revision, WATCH_WAIT).await {
+            Ok(answer) => answer,
+            Err(report) => return report,
+        };
+        revision = answer.revision;
+        peers.post(PeerEvent::PlatformHeard);
+        for change in answer.events.into_iter().filter_map(row_change) {
+            peers.post(PeerEvent::RowRead(change));
         }
     }
 }
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -1,12 +1,13 @@
 //! Routers of a run, each with its own view.
 
-use core_router::{Effect, Event, RouterCore, SharePace};
+use std::collections::BTreeSet;
 
 use base_types::{
     AccountName, Arrival, ChatName, ContentDigest, HostName, PlacementToken, PoolName, RequestKey,
     RouteName, RowVersion, TeamName, TimePoint,
 };
 use bytes::Bytes;
+use core_router::{Effect, Event, RouterCore, SharePace};
 use state_tables::{PoolRow, RouteRow, RowChange, RowContent, RowKey, ServiceKind};
 
 use crate::{ModuleSetting, PolicyKind, ScenarioPlan, baseline::BaselineRouter, trace::ChatState};
@@ -89,6 +90,7 @@
 fn rows(plan: &ScenarioPlan, setting: ModuleSetting) -> [RowChange; 2] {
     let team = TeamName::new("measure");
     let pool = PoolRow {
+        drained: BTreeSet::new(),
         name: PoolName::new(GROUP),
         team: team.clone(),
         group: GROUP.into(),
--- a/crates/state-tables/src/rows.rs
+++ b/crates/state-tables/src/rows.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, fmt};
 
-use base_types::{PoolIdentity, PoolName, RouteName, TeamName, key_types, value_types};
+use base_types::{HostName, PoolIdentity, PoolName, RouteName, TeamName, key_types, value_types};
 use error_stack::{Report, ResultExt};
 use serde::{Deserialize, Serialize};
 
@@ -75,6 +75,9 @@
         /// Requests that one target runs at once.
         #[serde(default = "default_target_slots")]
         pub target_slots: u32,
+        /// Targets that an operator drains; they get no new work.
+        #[serde(default)]
+        pub drained: BTreeSet<HostName>,
         /// Leading bytes of the prompt that name its prefix group.
         #[serde(default = "default_prefix_bytes")]
         pub prefix_bytes: u32,
