--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -19,5 +19,5 @@
     plan::{FaultKind, FaultPlan, ModuleSetting, PolicyKind, ScenarioPlan, TraceShape},
     plot::{CurvePoint, render_curve},
     run::run_scenario,
-    suite::{SuiteError, run_suite},
+    suite::{REUSE_FIRST, SKEW_FIRST, SuiteError, run_suite, scenarios},
 };
--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -15,8 +15,10 @@
 };
 
 const WORKERS: usize = 4;
-const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.12 };
-const REUSE_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 2.0, reuse_bias: 0.42 };
+/// The Agency's setting: even load first.
+pub const SKEW_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 1.5, reuse_bias: 0.12 };
+/// Kameeldoring's setting: kept caches first.
+pub const REUSE_FIRST: ModuleSetting = ModuleSetting { max_load_ratio: 2.0, reuse_bias: 0.42 };
 
 /// The results could not be written.
 #[derive(Debug)]
@@ -60,21 +62,8 @@
     write_files(folder, seed, &rows)
 }
 
-fn policies(plan: &ScenarioPlan) -> Vec<PolicyKind> {
-    let mut policies = PolicyKind::BASELINES.to_vec();
-    if plan.name.starts_with("curve") {
-        for step in 0..=8 {
-            let reuse_bias = f64::from(step) / 8.0;
-            policies.push(PolicyKind::Module(ModuleSetting { max_load_ratio: 2.0, reuse_bias }));
-        }
-        return policies;
-    }
-    policies.push(PolicyKind::Module(SKEW_FIRST));
-    policies.push(PolicyKind::Module(REUSE_FIRST));
-    policies
-}
-
-fn scenarios(seed: u64) -> Vec<ScenarioPlan> {
+/// All scenarios of the measurement from one seed.
+pub fn scenarios(seed: u64) -> Vec<ScenarioPlan> {
     let mut plans = Vec::new();
     for (deployment, base) in
         [("agency", ScenarioPlan::agency(seed)), ("kameeldoring", ScenarioPlan::kameeldoring(seed))]
@@ -99,6 +88,20 @@
     plans
 }
 
+fn policies(plan: &ScenarioPlan) -> Vec<PolicyKind> {
+    let mut policies = PolicyKind::BASELINES.to_vec();
+    if plan.name.starts_with("curve") {
+        for step in 0..=8 {
+            let reuse_bias = f64::from(step) / 8.0;
+            policies.push(PolicyKind::Module(ModuleSetting { max_load_ratio: 2.0, reuse_bias }));
+        }
+        return policies;
+    }
+    policies.push(PolicyKind::Module(SKEW_FIRST));
+    policies.push(PolicyKind::Module(REUSE_FIRST));
+    policies
+}
+
 /// The smaller deployment's chats on as many targets as the larger has.
 fn twelve(base: &ScenarioPlan) -> Vec<ScenarioPlan> {
     let cases = [(16, 100), (16, 500), (64, 100), (64, 500)];
