Keep a bounded head of each prompt, and write repeated steps once

A request kept its whole prompt beside its body while its answer ran, though at most a prefix is hashed; the ledger wrote the same step seven times; a sum in a sentence could overflow on a lying share in a debug build; two fields were of type String. Ruled out: hashing in the front, which does not know the pool's prefix length. Change: 64 KiB of the prompt are kept, and a pool may not ask for more; one constructor for a step that goes on with a call; a saturating sum. Conclusion: memory for a request no longer holds its prompt twice.

--- a/crates/core-router/src/core/dispatch.rs
+++ b/crates/core-router/src/core/dispatch.rs
@@ -179,7 +179,7 @@
             record.name,
             views.len(),
             pool.name,
-            record.own_in_flight + record.others_in_flight,
+            record.own_in_flight.saturating_add(record.others_in_flight),
             choice.bound,
         );
         self.note(now, arrival.request, sentence);
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -93,7 +93,7 @@
             placement: text(PLACEMENT).and_then(|value| value.parse().ok()),
             chat_begins: prompt.begins,
             tokens: prompt.tokens,
-            prompt_head: prompt.text.into(),
+            prompt_head: prompt.head,
             deadline: self.clock.now().after(wait),
         }
     }
--- a/crates/io-router/src/prompt.rs
+++ b/crates/io-router/src/prompt.rs
@@ -1,13 +1,17 @@
 //! Reading the prompt of a chat call, as far as routing needs it.
 
+use bytes::Bytes;
 use serde::Deserialize;
 
+const ANSWER_ROLE: &str = "assistant";
 const BYTES_PER_TOKEN: usize = 4;
+const HEAD_BYTES_MAX: usize = 64 * 1024;
 
 /// Prompt of a chat call, as far as routing needs it.
 #[derive(Debug, Default)]
 pub(crate) struct ChatPrompt {
-    pub(crate) text: String,
+    /// Leading part of the text, as a request is kept for as long as its answer runs.
+    pub(crate) head: Bytes,
     pub(crate) tokens: u32,
     /// Whether the prompt holds no answer of an earlier turn.
     pub(crate) begins: bool,
@@ -28,24 +32,31 @@
     role: Box<str>,
 }
 
-const ANSWER_ROLE: &str = "assistant";
-
 impl ChatPrompt {
     /// Reads the prompt of a chat body; other bodies have none and count by their length.
     pub(crate) fn parse(body: &[u8]) -> Self {
         let Ok(chat) = serde_json::from_slice::<ChatBody>(body) else {
             return Self {
-                text: String::new(),
+                head: Bytes::new(),
                 tokens: (body.len() / BYTES_PER_TOKEN) as u32,
                 begins: false,
             };
         };
-        let mut text = String::new();
-        for message in &chat.messages {
-            text.push_str(&message.content);
-        }
-        let tokens = (text.len() / BYTES_PER_TOKEN) as u32;
+        let bytes: usize = chat.messages.iter().map(|message| message.content.len()).sum();
+        let tokens = (bytes / BYTES_PER_TOKEN) as u32;
         let begins = chat.messages.iter().all(|message| &*message.role != ANSWER_ROLE);
-        Self { text, begins, tokens: tokens.saturating_add(chat.max_tokens) }
+        Self { head: chat.head(), begins, tokens: tokens.saturating_add(chat.max_tokens) }
+    }
+}
+
+impl ChatBody {
+    fn head(&self) -> Bytes {
+        let mut head = Vec::new();
+        for message in &self.messages {
+            let room = HEAD_BYTES_MAX - head.len();
+            let content = message.content.as_bytes();
+            head.extend_from_slice(&content[..content.len().min(room)]);
+        }
+        head.into()
     }
 }
--- a/crates/knapweedport/src/arguments.rs
+++ b/crates/knapweedport/src/arguments.rs
@@ -153,8 +153,8 @@
     #[bpaf(argument("FILE"), env("KNAPWEEDPORT_CA"), optional)]
     pub(crate) ca: Option<PathBuf>,
     /// Name that the router's certificate must carry.
-    #[bpaf(argument("NAME"), fallback(SERVER_NAME.to_owned()), display_fallback)]
-    pub(crate) server_name: String,
+    #[bpaf(argument::<String>("NAME"), map(Into::into), fallback(SERVER_NAME.into()), display_fallback)]
+    pub(crate) server_name: Box<str>,
 }
 
 /// Parses the process's arguments; an `Err` holds the exit code of help or of wrong arguments.
--- a/crates/state-ledger/src/operation.rs
+++ b/crates/state-ledger/src/operation.rs
@@ -121,6 +121,13 @@
     pub(crate) told: Option<Told>,
 }
 
+impl OperationStep {
+    /// The operation goes on with a call of the platform.
+    fn calling(live: LiveOperation, call: NextCall) -> Self {
+        Self { live: Some(live), call: Some(call), told: None }
+    }
+}
+
 /// Who writes records and when.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RecordWriter<'a> {
@@ -250,11 +257,10 @@
             return self.leave(writer, Some(Told::Claimed(told)));
         }
         let tries = self.state.tries;
-        OperationStep {
-            live: Some(LiveOperation::Claiming(self)),
-            call: Some(NextCall::Later(LedgerCall::Read, tries)),
-            told: None,
-        }
+        OperationStep::calling(
+            LiveOperation::Claiming(self),
+            NextCall::Later(LedgerCall::Read, tries),
+        )
     }
 
     fn leave(self, writer: RecordWriter<'_>, told: Option<Told>) -> OperationStep {
@@ -267,19 +273,11 @@
 
     fn write(self, writer: RecordWriter<'_>) -> OperationStep {
         let call = writer.write(&self.claim, self.state.guard, OperationState::Claimed);
-        OperationStep {
-            live: Some(LiveOperation::Claiming(self)),
-            call: Some(NextCall::Now(call)),
-            told: None,
-        }
+        OperationStep::calling(LiveOperation::Claiming(self), NextCall::Now(call))
     }
 
     fn read_now(self) -> OperationStep {
-        OperationStep {
-            live: Some(LiveOperation::Claiming(self)),
-            call: Some(NextCall::Now(LedgerCall::Read)),
-            told: None,
-        }
+        OperationStep::calling(LiveOperation::Claiming(self), NextCall::Now(LedgerCall::Read))
     }
 
     fn refused(self, outcome: ClaimOutcome) -> OperationStep {
@@ -332,17 +330,13 @@
 
     fn write(self, writer: RecordWriter<'_>) -> OperationStep {
         let call = writer.write(&self.claim, self.state.guard, OperationState::Released);
-        OperationStep {
-            live: Some(LiveOperation::Withdrawing(self)),
-            call: Some(NextCall::Now(call)),
-            told: None,
-        }
+        OperationStep::calling(LiveOperation::Withdrawing(self), NextCall::Now(call))
     }
 
     fn read(mut self, failed: bool) -> OperationStep {
         self.state.tries += u32::from(failed);
         let call = next_read(failed, self.state.tries);
-        OperationStep { live: Some(LiveOperation::Withdrawing(self)), call: Some(call), told: None }
+        OperationStep::calling(LiveOperation::Withdrawing(self), call)
     }
 }
 
@@ -371,17 +365,13 @@
     fn write(self, writer: RecordWriter<'_>) -> OperationStep {
         let guard = RecordGuard::Version(self.state.version);
         let call = writer.write(&self.claim, guard, self.state.outcome.clone());
-        OperationStep {
-            live: Some(LiveOperation::Finishing(self)),
-            call: Some(NextCall::Now(call)),
-            told: None,
-        }
+        OperationStep::calling(LiveOperation::Finishing(self), NextCall::Now(call))
     }
 
     fn read(mut self, failed: bool) -> OperationStep {
         self.state.tries += u32::from(failed);
         let call = next_read(failed, self.state.tries);
-        OperationStep { live: Some(LiveOperation::Finishing(self)), call: Some(call), told: None }
+        OperationStep::calling(LiveOperation::Finishing(self), call)
     }
 }
 
--- a/crates/state-tables/src/check.rs
+++ b/crates/state-tables/src/check.rs
@@ -9,6 +9,8 @@
 const LOAD_RATIO_MIN: f64 = 1.0;
 const LOAD_RATIO_MAX: f64 = 100.0;
 const NAME_BYTES_MAX: usize = 64;
+/// Routers keep this much of a prompt while its answer runs.
+const PREFIX_BYTES_MAX: u32 = 64 * 1024;
 
 value_types! {
     /// One fault of a row, with its key and a remedy.
@@ -117,6 +119,10 @@
     if let Some(spec) = &row.serving {
         check_serving(row.kind, spec, &key("serving"), faults);
     }
+    if row.prefix_bytes > PREFIX_BYTES_MAX {
+        let remedy = format!("must be at most {PREFIX_BYTES_MAX}");
+        faults.push(fault(key("prefix_bytes"), &remedy));
+    }
     if row.target_slots == 0 {
         faults.push(fault(key("target_slots"), "must be above zero"));
     }
--- a/crates/state-tables/tests/tables.rs
+++ b/crates/state-tables/tests/tables.rs
@@ -37,6 +37,10 @@
         &FILE.replace("repeatable = true", "repeatable = true\nmax_load_ratio = 0.5\ntarget_slots = 0"),
         &["pool.assistant.max_load_ratio", "pool.assistant.target_slots"],
     );
+    a_prefix_longer_than_what_routers_keep(
+        &FILE.replace("repeatable = true", "repeatable = true\nprefix_bytes = 65537"),
+        &["pool.assistant.prefix_bytes"],
+    );
     a_relative_path(&FILE.replace("/v1/chat", "v1/chat"), &["route.chat.path"]);
 }
 
