--- a/crates/core-peers/src/core/links.rs
+++ b/crates/core-peers/src/core/links.rs
@@ -18,7 +18,7 @@
 };
 
 /// Time between frames on an idle link.
-const HEARTBEAT: Duration = Duration::from_millis(550);
+const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Silence after which this router no longer counts as hearing a peer at all.
 const DEAF_AFTER: Duration = Duration::from_secs(2);
 /// Age at which a link may be replaced by another to the same host.
