Scope operation ids by client account, and digest the whole call

Cause: the ledger's path named the pool. A repeat after an operator sent the route to another pool ran a second time, and so could one through a router that still had the older row. Two accounts with the same id and body were given one answer, and so were two paths with the same body. Ruled out: the pool's identity in the path, which has the same hole; the id alone, which would give one account another's answer. Conclusion: an edit of the tables no longer opens a second run.

--- a/crates/base-types/src/names.rs
+++ b/crates/base-types/src/names.rs
@@ -50,4 +50,14 @@
     pub fn of(content: &[u8]) -> Self {
         Self(xxh3::xxh3_128(content))
     }
+
+    /// Digests parts one after the other; each part's length counts, so that no two lists are alike.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = xxh3::Xxh3::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.digest128())
+    }
 }
--- a/crates/core-router/src/core/operations.rs
+++ b/crates/core-router/src/core/operations.rs
@@ -24,6 +24,7 @@
         };
         let claim = OperationClaim {
             pool: request.pool.clone(),
+            account: request.arrival.account.clone(),
             operation,
             content: request.arrival.content,
             attempt: self.next_attempt(),
--- a/crates/io-router/src/admin/operations.rs
+++ b/crates/io-router/src/admin/operations.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base_settings::OperatorSettings;
-use base_types::{OperationName, PoolName, RowVersion, value_types};
+use base_types::{AccountName, OperationName, PoolName, RowVersion, value_types};
 use error_stack::Report;
 use io_platform::{ObjectKey, ObjectRecord, PlatformClient, PlatformError, WriteGuard};
 use salvo::{
@@ -11,7 +11,8 @@
 };
 use serde_json::{Value, json};
 use state_ledger::{
-    OperationRecord, OperationState, SettledOutcome, Settlement, operation_part, operation_path,
+    OPERATIONS_PREFIX, OperationRecord, OperationState, SettledOutcome, Settlement, operation_part,
+    operation_path,
 };
 
 use crate::{
@@ -36,6 +37,7 @@
     /// What an operator sends to settle an operation.
     #[serde(deny_unknown_fields)]
     struct SettleOrder {
+        account: AccountName,
         operation: OperationName,
         outcome: SettledOutcome,
         reason: Box<str>,
@@ -55,16 +57,16 @@
         let pool = PoolName::new(&req.param::<String>("pool").unwrap_or_default());
         let part = req.query::<String>("part").map(|part| u8::from_str_radix(&part, 16));
         let prefix = match part {
-            Some(Ok(part)) => operation_part(&pool, part),
+            Some(Ok(part)) => operation_part(part),
             Some(Err(_)) => {
                 let message = "a part is two hexadecimal digits";
                 return write_error(res, StatusCode::BAD_REQUEST, message);
             }
-            None => format!("operations/{pool}/"),
+            None => OPERATIONS_PREFIX.to_owned(),
         };
         let settled = req.query::<String>("state").is_some_and(|state| state == "settled");
         match self.0.platform.list(&prefix).await {
-            Ok(list) => res.render(Json(operations_body(&list.objects, settled))),
+            Ok(list) => res.render(Json(operations_body(&list.objects, &pool, settled))),
             Err(_) => write_error(res, StatusCode::SERVICE_UNAVAILABLE, UNANSWERED),
         }
     }
@@ -104,8 +106,11 @@
         operator: &str,
     ) -> Result<OperationRecord, SettleError> {
         let platform = &self.0.platform;
-        let key = ObjectKey::new(&operation_path(pool, &order.operation));
+        let key = ObjectKey::new(&operation_path(&order.account, &order.operation));
         let (version, record) = read_operation(platform, &key).await?;
+        if record.pool != *pool {
+            return Err(SettleError::Missing);
+        }
         let SettleOrder { outcome, reason, .. } = order;
         let settlement = Settlement { outcome, operator: operator.into(), reason };
         let host = self.0.handle.query(|core| core.name().clone()).await;
@@ -158,13 +163,14 @@
     if record == *settled { Ok(()) } else { Err(SettleError::Unanswered) }
 }
 
-fn operations_body(objects: &[ObjectRecord], settled: bool) -> Value {
+fn operations_body(objects: &[ObjectRecord], pool: &PoolName, settled: bool) -> Value {
     let now = wall_time();
     let wanted = |record: &OperationRecord| match record.state {
         OperationState::Settled(_) => settled,
         _ => !settled && record.is_open(now),
     };
-    let records = objects.iter().filter_map(parse_record).filter(wanted);
+    let records = objects.iter().filter_map(parse_record);
+    let records = records.filter(|record| record.pool == *pool).filter(wanted);
     let operations: Vec<Value> = records.map(|record| operation_body(&record)).collect();
     json!({ "operations": operations, "retention_seconds": RETENTION.as_secs() })
 }
@@ -178,6 +184,7 @@
         OperationState::Settled(settlement) => ("settled", Some(settlement)),
     };
     json!({
+        "account": record.account,
         "operation": record.operation,
         "pool": record.pool,
         "state": state,
--- a/crates/io-router/src/forward.rs
+++ b/crates/io-router/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base_types::{RequestKey, UnknownCode};
+use base_types::{ContentDigest, RequestKey, UnknownCode};
 use bytes::Bytes;
 use core_router::StoredAnswer;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
@@ -33,6 +33,14 @@
     pub(crate) body: Bytes,
 }
 
+impl CallerRequest {
+    /// Digest of all that a repeat must have in common.
+    pub(crate) fn digest(&self) -> ContentDigest {
+        let method = self.method.as_str().as_bytes();
+        ContentDigest::of_parts(&[method, self.path.as_bytes(), &self.body])
+    }
+}
+
 /// How sending ended.
 pub(crate) enum SendEnd {
     /// No byte left this router.
--- a/crates/io-router/src/front.rs
+++ b/crates/io-router/src/front.rs
@@ -4,8 +4,8 @@
 
 use base_settings::LimitSettings;
 use base_types::{
-    AccountName, Arrival, AttemptKey, ChatName, CompletedCode, ContentDigest, NotRunCode,
-    OperationName, Refusal, RequestKey, TargetKey, UnknownCode,
+    AccountName, Arrival, AttemptKey, ChatName, CompletedCode, NotRunCode, OperationName, Refusal,
+    RequestKey, TargetKey, UnknownCode,
 };
 use core_router::{AttemptEnd, Event, LoadReport, RequestStep};
 use http::{HeaderMap, header};
@@ -89,7 +89,7 @@
                 .and_then(|value| value.to_str().ok())
                 .filter(|value| !value.is_empty() && value.len() <= OPERATION_BYTES_MAX)
                 .map(OperationName::new),
-            content: ContentDigest::of(&call.body),
+            content: call.digest(),
             placement: text(PLACEMENT).and_then(|value| value.parse().ok()),
             chat_begins: prompt.begins,
             tokens: prompt.tokens,
--- a/crates/io-router/src/retention.rs
+++ b/crates/io-router/src/retention.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use base_types::PoolName;
 use io_platform::{ObjectRecord, PlatformClient};
 use rand::Rng;
 use state_ledger::{WallTime, operation_part};
@@ -27,16 +26,14 @@
     loop {
         tokio::time::sleep(sweep_pause(&handle).await).await;
         let part = rand::rng().random();
-        for pool in once_pools(&handle).await {
-            sweep_part(&platform, &pool, part).await;
-        }
+        sweep_part(&platform, part).await;
     }
 }
 
-async fn sweep_part(platform: &PlatformClient, pool: &PoolName, part: u8) {
+async fn sweep_part(platform: &PlatformClient, part: u8) {
     let now = wall_time();
     let oldest = WallTime(now.0.saturating_sub(RETENTION.as_millis() as u64));
-    let Ok(list) = platform.list(&operation_part(pool, part)).await else { return };
+    let Ok(list) = platform.list(&operation_part(part)).await else { return };
     let expired =
         |object: &&ObjectRecord| parse_record(object).is_some_and(|record| record.expired(oldest));
     for object in list.objects.iter().filter(expired).take(DELETES_MAX) {
@@ -46,14 +43,6 @@
     }
 }
 
-async fn once_pools(handle: &LoopHandle) -> Vec<PoolName> {
-    let pools = handle.query(|core| {
-        let pools = core.table().pools();
-        pools.filter(|pool| !pool.repeatable).map(|pool| pool.name.clone()).collect()
-    });
-    pools.await.unwrap_or_default()
-}
-
 async fn sweep_pause(handle: &LoopHandle) -> Duration {
     let routers = handle.query(|core| core.entries().count()).await.unwrap_or_default();
     let span = FLEET_SWEEP_MS * 2 * routers.max(1) as u64;
--- a/crates/io-router/tests/answers.rs
+++ b/crates/io-router/tests/answers.rs
@@ -138,6 +138,39 @@
     });
 }
 
+/// Two calls with one operation id, each of an account on a path.
+fn check_scope(calls: [(&str, &str); 2], expected: [u16; 2], runs: usize) {
+    let target = free_port();
+    with_router(target, async |rig| {
+        let counts = start_target(target, |_, _| vec![Send(WHOLE)]).await;
+        for ((account, path), expected) in calls.into_iter().zip(expected) {
+            let answer = rig.call_as(account, path, Some("payment"), "amount").await;
+            assert_eq!(answer.unwrap().code(), expected);
+        }
+        assert_eq!(counts.requests.load(Ordering::SeqCst), runs);
+    });
+}
+
+test_cases! {
+    check_scope:
+    one_id_of_two_accounts_is_two_operations(
+        [("arusha", "/pay"), ("dodoma", "/pay")], [2000, 2000], 2);
+    one_id_on_two_paths_is_refused(
+        [("arusha", "/pay"), ("arusha", "/pay/other")], [2000, 1008], 1);
+}
+
+#[test]
+fn a_repeat_after_its_route_went_to_another_pool_gets_the_stored_answer() {
+    let target = free_port();
+    with_router(target, async |rig| {
+        let counts = start_target(target, |_, _| vec![Send(WHOLE)]).await;
+        assert_eq!(rig.call("/pay", Some("payment"), "amount").await.unwrap().code(), 2000);
+        rig.move_route().await;
+        assert_eq!(rig.call("/pay", Some("payment"), "amount").await.unwrap().code(), 2001);
+        assert_eq!(counts.requests.load(Ordering::SeqCst), 1);
+    });
+}
+
 #[test]
 fn a_body_cut_short_by_its_caller_is_not_run() {
     let target = free_port();
--- a/crates/io-router/tests/answers/rig.rs
+++ b/crates/io-router/tests/answers/rig.rs
@@ -70,13 +70,41 @@
         operation: Option<&str>,
         body: &str,
     ) -> Result<CallAnswer, CallError> {
-        let headers: Vec<(&str, &str)> =
-            operation.iter().map(|operation| ("idempotency-key", *operation)).collect();
+        self.call_as("counter", path, operation, body).await
+    }
+
+    pub(crate) async fn call_as(
+        &self,
+        account: &str,
+        path: &str,
+        operation: Option<&str>,
+        body: &str,
+    ) -> Result<CallAnswer, CallError> {
+        let operation = operation.iter().map(|operation| ("idempotency-key", *operation));
+        let headers: Vec<(&str, &str)> = operation.chain([("x-client-account", account)]).collect();
         let answer =
             self.caller.call(Method::POST, self.router, path, &headers, body.to_owned()).await;
         answer.map_err(|report| *report.current_context())
     }
 
+    /// Sends the route of calls that run once to another pool of the same targets.
+    pub(crate) async fn move_route(&self) {
+        let pool = json!({ "name": "other", "team": "team", "group": "group", "kind": "service",
+            "repeatable": false, "identity": 2 });
+        let route = |name: &str| json!({ "name": name, "team": "team", "path": format!("/{name}"), "pool": "other" });
+        self.put("pools/other", &pool).await;
+        self.put("routes/pay", &route("pay")).await;
+        self.put("routes/seen", &route("seen")).await;
+        for _ in 0..READY_POLLS_MAX {
+            // Changes of one table are heard in their order.
+            if self.call("/seen", None, "").await.is_ok_and(|answer| answer.code() == 1007) {
+                return;
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        panic!("the route is not in force");
+    }
+
     async fn list(&self, target: SocketAddr) {
         let pool = |name: &str, repeatable: bool| {
             json!({ "name": name, "team": "team", "group": "group", "kind": "service",
--- a/crates/local-fleet/tests/operations.rs
+++ b/crates/local-fleet/tests/operations.rs
@@ -64,7 +64,7 @@
         let mut fleet = LocalFleet::start(plan).await.unwrap();
         fleet.put_tables().await.unwrap();
         lose_outcome(&mut fleet).await;
-        let order = json!({ "operation": "payment", "outcome": outcome, "reason": "the till" });
+        let order = json!({ "account": "anonymous", "operation": "payment", "outcome": outcome, "reason": "the till" });
         let mut open = open_operations(&fleet, "").await;
         for _ in 0..POLLS_MAX {
             if !open.is_empty() {
--- a/crates/state-ledger/src/book.rs
+++ b/crates/state-ledger/src/book.rs
@@ -202,7 +202,7 @@
         let Some(entry) = self.entries.get_mut(&attempt) else { return };
         entry.asked_write = matches!(call, LedgerCall::Write(..));
         let claim = entry.live.claim();
-        let path = operation_path(&claim.pool, &claim.operation);
+        let path = operation_path(&claim.account, &claim.operation);
         self.effects.push(LedgerEffect::Call(attempt, path, call));
     }
 
--- a/crates/state-ledger/src/claim.rs
+++ b/crates/state-ledger/src/claim.rs
@@ -1,8 +1,8 @@
 //! Claims of operations and what the ledger says of them.
 
 use base_types::{
-    AttemptKey, CompletedCode, ContentDigest, NotRunCode, OperationName, PoolName, UnknownCode,
-    message_types, value_types,
+    AccountName, AttemptKey, CompletedCode, ContentDigest, NotRunCode, OperationName, PoolName,
+    UnknownCode, message_types, value_types,
 };
 use bytes::Bytes;
 
@@ -25,6 +25,8 @@
     pub struct OperationClaim {
         /// Pool the operation runs on.
         pub pool: PoolName,
+        /// Client account that the idempotency key is of.
+        pub account: AccountName,
         /// Idempotency key.
         pub operation: OperationName,
         /// Digest of the content.
--- a/crates/state-ledger/src/lib.rs
+++ b/crates/state-ledger/src/lib.rs
@@ -18,7 +18,7 @@
     claim::{ClaimOutcome, OperationClaim, StoredAnswer},
     operation::{CallAnswer, LedgerCall, RecordGuard},
     record::{
-        OperationRecord, OperationState, SettledOutcome, Settlement, WallTime, operation_part,
-        operation_path,
+        OPERATIONS_PREFIX, OperationRecord, OperationState, SettledOutcome, Settlement, WallTime,
+        operation_part, operation_path,
     },
 };
--- a/crates/state-ledger/src/record.rs
+++ b/crates/state-ledger/src/record.rs
@@ -1,11 +1,15 @@
 //! An operation as the platform keeps it.
 
 use base_types::{
-    AttemptKey, ContentDigest, HostName, OperationName, PoolName, key_types, value_types,
+    AccountName, AttemptKey, ContentDigest, HostName, OperationName, PoolName, key_types,
+    value_types,
 };
 
 use crate::{OperationClaim, StoredAnswer};
 
+/// Prefix of the paths of all operations.
+pub const OPERATIONS_PREFIX: &str = "operations/";
+
 /// Longest time that an attempt may hold a claim without recording its outcome, in milliseconds:
 /// the callers' longest deadline and the wait for a late answer.
 const CLAIM_MS_MAX: u64 = 720_000;
@@ -58,6 +62,8 @@
     pub struct OperationRecord {
         /// Pool the operation runs on.
         pub pool: PoolName,
+        /// Client account that the idempotency key is of.
+        pub account: AccountName,
         /// Idempotency key.
         pub operation: OperationName,
         /// Digest of the content.
@@ -85,6 +91,7 @@
     ) -> Self {
         Self {
             pool: claim.pool.clone(),
+            account: claim.account.clone(),
             operation: claim.operation.clone(),
             content: claim.content,
             attempt: claim.attempt,
@@ -121,15 +128,19 @@
     }
 }
 
-/// Path of an operation's object; the name is hashed, as callers may put any byte into it.
-pub fn operation_path(pool: &PoolName, operation: &OperationName) -> Box<str> {
-    let digest = ContentDigest::of(operation.as_str().as_bytes());
-    format!("operations/{pool}/{:032x}", digest.0).into()
+/// Path of an operation's object; names are hashed, as callers may put any byte into them.
+///
+/// The pool is not part of it: a repeat finds the operation also when its route goes to another
+/// pool meanwhile, or when routers have different rows in force.
+pub fn operation_path(account: &AccountName, operation: &OperationName) -> Box<str> {
+    let parts = [account.as_str().as_bytes(), operation.as_str().as_bytes()];
+    let digest = ContentDigest::of_parts(&parts);
+    format!("{OPERATIONS_PREFIX}{:032x}", digest.0).into()
 }
 
-/// Prefix of the paths of one of 256 parts of a pool's operations.
-pub fn operation_part(pool: &PoolName, part: u8) -> String {
-    format!("operations/{pool}/{part:02x}")
+/// Prefix of the paths of one of 256 parts of the operations.
+pub fn operation_part(part: u8) -> String {
+    format!("{OPERATIONS_PREFIX}{part:02x}")
 }
 
 /// Keys of 128 bits as hexadecimal text, because JSON readers round large numbers.
--- a/crates/state-ledger/tests/records.rs
+++ b/crates/state-ledger/tests/records.rs
@@ -1,6 +1,8 @@
 //! Which records may be settled and which may be forgotten.
 
-use base_types::{AttemptKey, ContentDigest, HostName, OperationName, PoolName, test_cases};
+use base_types::{
+    AccountName, AttemptKey, ContentDigest, HostName, OperationName, PoolName, test_cases,
+};
 use bytes::Bytes;
 use state_ledger::{
     OperationClaim, OperationRecord, OperationState, SettledOutcome, Settlement, StoredAnswer,
@@ -25,6 +27,7 @@
 fn record(state: OperationState) -> OperationRecord {
     let claim = OperationClaim {
         pool: PoolName::new("payments"),
+        account: AccountName::new("counter"),
         operation: OperationName::new("payment"),
         content: ContentDigest(u128::MAX),
         attempt: AttemptKey(7),
