Split the fleet of processes by job

Ruled out: a builder type beside the plan. Change: fleet/plan.rs, fleet/settings.rs and fleet/wait.rs; no behaviour changed. Conclusion: each file has one job.

--- a/crates/local-fleet/src/fleet.rs
+++ b/crates/local-fleet/src/fleet.rs
@@ -1,24 +1,23 @@
 //! The fleet: one platform, routers in failure domains, engines and plain services.
 
+mod plan;
+mod settings;
+mod wait;
+
 use std::{
     fmt, fs,
     net::SocketAddr,
     path::{Path, PathBuf},
-    time::Duration,
 };
 
-use base_types::HostName;
 use error_stack::{Report, ResultExt};
 use fakes::{FaultOrder, ServiceRun};
 use http::Method;
-use io_wire::keys::FleetAuthority;
 use serde_json::{Value, json};
 
-use crate::{HttpCaller, operators::operator_settings, ports::PortSource, process::ChildProcess};
+pub use self::plan::FleetPlan;
+use crate::{HttpCaller, ports::PortSource, process::ChildProcess};
 
-const SEEDS: usize = 3;
-const READY_POLL: Duration = Duration::from_millis(20);
-const READY_POLLS_MAX: u32 = 500;
 const KEPT_SUFFIX: &str = "kept";
 
 /// The fleet could not be started or called.
@@ -33,89 +32,6 @@
 
 impl std::error::Error for FleetError {}
 
-/// What a fleet consists of.
-#[derive(Debug, Clone)]
-pub struct FleetPlan {
-    programs: PathBuf,
-    workdir: PathBuf,
-    routers: usize,
-    domains: usize,
-    engines: usize,
-    services: usize,
-    host_lag: Duration,
-    linger: Duration,
-    drain: Duration,
-    load_every: Duration,
-}
-
-impl FleetPlan {
-    /// The fleet of today's users: 7 routers in 4 failure domains, 12 engines, 4 services.
-    ///
-    /// `programs` holds the built binaries; settings and logs go to `workdir`.
-    pub fn new(programs: &Path, workdir: &Path) -> Self {
-        Self {
-            programs: programs.to_owned(),
-            workdir: workdir.to_owned(),
-            routers: 7,
-            domains: 4,
-            engines: 12,
-            services: 4,
-            host_lag: Duration::from_millis(500),
-            load_every: Duration::from_secs(10),
-            linger: Duration::from_secs(12),
-            drain: Duration::from_secs(600),
-        }
-    }
-
-    /// Sets the number of routers.
-    #[must_use]
-    pub fn routers(self, routers: usize) -> Self {
-        Self { routers, ..self }
-    }
-
-    /// Sets the number of failure domains.
-    #[must_use]
-    pub fn domains(self, domains: usize) -> Self {
-        Self { domains, ..self }
-    }
-
-    /// Sets the number of engines.
-    #[must_use]
-    pub fn engines(self, engines: usize) -> Self {
-        Self { engines, ..self }
-    }
-
-    /// Sets the number of plain services.
-    #[must_use]
-    pub fn services(self, services: usize) -> Self {
-        Self { services, ..self }
-    }
-
-    /// Sets the least time between two loads of engines.
-    #[must_use]
-    pub fn load_every(self, load_every: Duration) -> Self {
-        Self { load_every, ..self }
-    }
-
-    /// Sets how long the platform's host list lags.
-    #[must_use]
-    pub fn host_lag(self, host_lag: Duration) -> Self {
-        Self { host_lag, ..self }
-    }
-
-    /// Sets how long a leaving router serves new callers.
-    #[must_use]
-    pub fn linger(self, linger: Duration) -> Self {
-        Self { linger, ..self }
-    }
-
-    /// Sets after how long a leaving router cuts off what is left.
-    #[must_use]
-    pub fn drain(self, drain: Duration) -> Self {
-        Self { drain, ..self }
-    }
-}
-
 /// A router process and its addresses.
 #[derive(Debug)]
 pub struct RouterProcess {
@@ -341,20 +257,6 @@
         self.wait_rows(4).await
     }
 
-    /// Waits until each running router has a number of rows in force.
-    ///
-    /// # Errors
-    ///
-    /// Fails when a router does not have them in time.
-    pub async fn wait_rows(&self, rows: usize) -> Result<(), Report<FleetError>> {
-        for router in self.routers.iter().filter(|router| router.process.is_some()) {
-            let enough =
-                |status: &Value| status["rows"].as_array().is_some_and(|all| all.len() >= rows);
-            self.wait_status(router, enough).await?;
-        }
-        Ok(())
-    }
-
     /// Lists a target's or router's host in the platform, or takes it from the list.
     ///
     /// # Errors
@@ -402,56 +304,6 @@
         self.plan.workdir.join(format!("{host}.{KEPT_SUFFIX}"))
     }
 
-    fn settings_text(&self, router: &RouterProcess) -> String {
-        format!(
-            "host = \"{}\"\nfailure_domain = \"{}\"\ncaller_listen = \"{}\"\n\
-             operator_listen = \"{}\"\nplatform = \"{}\"\npeer_listen = \"{}\"\n\
-             peer_seeds = [{}]\n\n[peer_tls]\nca = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n\n\
-             [orders]\nload_every_ms = {}\n\n[stop]\nlinger_ms = {}\ndrain_ms = {}\n{}",
-            router.host,
-            router.failure_domain,
-            router.caller,
-            router.operator,
-            self.platform,
-            router.peer,
-            self.seed_list(router),
-            self.key_path("authority.crt").display(),
-            self.key_path(&format!("{}.crt", router.host)).display(),
-            self.key_path(&format!("{}.key", router.host)).display(),
-            self.plan.load_every.as_millis(),
-            self.plan.linger.as_millis(),
-            self.plan.drain.as_millis(),
-            operator_settings(),
-        )
-    }
-
-    /// Peer addresses of the next few routers, which stand in a router's settings.
-    fn seed_list(&self, router: &RouterProcess) -> String {
-        let own = self.routers.iter().position(|other| other.host == router.host).unwrap_or(0);
-        let seeds = (1..self.routers.len()).take(SEEDS);
-        let seeds = seeds.map(|step| &self.routers[(own + step) % self.routers.len()].peer);
-        seeds.map(|peer| format!("\"{peer}\"")).collect::<Vec<_>>().join(", ")
-    }
-
-    fn key_path(&self, name: &str) -> PathBuf {
-        self.plan.workdir.join(name)
-    }
-
-    /// Writes the certificates of a new fleet authority.
-    fn write_keys(&self) -> Result<(), Report<FleetError>> {
-        let authority = FleetAuthority::generate().change_context(FleetError)?;
-        let certificate = authority.files().certificate.as_bytes();
-        fs::write(self.key_path("authority.crt"), certificate).change_context(FleetError)?;
-        for router in &self.routers {
-            let files = authority.issue(&HostName::new(&router.host)).change_context(FleetError)?;
-            let certificate = self.key_path(&format!("{}.crt", router.host));
-            fs::write(certificate, files.certificate.as_bytes()).change_context(FleetError)?;
-            let key = self.key_path(&format!("{}.key", router.host));
-            fs::write(key, files.key.as_bytes()).change_context(FleetError)?;
-        }
-        Ok(())
-    }
-
     fn start_program(
         &self,
         program: &str,
@@ -480,49 +332,6 @@
         }
         Ok(())
     }
-
-    async fn wait_all(&self) -> Result<(), Report<FleetError>> {
-        for engine in &self.engines {
-            self.wait_answer(engine.address, "/load").await?;
-        }
-        for service in &self.services {
-            self.wait_answer(service.address, "/runs").await?;
-        }
-        let targets = self.engines.len() + self.services.len();
-        for router in &self.routers {
-            let ready = |status: &Value| {
-                status["tables_complete"] == json!(true)
-                    && status["targets"].as_array().is_some_and(|all| all.len() >= targets)
-            };
-            self.wait_status(router, ready).await?;
-        }
-        Ok(())
-    }
-
-    async fn wait_status(
-        &self,
-        router: &RouterProcess,
-        ready: impl Fn(&Value) -> bool,
-    ) -> Result<(), Report<FleetError>> {
-        for _ in 0..READY_POLLS_MAX {
-            let status = self.caller.read::<Value>(router.operator, "/admin/v1/status").await;
-            if status.is_ok_and(|status| ready(&status)) {
-                return Ok(());
-            }
-            tokio::time::sleep(READY_POLL).await;
-        }
-        Err(Report::new(FleetError).attach(format!("{} is not ready in time", router.host)))
-    }
-
-    async fn wait_answer(&self, address: SocketAddr, path: &str) -> Result<(), Report<FleetError>> {
-        for _ in 0..READY_POLLS_MAX {
-            if self.caller.read::<Value>(address, path).await.is_ok() {
-                return Ok(());
-            }
-            tokio::time::sleep(READY_POLL).await;
-        }
-        Err(Report::new(FleetError).attach(format!("{address} does not answer in time")))
-    }
 }
 
 /// A new fleet starts with nothing that an earlier one kept.
--- /dev/null
+++ b/crates/local-fleet/src/fleet/wait.rs
@@ -0,0 +1,74 @@
+//! Bounded waits for the fleet's processes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use error_stack::Report;
+use serde_json::{Value, json};
+
+use crate::fleet::{FleetError, LocalFleet, RouterProcess};
+
+const READY_POLL: Duration = Duration::from_millis(20);
+const READY_POLLS_MAX: u32 = 500;
+
+impl LocalFleet {
+    /// Waits until each running router has a number of rows in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a router does not have them in time.
+    pub async fn wait_rows(&self, rows: usize) -> Result<(), Report<FleetError>> {
+        for router in self.routers.iter().filter(|router| router.process.is_some()) {
+            let enough =
+                |status: &Value| status["rows"].as_array().is_some_and(|all| all.len() >= rows);
+            self.wait_status(router, enough).await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn wait_all(&self) -> Result<(), Report<FleetError>> {
+        for engine in &self.engines {
+            self.wait_answer(engine.address, "/load").await?;
+        }
+        for service in &self.services {
+            self.wait_answer(service.address, "/runs").await?;
+        }
+        let targets = self.engines.len() + self.services.len();
+        for router in &self.routers {
+            let ready = |status: &Value| {
+                status["tables_complete"] == json!(true)
+                    && status["targets"].as_array().is_some_and(|all| all.len() >= targets)
+            };
+            self.wait_status(router, ready).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_status(
+        &self,
+        router: &RouterProcess,
+        ready: impl Fn(&Value) -> bool,
+    ) -> Result<(), Report<FleetError>> {
+        for _ in 0..READY_POLLS_MAX {
+            let status = self.caller.read::<Value>(router.operator, "/admin/v1/status").await;
+            if status.is_ok_and(|status| ready(&status)) {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        Err(Report::new(FleetError).attach(format!("{} is not ready in time", router.host)))
+    }
+
+    pub(super) async fn wait_answer(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<(), Report<FleetError>> {
+        for _ in 0..READY_POLLS_MAX {
+            if self.caller.read::<Value>(address, path).await.is_ok() {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        Err(Report::new(FleetError).attach(format!("{address} does not answer in time")))
+    }
+}
