Start a router in short steps

Cause: reading as a newcomer, one function bound ports, started tasks and ran the loop. Ruled out: a builder, as nothing varies. Change: the parts that ports and tasks share are a type with a method for each job.

--- a/crates/io-router/src/run.rs
+++ b/crates/io-router/src/run.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base_settings::{RouterSettings, StopSettings};
+use base_settings::{LimitSettings, RouterSettings, StopSettings};
 use base_types::{RequestKey, TimePoint};
 use core_peers::PeerEvent;
 use core_router::{Effect, Event, RequestStep, RouterCore};
@@ -73,35 +73,14 @@
 
 async fn run_local(settings: RouterSettings) -> Result<(), Report<RunError>> {
     let clock = LoopClock { start: Instant::now() };
-    let platform = PlatformClient::new(settings.platform);
     let (handle, mut inputs) = LoopHandle::new();
-    let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
-    let limits = &settings.limits;
     let peers = PeerLoop::start(&settings, clock, handle.clone())?;
-    let front = caller_router(handle.clone(), peers.clone(), clock, limits.clone());
-    let front = Router::new().hoop(RequestHoop(metrics.clone())).push(front);
-    let caller = serve(settings.caller_listen, settings.caller_tls.as_ref(), limits, front).await?;
-    let observe = ObserveState {
-        handle: handle.clone(),
-        platform: platform.clone(),
-        peers: peers.clone(),
-        clock,
-        metrics,
-    };
-    let admin =
-        operator_router(handle.clone(), platform.clone(), peers.clone(), clock, settings.operators);
-    let admin = Router::new().push(observe_router(observe)).push(admin);
-    let operator =
-        serve(settings.operator_listen, settings.operator_tls.as_ref(), limits, admin).await?;
-    tokio::task::spawn_local(watch_platform(platform.clone(), handle.clone(), peers.clone()));
-    tokio::task::spawn_local(sweep_edits(platform.clone(), handle.clone()));
-    tokio::task::spawn_local(sweep_operations(platform.clone(), handle.clone()));
-    let load_every = settings.orders.load_every;
-    let orders =
-        give_orders(platform.clone(), handle.clone(), clock, settings.host.clone(), load_every);
-    tokio::task::spawn_local(orders);
-    tokio::task::spawn_local(stop_on_signal(handle.clone()));
+    let platform = PlatformClient::new(settings.platform);
+    let parts = RouterParts { clock, platform, handle, peers };
+    let (caller, operator) = parts.serve_ports(&settings).await?;
+    parts.spawn_tasks(&settings);
     log::info!(host = settings.host.as_str(); "router started");
+    let RouterParts { platform, handle, peers, .. } = parts;
     let ledger = OperationLedger::new(settings.host.clone(), platform, handle);
     let core = RouterCore::new(settings.host, rand::random());
     let mut core_loop = CoreLoop {
@@ -121,6 +100,69 @@
     Ok(())
 }
 
+/// What the ports and the tasks of a router share; cheap to clone part by part.
+struct RouterParts {
+    clock: LoopClock,
+    platform: PlatformClient,
+    handle: LoopHandle,
+    peers: PeerHandle,
+}
+
+impl RouterParts {
+    /// Serves the callers' and the operators' port.
+    async fn serve_ports(
+        &self,
+        settings: &RouterSettings,
+    ) -> Result<(ServerTask, ServerTask), Report<RunError>> {
+        let limits = &settings.limits;
+        let metrics = Arc::new(RouterMetrics::new().change_context(RunError)?);
+        let front = self.front(limits).hoop(RequestHoop(metrics.clone()));
+        let tls = settings.caller_tls.as_ref();
+        let caller = serve(settings.caller_listen, tls, limits, front).await?;
+        let admin = self.admin(settings, metrics);
+        let tls = settings.operator_tls.as_ref();
+        let operator = serve(settings.operator_listen, tls, limits, admin).await?;
+        Ok((caller, operator))
+    }
+
+    fn front(&self, limits: &LimitSettings) -> Router {
+        let front =
+            caller_router(self.handle.clone(), self.peers.clone(), self.clock, limits.clone());
+        Router::new().push(front)
+    }
+
+    fn admin(&self, settings: &RouterSettings, metrics: Arc<RouterMetrics>) -> Router {
+        let observe = ObserveState {
+            handle: self.handle.clone(),
+            platform: self.platform.clone(),
+            peers: self.peers.clone(),
+            clock: self.clock,
+            metrics,
+        };
+        let admin = operator_router(
+            self.handle.clone(),
+            self.platform.clone(),
+            self.peers.clone(),
+            self.clock,
+            settings.operators.clone(),
+        );
+        Router::new().push(observe_router(observe)).push(admin)
+    }
+
+    /// Starts the tasks that run for as long as the process.
+    fn spawn_tasks(&self, settings: &RouterSettings) {
+        let platform = || self.platform.clone();
+        let handle = || self.handle.clone();
+        tokio::task::spawn_local(watch_platform(platform(), handle(), self.peers.clone()));
+        tokio::task::spawn_local(sweep_edits(platform(), handle()));
+        tokio::task::spawn_local(sweep_operations(platform(), handle()));
+        let load_every = settings.orders.load_every;
+        let host = settings.host.clone();
+        tokio::task::spawn_local(give_orders(platform(), handle(), self.clock, host, load_every));
+        tokio::task::spawn_local(stop_on_signal(handle()));
+    }
+}
+
 /// Closes the ports and waits until the last bytes of all answers are written.
 async fn flush_servers(caller: ServerTask, operator: ServerTask, wait: Duration) {
     caller.handle.stop_graceful(wait);
