--- a/crates/io-router/src/admin/sweep.rs
+++ b/crates/io-router/src/admin/sweep.rs
@@ -3,13 +3,12 @@
 use std::time::Duration;
 
 use io_platform::PlatformClient;
-use rand::Rng;
 use state_tables::{GUARD_OBJECT, GuardRecord, ObjectPort, finish_pending};
 
 use crate::{admin::port::PlatformPort, handle::LoopHandle};
 
 /// Mean time between two looks at the guard by any router of the fleet.
-const FLEET_SWEEP_MS: u64 = 2_000;
+const FLEET_SWEEP: Duration = Duration::from_millis(2_000);
 
 /// Looks for abandoned edits for as long as the process runs.
 ///
@@ -20,7 +19,7 @@
     let port = PlatformPort(&platform);
     let mut seen = None;
     loop {
-        tokio::time::sleep(sweep_pause(&handle).await).await;
+        tokio::time::sleep(handle.fleet_pause(FLEET_SWEEP).await).await;
         let pending = pending_edit(&port).await;
         if pending.is_some()
             && pending == seen
@@ -37,9 +36,3 @@
     let guard: GuardRecord = serde_json::from_value(object.value).ok()?;
     guard.pending.map(|pending| pending.edit)
 }
-
-async fn sweep_pause(handle: &LoopHandle) -> Duration {
-    let routers = handle.query(|core| core.entries().count()).await.unwrap_or_default();
-    let span = FLEET_SWEEP_MS * 2 * routers.max(1) as u64;
-    Duration::from_millis(rand::rng().random_range(1..=span))
-}
--- a/crates/io-router/src/handle.rs
+++ b/crates/io-router/src/handle.rs
@@ -1,5 +1,7 @@
 //! The way from tasks to the loop that owns the core.
 
+use std::time::Duration;
+
 use base_types::{Arrival, AttemptKey, RequestKey};
 use core_router::{Event, RequestStep, RouterCore};
 use state_ledger::CallAnswer;
@@ -58,6 +60,17 @@
         receiver.await.ok()
     }
 
+    /// A random pause before a task that any router may do.
+    ///
+    /// Each router pauses the longer the more routers there are, so that one of the fleet does the
+    /// task once in `fleet_mean` on average and the platform's load does not grow with the fleet.
+    pub(crate) async fn fleet_pause(&self, fleet_mean: Duration) -> Duration {
+        let routers = self.query(|core| core.entries().count()).await.unwrap_or_default();
+        let routers = u32::try_from(routers.max(1)).unwrap_or(u32::MAX);
+        let span = fleet_mean.saturating_mul(2).saturating_mul(routers);
+        span.mul_f64(rand::random())
+    }
+
     /// The loop outlives all tasks but for the last moments of a shutdown, when input is moot.
     pub(crate) fn input(&self, input: LoopInput) {
         let _ = self.sender.send(input);
--- a/crates/io-router/src/retention.rs
+++ b/crates/io-router/src/retention.rs
@@ -15,7 +15,7 @@
 pub(crate) const RETENTION: Duration = Duration::from_secs(24 * 3600);
 
 /// Mean time between two sweeps of one part by any router of the fleet.
-const FLEET_SWEEP_MS: u64 = 5_000;
+const FLEET_SWEEP: Duration = Duration::from_millis(5_000);
 const DELETES_MAX: usize = 100;
 
 /// Sweeps one part of the operations after the other for as long as the process runs.
@@ -24,7 +24,7 @@
 /// no harm, as a delete names the version that it deletes.
 pub(crate) async fn sweep_operations(platform: PlatformClient, handle: LoopHandle) {
     loop {
-        tokio::time::sleep(sweep_pause(&handle).await).await;
+        tokio::time::sleep(handle.fleet_pause(FLEET_SWEEP).await).await;
         let part = rand::rng().random();
         sweep_part(&platform, part).await;
     }
@@ -42,9 +42,3 @@
         }
     }
 }
-
-async fn sweep_pause(handle: &LoopHandle) -> Duration {
-    let routers = handle.query(|core| core.entries().count()).await.unwrap_or_default();
-    let span = FLEET_SWEEP_MS * 2 * routers.max(1) as u64;
-    Duration::from_millis(rand::rng().random_range(1..=span))
-}
