Tell other routers how calls ended, and fetch from engines that lost an answer

Change: beats carry outcomes by target; a rate with a half-life of 2 s replaces the moving one; calls that cannot be repeated weigh failures by 10, others by 3, above a usual rate of 0.08. Only an engine that takes no connection is no source of fetches. The load of a router that starts anew counts from its first beat on.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -229,7 +229,7 @@
             name: record.entry.name.clone(),
             own: record.own,
             others: self.peer_loads.load(record.hash),
-            failure_rate: record.failure_rate,
+            failure_rate: record.outcomes.rate(now),
             phase: record.life.phase(now),
         });
         ForwardStatus {
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -4,11 +4,16 @@
 
 use base_types::{HostName, LoadShare, TargetLoad, TimePoint};
 
-use crate::{ForwardCore, PeerBeat, RouterEntry};
+use policy_targets::OutcomeCount;
+
+use crate::{ForwardCore, PeerBeat, RouterEntry, TargetOutcomes};
 
 /// Prompt parts in one beat, so that a beat fits into a datagram.
 const HELD_MAX: usize = 200;
 
+/// Calls without a failure after which others are told of them; a failure is told at once.
+const WHOLE_CALLS_TOLD: u32 = 6;
+
 impl ForwardCore {
     /// The store's whole list of routers.
     pub fn list_routers(&mut self, entries: Vec<RouterEntry>) {
@@ -47,15 +52,32 @@
             ready: self.ready(),
             share,
             held,
+            outcomes: self.untold_outcomes(),
         }
     }
 
+    fn untold_outcomes(&mut self) -> Vec<TargetOutcomes> {
+        let due = |calls: OutcomeCount| calls.failed > 0 || calls.ended >= WHOLE_CALLS_TOLD;
+        let records = self.targets.iter_mut().filter(|record| due(record.untold));
+        let told = records.map(|record| TargetOutcomes {
+            target: record.hash,
+            calls: std::mem::take(&mut record.untold),
+        });
+        told.collect()
+    }
+
     /// Hears another router's beat.
     pub fn beat_heard(&mut self, now: TimePoint, beat: PeerBeat) {
         if beat.entry.name == self.entry.name {
             return;
         }
-        self.peers.hear(now, &beat);
+        if self.peers.hear(now, &beat) {
+            // Its shares are numbered anew.
+            self.peer_loads.forget_router(&beat.entry.name);
+        }
+        for outcomes in &beat.outcomes {
+            self.targets.count_heard(now, outcomes.target, outcomes.calls);
+        }
         for (part, target) in &beat.held {
             self.holders.put(now, *part, *target);
         }
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -102,7 +102,12 @@
         let views = self.views(now, live);
         let prompt_tokens = live.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens);
         let salt = live.content.0 as u64 ^ affinity_hash(&now.0.to_le_bytes());
-        let query = CostQuery { prompt_tokens, load_ratio_max: self.bounds.load_ratio_max, salt };
+        let query = CostQuery {
+            prompt_tokens,
+            load_ratio_max: self.bounds.load_ratio_max,
+            repeatable: live.repeat.repeatable(),
+            salt,
+        };
         choose_cheapest(&query, &views)
     }
 
@@ -119,8 +124,9 @@
             held: tokens(record, TimePoint::NEVER),
             fetchable: tokens(record, now),
             home_score: rendezvous_score(home, record.hash, 1),
-            failure_rate: record.failure_rate,
+            failure_rate: record.outcomes.rate(now),
             doubtful: record.is_held(now),
+            unreachable: record.is_unreachable(now),
             closed: live.tried.contains(&target) || !record.stays(now),
         });
         views.collect()
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -50,22 +50,23 @@
                 live.sends -= 1;
                 live.unsent += 1;
                 record.life.on_failure(now);
-                record.count(true);
+                record.on_unreachable(now);
+                record.count(now, true);
             }
             AttemptEnd::Misdirected => record.life.on_failure(now),
             AttemptEnd::Declined => {}
             AttemptEnd::Lost => {
                 live.may_have_run = true;
                 record.life.on_failure(now);
-                record.count(true);
+                record.count(now, true);
             }
             AttemptEnd::Failed | AttemptEnd::Silent => {
                 live.may_have_run = true;
-                record.count(true);
+                record.count(now, true);
             }
             AttemptEnd::Whole => {
                 live.may_have_run = true;
-                record.count(false);
+                record.count(now, false);
             }
             AttemptEnd::Abandoned | AttemptEnd::Expired => live.may_have_run = true,
         }
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -17,6 +17,6 @@
         SendOrder,
     },
     core::{AdmittedCall, EngineAddress, ForwardCore, ForwardStatus, HeldPart, PeerSnapshot},
-    peers::{PeerBeat, RouterEntry},
+    peers::{PeerBeat, RouterEntry, TargetOutcomes},
     targets::{TargetEntry, TargetStatus},
 };
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -2,7 +2,8 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use base_types::{HostName, LoadShare, TimePoint, value_types};
+use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
+use policy_targets::OutcomeCount;
 
 /// How long a router counts as serving after it was last heard.
 const HEARD_LIFE: Duration = Duration::from_millis(1_500);
@@ -36,6 +37,18 @@
         pub share: LoadShare,
         /// Prompt parts and the targets that read them since the beat before.
         pub held: Vec<(u64, u64)>,
+        /// How its calls ended since the beat before.
+        pub outcomes: Vec<TargetOutcomes>,
+    }
+}
+
+key_types! {
+    /// How calls to one target ended.
+    pub struct TargetOutcomes {
+        /// Hash of the target's identity.
+        pub target: u64,
+        /// The calls.
+        pub calls: OutcomeCount,
     }
 }
 
@@ -89,19 +102,21 @@
         self.records.remove(name);
     }
 
-    /// Hears a beat.
-    pub(crate) fn hear(&mut self, now: TimePoint, beat: &PeerBeat) {
+    /// Hears a beat; returns whether the router was started anew since the beat before.
+    pub(crate) fn hear(&mut self, now: TimePoint, beat: &PeerBeat) -> bool {
         let record = self.records.entry(beat.entry.name.clone()).or_insert_with(|| PeerRecord {
             entry: beat.entry.clone(),
             heard_until: TimePoint(0),
             serving: false,
             listed: false,
         });
-        if record.entry.incarnation != beat.entry.incarnation {
+        let anew = record.entry.incarnation != beat.entry.incarnation;
+        if anew {
             record.entry = beat.entry.clone();
         }
         record.heard_until = now.after(HEARD_LIFE);
         record.serving = beat.ready && !beat.leaving;
+        anew
     }
 
     /// Addresses of the routers that were heard lately and take callers.
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -8,14 +8,14 @@
 
 use base_types::{HostName, PoolName, TargetKey, TimePoint, message_types, value_types};
 use policy_routing::affinity_hash;
-use policy_targets::{TargetLife, TargetPhase};
-
-/// Share of the newest outcome in the moving rate of failures.
-const FAILURE_WEIGHT: f64 = 0.1;
+use policy_targets::{OutcomeCount, OutcomeRate, TargetLife, TargetPhase};
 
 /// Time for which a target that leaves still gives others what it holds.
 const LEAVING_LIFE: Duration = Duration::from_secs(3);
 
+/// Time for which a target that took no connection is not fetched from.
+const UNREACHABLE_LIFE: Duration = Duration::from_secs(2);
+
 /// Entries that lapsed while the platform was away are back within this time of its return.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
@@ -49,7 +49,7 @@
         pub own: u32,
         /// Calls of other routers in flight, as far as heard.
         pub others: u32,
-        /// Moving rate of failures, 0 to 1.
+        /// Share of calls of all routers that failed lately, 0 to 1.
         pub failure_rate: f64,
         /// State in its life cycle.
         pub phase: TargetPhase,
@@ -65,7 +65,11 @@
     pub(crate) own: u32,
     /// Prompt tokens that this router's calls still have to read there.
     pub(crate) unread: u64,
-    pub(crate) failure_rate: f64,
+    pub(crate) outcomes: OutcomeRate,
+    /// Outcomes that the other routers were not told yet.
+    pub(crate) untold: OutcomeCount,
+    /// Point until which the target is taken to accept no connections.
+    unreachable_until: TimePoint,
     listed: bool,
     missing_until: TimePoint,
     /// Point until which a target that leaves still answers others.
@@ -91,7 +95,9 @@
             life: TargetLife::serving(),
             own: 0,
             unread: 0,
-            failure_rate: 0.0,
+            outcomes: OutcomeRate::default(),
+            untold: OutcomeCount { failed: 0, ended: 0 },
+            unreachable_until: TimePoint(0),
             listed: true,
             missing_until: TimePoint::NEVER,
             gone_at: TimePoint::NEVER,
@@ -116,9 +122,20 @@
     }
 
     /// Counts the outcome of a send.
-    pub(crate) fn count(&mut self, failed: bool) {
-        let outcome = f64::from(u8::from(failed));
-        self.failure_rate += (outcome - self.failure_rate) * FAILURE_WEIGHT;
+    pub(crate) fn count(&mut self, now: TimePoint, failed: bool) {
+        let call = OutcomeCount::one(failed);
+        self.outcomes.count(now, call);
+        self.untold = self.untold.plus(call);
+    }
+
+    /// The target took no connection.
+    pub(crate) fn on_unreachable(&mut self, now: TimePoint) {
+        self.unreachable_until = now.after(UNREACHABLE_LIFE);
+    }
+
+    /// Whether the target took no connection lately.
+    pub(crate) fn is_unreachable(&self, now: TimePoint) -> bool {
+        !self.unreachable_until.passed(now)
     }
 }
 
@@ -224,6 +241,18 @@
         self.records.get_mut(&key)
     }
 
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut TargetRecord> {
+        self.records.values_mut()
+    }
+
+    /// Counts calls of another router to the target of an identity.
+    pub(crate) fn count_heard(&mut self, now: TimePoint, hash: u64, calls: OutcomeCount) {
+        let heard = self.records.values_mut().find(|record| record.hash == hash);
+        if let Some(record) = heard {
+            record.outcomes.count(now, calls);
+        }
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = (TargetKey, &TargetRecord)> {
         self.records.iter().map(|(key, record)| (*key, record))
     }
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -280,6 +280,70 @@
     core
 }
 
+/// Calls that another router lost at one target; then calls of this router go elsewhere.
+fn check_told_failures(repeat: RepeatRule, end: AttemptEnd) {
+    let mut core = core_of(repeat, 1, 4);
+    let mut other = core_of(repeat, 1, 1);
+    let now = TimePoint(1_000_000);
+    for _ in 0..6 {
+        let call = admit(&mut other, now, None);
+        send(&mut other, now, call).expect("sent");
+        other.attempt_ended(now, call, end);
+        other.finish(call);
+    }
+    let mut beat = other.next_beat();
+    beat.entry = router("b", 200);
+    beat.share.router = beat.entry.name.clone();
+    core.beat_heard(now, beat);
+    for _ in 0..40 {
+        let call = admit(&mut core, now, None);
+        let order = send(&mut core, now, call).expect("sent");
+        assert_ne!(&*order.name, "t0");
+        core.attempt_ended(now, call, Whole);
+        core.finish(call);
+    }
+}
+
+test_cases! {
+    check_told_failures:
+    failed_calls_of_others_keep_calls_away(RepeatRule::Once, Failed);
+    failed_streams_of_others_keep_streams_away(RepeatRule::Stream, Failed);
+    silence_seen_by_others_keeps_calls_away(RepeatRule::Idempotent, Silent);
+}
+
+#[test]
+fn the_load_of_a_router_that_starts_anew_counts_at_once() {
+    let mut core = core_of(RepeatRule::Once, 1, 1);
+    let now = TimePoint(1_000_000);
+    let mut former = core_of_router("b", 200);
+    for _ in 0..3 {
+        let call = admit(&mut former, now, None);
+        send(&mut former, now, call).expect("sent");
+        core.beat_heard(now, former.next_beat());
+    }
+    assert_eq!(core.status(now).targets[0].others, 3);
+    let entry = RouterEntry { incarnation: 7, ..router("b", 200) };
+    let mut anew = ForwardCore::new(entry, BOUNDS);
+    core.beat_heard(now, anew.next_beat());
+    assert_eq!(core.status(now).targets[0].others, 0);
+}
+
+#[test]
+fn an_engine_that_lost_an_answer_still_gives_its_cache() {
+    let mut core = core_of(RepeatRule::Stream, 1, 3);
+    let now = TimePoint(1_000_000);
+    let call = admit(&mut core, now, Some(prompt(3)));
+    let first = send(&mut core, now, call).expect("sent");
+    core.answer_began(call);
+    core.attempt_ended(now, call, Lost);
+    core.finish(call);
+    let later = now.after(Duration::from_millis(500));
+    let call = admit(&mut core, later, Some(prompt(3)));
+    let order = send(&mut core, later, call).expect("sent");
+    assert_ne!(order.name, first.name);
+    assert_eq!(order.fetch_from, Some(first.address));
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Admit,
--- a/crates/policy-routing/src/cost.rs
+++ b/crates/policy-routing/src/cost.rs
@@ -16,9 +16,16 @@
 /// Cost of each call that a target has above the least loaded one.
 const LOAD_COST: f64 = 0.05;
 
-/// Cost of a call that fails, weighed with the target's rate of failures.
+/// Cost of a call that fails and can be repeated elsewhere, weighed with the target's rate of
+/// failures.
 const FAILURE_COST: f64 = 3.0;
 
+/// Cost of a call that fails and is lost, weighed with the target's rate of failures.
+const LOSS_COST: f64 = 10.0;
+
+/// Rate of failures that targets have without a fault of their own, as some calls fail anywhere.
+const FAILURE_RATE_USUAL: f64 = 0.08;
+
 /// Share that a prompt's home is presumed to hold of what no target is known to hold.
 const HOME_SHARE: f64 = 0.3;
 
@@ -44,10 +51,12 @@
         pub fetchable: u32,
         /// Rendezvous score of the target for the call's longest part; the highest is its home.
         pub home_score: f64,
-        /// Moving rate of failures, 0 to 1.
+        /// Share of calls that failed lately, 0 to 1.
         pub failure_rate: f64,
         /// Whether the target failed just now, so that others go first.
         pub doubtful: bool,
+        /// Whether the target took no connection lately, so that others cannot fetch from it.
+        pub unreachable: bool,
         /// Whether the target takes no new call, or had this one before.
         pub closed: bool,
     }
@@ -80,6 +89,8 @@
         pub prompt_tokens: u32,
         /// Multiple of the mean load that no target may exceed.
         pub load_ratio_max: f64,
+        /// Whether the call may be sent again when its target fails.
+        pub repeatable: bool,
         /// Uniform over calls; decides between equal costs.
         pub salt: u64,
     }
@@ -94,6 +105,7 @@
     let bound = mean * query.load_ratio_max + BOUND_EXTRA;
     let least = views.iter().filter(|view| !view.closed).map(|view| view.load).min()?;
     let holder = best_holder(query, views);
+    let failure_cost = if query.repeatable { FAILURE_COST } else { LOSS_COST };
     let mut best: Option<(CostRank, CostChoice)> = None;
     for (index, view) in views.iter().enumerate() {
         if view.closed {
@@ -110,7 +122,7 @@
             + FETCH_COST * f64::from(fetched)
             + READ_COST * view.unread as f64
             + LOAD_COST * f64::from(view.load.saturating_sub(least))
-            + FAILURE_COST * view.failure_rate;
+            + failure_cost * (view.failure_rate - FAILURE_RATE_USUAL).max(0.0);
         let rank = CostRank {
             doubtful: view.doubtful,
             full: f64::from(view.load) >= bound,
@@ -144,10 +156,10 @@
 /// The target from which most of the prompt can be fetched, when the home is presumed to hold a
 /// share of what nobody is known to hold.
 fn best_holder(query: &CostQuery, views: &[CostView]) -> Option<PartsHolder> {
-    let calm = || views.iter().filter(|view| !view.doubtful);
-    let known = calm().max_by_key(|view| view.fetchable)?;
-    let most = calm().map(|view| view.held).max()?;
-    let home = calm().max_by(|left, right| left.home_score.total_cmp(&right.home_score))?;
+    let reachable = || views.iter().filter(|view| !view.unreachable);
+    let known = reachable().max_by_key(|view| view.fetchable)?;
+    let most = reachable().map(|view| view.held).max()?;
+    let home = reachable().max_by(|left, right| left.home_score.total_cmp(&right.home_score))?;
     let unknown = query.prompt_tokens.saturating_sub(most);
     let presumed = home.fetchable.saturating_add((f64::from(unknown) * HOME_SHARE) as u32);
     if presumed > known.fetchable {
--- a/crates/policy-routing/src/shares.rs
+++ b/crates/policy-routing/src/shares.rs
@@ -44,7 +44,7 @@
         if known.is_none() && self.shares.len() >= ROUTERS_MAX {
             return false;
         }
-        self.forget(&share.router);
+        self.forget_router(&share.router);
         self.keep(now.after(SHARE_LIFE), share);
         true
     }
@@ -55,7 +55,20 @@
             && expiry.passed(now)
         {
             let router = router.clone();
-            self.forget(&router);
+            self.forget_router(&router);
+        }
+    }
+
+    /// Forgets a router's share, as when the router starts anew.
+    pub fn forget_router(&mut self, router: &HostName) {
+        let Some(heard) = self.shares.remove(router) else { return };
+        self.expiries.remove(&(heard.expiry, router.clone()));
+        for (target, in_flight) in &heard.loads {
+            let Some(sum) = self.sums.get_mut(target) else { continue };
+            *sum -= u64::from(*in_flight);
+            if *sum == 0 {
+                self.sums.remove(target);
+            }
         }
     }
 
@@ -93,16 +106,4 @@
         let heard = HeardShare { sequence: share.sequence, expiry, loads };
         self.shares.insert(share.router, heard);
     }
-
-    fn forget(&mut self, router: &HostName) {
-        let Some(heard) = self.shares.remove(router) else { return };
-        self.expiries.remove(&(heard.expiry, router.clone()));
-        for (target, in_flight) in &heard.loads {
-            let Some(sum) = self.sums.get_mut(target) else { continue };
-            *sum -= u64::from(*in_flight);
-            if *sum == 0 {
-                self.sums.remove(target);
-            }
-        }
-    }
 }
