Hold less memory for idle connections and for calls that are not sent again

Change: the future of a call is boxed, connections to targets read 4 KiB at once, bodies are copied out of the read buffer, and a stream that cannot be continued drops its request. Static relocation was tried on a scratch copy and does not build with procedural macros.

--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -3,7 +3,7 @@
 use base_types::{ContentDigest, NotRunCode, Refusal};
 use bytes::Bytes;
 use core_forward::{AdmittedCall, AttemptEnd, CallHead, DispatchStep, SendOrder};
-use http::{Request, Response, header, request};
+use http::{Request, Response, Uri, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
@@ -125,7 +125,8 @@
             NotRunCode::MalformedRequest
         }
     })?;
-    Ok(collected.to_bytes())
+    // A copy, as the bytes would keep the whole read buffer of the connection.
+    Ok(Bytes::copy_from_slice(&collected.to_bytes()))
 }
 
 impl Drop for ServedCall {
@@ -161,6 +162,14 @@
         }
     }
 
+    /// Drops the request of a call that is not sent again; its head keeps the read buffer of the
+    /// caller's connection.
+    pub(crate) fn forget_request(&mut self) {
+        self.head.headers.clear();
+        self.head.uri = Uri::default();
+        self.body = Bytes::new();
+    }
+
     /// Sends the call until a target begins to answer or nothing else can be tried.
     ///
     /// `last_event` is the event after which a stream is continued.
--- a/crates/io-forward/src/front.rs
+++ b/crates/io-forward/src/front.rs
@@ -103,7 +103,8 @@
     let service = service_fn(move |request| {
         begun.set(true);
         let state = state.clone();
-        async move { Ok::<_, Infallible>(serve_request(state, request).await) }
+        // Boxed, as the library keeps room for the whole future on each idle connection.
+        Box::pin(async move { Ok::<_, Infallible>(serve_request(state, request).await) })
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -22,10 +22,13 @@
 const PAUSE_MAX: Duration = Duration::from_millis(1_000);
 
 /// Passes a stream on to the caller from its own task.
-pub(crate) fn relay_stream(call: ServedCall, begun: BegunAnswer) -> Response<AnswerBody> {
+pub(crate) fn relay_stream(mut call: ServedCall, begun: BegunAnswer) -> Response<AnswerBody> {
     let (parts, body) = begun.response.into_parts();
     let (pieces, answer) = AnswerBody::pieces();
     let status = parts.status.as_u16();
+    if !call.admitted.resumable {
+        call.forget_request();
+    }
     let source =
         StreamSource { order: begun.order, connection: begun.connection, head: begun.head, body };
     let relay = StreamRelay {
--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -27,6 +27,10 @@
 /// Idle connections that are kept for one target.
 const IDLE_MAX: usize = 32;
 
+/// Bytes of a target's answer that are read at once, and of the longest head of one; an idle
+/// connection keeps as many, so that the library's 8 KiB would double its memory.
+const READ_BYTES: usize = 4_096;
+
 /// Idle connections to targets.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPool {
@@ -66,7 +70,9 @@
     /// Connects to a target.
     pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = connect_target(address).await?;
-        let shake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.read_buf_exact_size(Some(READ_BYTES));
+        let shake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = shake.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
