Remember all holders of a prompt part, and leave room below the load bound in large fleets

Cause: at 67 routers and 112 engines the part that all prompts of a route begin with is held by all engines, of which 12 were remembered; the others counted as holding nothing of a prompt, also where they held its long second part. Ruled out: the size of the table (4,096 parts, some 2,000 are in use), lost beats. Change: 256 holders a part, found by binary search; each router beyond the first takes a hundredth of the room between the mean and its bound, down to half.

--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -32,6 +32,10 @@
 /// as many.
 const READ_PER_MS: u32 = 50;
 
+/// Part of the room between the mean load and its bound that is used in the largest fleets, in
+/// percent. Each router takes one percent away, as beats come less often in a larger fleet.
+const ROOM_USED_MIN: u32 = 50;
+
 /// Sends that failed before a byte left, after which a call is given up.
 const UNSENT_MAX: u32 = 4;
 
@@ -104,13 +108,20 @@
         let salt = live.content.0 as u64 ^ affinity_hash(&now.0.to_le_bytes());
         let query = CostQuery {
             prompt_tokens,
-            load_ratio_max: self.bounds.load_ratio_max,
+            load_ratio_max: self.load_ratio_max(),
             repeatable: live.repeat.repeatable(),
             salt,
         };
         choose_cheapest(&query, &views)
     }
 
+    /// Multiple of the mean load up to which targets are taken; it leaves room for calls that other
+    /// routers sent since they last told their load.
+    fn load_ratio_max(&self) -> f64 {
+        let used = 100u32.saturating_sub(self.router_count()).clamp(ROOM_USED_MIN, 100);
+        1.0 + (self.bounds.load_ratio_max - 1.0) * f64::from(used) / 100.0
+    }
+
     fn views(&self, now: TimePoint, live: &LiveCall) -> Vec<CostView> {
         let home = live.prompt.as_ref().map_or(0, home_of);
         let serving = self.targets.serving(now, &live.pool);
--- a/crates/policy-routing/src/parts.rs
+++ b/crates/policy-routing/src/parts.rs
@@ -4,8 +4,9 @@
 
 use base_types::TimePoint;
 
-/// Targets that are remembered for one part; the ones used longest ago go first.
-const HOLDERS_MAX: usize = 12;
+/// Targets that are remembered for one part; the ones used longest ago go first. All targets of a
+/// pool come to hold the part that all its prompts begin with.
+const HOLDERS_MAX: usize = 256;
 
 /// Holders of prompt parts; the parts used longest ago are forgotten first.
 #[derive(Debug)]
@@ -18,6 +19,7 @@
 #[derive(Debug)]
 struct PartRecord {
     used: TimePoint,
+    /// In order of their targets.
     holders: Vec<PartHolder>,
 }
 
@@ -28,6 +30,12 @@
     used: TimePoint,
 }
 
+impl PartRecord {
+    fn place_of(&self, target: u64) -> Result<usize, usize> {
+        self.holders.binary_search_by_key(&target, |holder| holder.target)
+    }
+}
+
 impl PartHolders {
     /// A table for a number of parts.
     pub fn new(parts_max: usize) -> Self {
@@ -50,17 +58,18 @@
         self.order.remove(&(record.used, part));
         record.used = now;
         self.order.insert((now, part));
-        match record.holders.iter_mut().find(|holder| holder.target == target) {
-            Some(holder) => {
+        match record.place_of(target) {
+            Ok(place) => {
+                let holder = &mut record.holders[place];
                 holder.used = now;
                 holder.since = holder.since.min(since);
             }
-            None => record.holders.push(PartHolder { target, since, used: now }),
+            Err(place) => record.holders.insert(place, PartHolder { target, since, used: now }),
         }
         if record.holders.len() > HOLDERS_MAX {
             let oldest = record.holders.iter().enumerate().min_by_key(|(_, holder)| holder.used);
             if let Some(index) = oldest.map(|(index, _)| index) {
-                record.holders.swap_remove(index);
+                record.holders.remove(index);
             }
         }
         while self.parts.len() > self.parts_max {
@@ -93,8 +102,8 @@
 
     /// The point from which a target holds a part, or is about to read it.
     pub fn held_since(&self, part: u64, target: u64) -> Option<TimePoint> {
-        let holders = &self.parts.get(&part)?.holders;
-        holders.iter().find(|holder| holder.target == target).map(|holder| holder.since)
+        let record = self.parts.get(&part)?;
+        record.place_of(target).ok().map(|place| record.holders[place].since)
     }
 
     /// The parts used last and their holders, the newest first.
--- a/crates/policy-routing/tests/cost.rs
+++ b/crates/policy-routing/tests/cost.rs
@@ -146,3 +146,13 @@
         prop_assert!(table.newest(1_000).count() == table.len());
     }
 }
+
+/// A part that all prompts of a large pool begin with does not hide what its targets hold.
+#[test]
+fn all_targets_of_a_large_pool_are_known_to_hold_a_part() {
+    let mut table = PartHolders::new(64);
+    for target in 0..112 {
+        table.put(TimePoint(target), 1, target);
+    }
+    assert!((0..112).all(|target| table.held_since(1, target) == Some(TimePoint(target))));
+}
