--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -131,6 +131,7 @@
         let views = serving.map(|(target, record)| CostView {
             target,
             load: record.own + self.peer_loads.load(record.hash),
+            slots: record.entry.slots,
             unread: record.unread,
             held: tokens(record, TimePoint::NEVER),
             fetchable: tokens(record, now),
--- a/crates/fakes/src/gateway.rs
+++ b/crates/fakes/src/gateway.rs
@@ -9,6 +9,6 @@
 pub use self::{
     http::{HttpConnection, HttpMessage},
     ports::free_address,
-    runner::{Reply, RunnerStandIn, SharedScript},
+    runner::{Reply, ReplyRule, RunnerStandIn, ServedCall, SharedScript},
     store::{StoreMood, StoreStandIn},
 };
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -8,7 +8,7 @@
 };
 
 use serde_json::{Value, json};
-use tokio::{io::AsyncReadExt, net::TcpListener};
+use tokio::{io::AsyncReadExt, net::TcpListener, time::Instant};
 
 use super::{HttpConnection, HttpMessage};
 
@@ -48,9 +48,30 @@
 /// What the runners do with the next calls, whichever of them a call reaches.
 pub type SharedScript = Arc<Mutex<VecDeque<Reply>>>;
 
+/// What a runner does with a call, from the call and a number drawn for it.
+pub type ReplyRule = fn(&HttpMessage, u64) -> Reply;
+
+/// Where a runner's replies come from.
+#[derive(Debug, Clone)]
+enum ReplySource {
+    Script(SharedScript),
+    Rule(ReplyRule, u64),
+}
+
+/// A call that reached a runner.
+#[derive(Debug, Clone)]
+pub struct ServedCall {
+    /// The call.
+    pub message: HttpMessage,
+    /// What the runner did with it.
+    pub reply: Reply,
+    /// When it was read.
+    pub at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct RunnerState {
-    seen: Vec<HttpMessage>,
+    served: Vec<ServedCall>,
     closed_early: u32,
 }
 
@@ -62,16 +83,31 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: Arc<Mutex<RunnerState>>,
-    script: SharedScript,
+    replies: ReplySource,
+}
+
+impl Reply {
+    /// Whether the runner worked on the call.
+    pub fn ran(self) -> bool {
+        !matches!(self, Self::Declined | Self::Misdirected)
+    }
 }
 
 impl RunnerStandIn {
     /// Starts a runner that does as the script says.
     pub async fn start(id: &str, script: &SharedScript) -> Self {
+        Self::start_with(id, ReplySource::Script(script.clone())).await
+    }
+
+    /// Starts a runner that follows a rule, with numbers from a seed.
+    pub async fn start_ruled(id: &str, rule: ReplyRule, seed: u64) -> Self {
+        Self::start_with(id, ReplySource::Rule(rule, seed)).await
+    }
+
+    async fn start_with(id: &str, replies: ReplySource) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let script = script.clone();
-        let runner = Self { id: id.into(), address, state: Arc::default(), script };
+        let runner = Self { id: id.into(), address, state: Arc::default(), replies };
         let serving = runner.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -91,7 +127,12 @@
 
     /// The calls that reached the runner.
     pub fn seen(&self) -> Vec<HttpMessage> {
-        self.state.lock().expect("the state").seen.clone()
+        self.served().into_iter().map(|call| call.message).collect()
+    }
+
+    /// The calls that reached the runner and what it did with them.
+    pub fn served(&self) -> Vec<ServedCall> {
+        self.state.lock().expect("the state").served.clone()
     }
 
     /// Connections that the router closed while a call was on them.
@@ -101,15 +142,28 @@
 
     async fn serve(self, mut connection: HttpConnection) {
         while let Some(request) = connection.read(false).await {
-            self.state.lock().expect("the state").seen.push(request.clone());
-            let reply = self.script.lock().expect("the script").pop_front();
-            let reply = reply.unwrap_or(Reply::Whole);
+            let reply = self.note(&request);
             if !self.reply(&mut connection, &request, reply).await {
                 return;
             }
         }
     }
 
+    /// Draws the reply to a call and records both.
+    fn note(&self, request: &HttpMessage) -> Reply {
+        let mut state = self.state.lock().expect("the state");
+        let reply = match &self.replies {
+            ReplySource::Script(script) => script.lock().expect("the script").pop_front(),
+            ReplySource::Rule(rule, seed) => {
+                let drawn = seed.wrapping_mul(1_000_003).wrapping_add(state.served.len() as u64);
+                Some(rule(request, drawn))
+            }
+        };
+        let reply = reply.unwrap_or(Reply::Whole);
+        state.served.push(ServedCall { message: request.clone(), reply, at: Instant::now() });
+        reply
+    }
+
     /// Answers a call; returns whether the connection goes on.
     async fn reply(
         &self,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -19,8 +19,8 @@
     engine::run_engine,
     faults::{FaultOrder, FaultState},
     gateway::{
-        HttpConnection, HttpMessage, Reply, RunnerStandIn, SharedScript, StoreMood, StoreStandIn,
-        free_address,
+        HttpConnection, HttpMessage, Reply, ReplyRule, RunnerStandIn, ServedCall, SharedScript,
+        StoreMood, StoreStandIn, free_address,
     },
     platform::run_platform,
     serve::FakeError,
--- a/crates/local-fleet/src/process.rs
+++ b/crates/local-fleet/src/process.rs
@@ -59,6 +59,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Tells the process that its settings changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Freezes the process.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
--- a/crates/policy-routing/src/cost.rs
+++ b/crates/policy-routing/src/cost.rs
@@ -16,6 +16,10 @@
 /// Cost of each call that a target has above the least loaded one.
 const LOAD_COST: f64 = 0.05;
 
+/// Cost of each call that would wait for a slot; a slot is free again after some 80 ms, in which
+/// an engine reads that many thousand tokens beside other work.
+const WAIT_COST: f64 = 4.0;
+
 /// Cost of a call that fails and can be repeated elsewhere, weighed with the target's rate of
 /// failures.
 const FAILURE_COST: f64 = 3.0;
@@ -43,6 +47,8 @@
         pub target: TargetKey,
         /// Calls in flight of all routers.
         pub load: u32,
+        /// Calls that the target runs at once.
+        pub slots: u32,
         /// Prompt tokens of this router's calls that the target has yet to read.
         pub unread: u64,
         /// Leading prompt tokens of the call that the target holds or is about to read.
@@ -122,6 +128,7 @@
             + FETCH_COST * f64::from(fetched)
             + READ_COST * view.unread as f64
             + LOAD_COST * f64::from(view.load.saturating_sub(least))
+            + WAIT_COST * f64::from((view.load + 1).saturating_sub(view.slots))
             + failure_cost * (view.failure_rate - FAILURE_RATE_USUAL).max(0.0);
         let rank = CostRank {
             doubtful: view.doubtful,
--- a/crates/policy-routing/tests/cost.rs
+++ b/crates/policy-routing/tests/cost.rs
@@ -12,6 +12,7 @@
     CostView {
         target: TargetKey(target),
         load: 4,
+        slots: 64,
         unread: 0,
         held: 0,
         fetchable: 0,
@@ -47,6 +48,7 @@
     a_doubtful_target_is_better_than_none(&[CostView { doubtful: true, ..view(0) }], Some(0), None);
     closed_targets_are_never_chosen(&[CostView { closed: true, ..view(0) }], None, None);
     no_targets_are_no_choice(&[], None, None);
+    a_holder_without_a_free_slot_gives_its_cache(&[view(0), CostView { load: 6, slots: 6, ..holder(1, 9_000) }], Some(0), Some(1));
     an_engine_with_much_to_read_is_avoided(&[CostView { unread: 60_000, ..view(0) }, CostView { load: 8, home_score: -1.0, ..view(1) }], Some(1), Some(0));
 }
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod configure;
 mod demo;
+mod soak;
 mod steps;
 mod torture;
 
@@ -41,6 +42,28 @@
         /// Tortures a build whose ledger does not wait for its claims; this must fail.
         broken: bool,
     },
+    /// Soaks gateway processes under random faults with each seed of a range.
+    #[bpaf(command)]
+    Soak {
+        /// First seed.
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Number of seeds.
+        #[bpaf(argument("SEEDS"), fallback(1))]
+        seeds: u64,
+        /// Gateway processes.
+        #[bpaf(argument("GATEWAYS"), fallback(5))]
+        gateways: usize,
+        /// Runners.
+        #[bpaf(argument("RUNNERS"), fallback(4))]
+        runners: usize,
+        /// Callers.
+        #[bpaf(argument("CALLERS"), fallback(12))]
+        callers: usize,
+        /// Series of faults of one seed.
+        #[bpaf(argument("ROUNDS"), fallback(2))]
+        rounds: u32,
+    },
     /// Measures a release router: added latency, throughput, start time, memory.
     #[bpaf(command)]
     Bench,
@@ -87,6 +110,9 @@
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken })
         }
+        Task::Soak { seed, seeds, gateways, runners, callers, rounds } => {
+            soak::run_soaks(soak::SoakTask { seed, seeds, gateways, runners, callers, rounds })
+        }
         Task::Bench => bench::run_bench(),
         Task::Configure { seconds, seed, broken } => {
             configure::run_configure(configure::ConfigurePlan { seconds, seed, broken })
--- /dev/null
+++ b/xtask/src/soak.rs
@@ -0,0 +1,62 @@
+//! The soak by hand: a range of seeds, one after the other.
+
+use std::path::PathBuf;
+
+use error_stack::{Report, ResultExt};
+use soak::{SoakPlan, run_soak};
+
+use crate::steps::{TaskError, cargo, program_folder};
+
+/// What is soaked.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SoakTask {
+    pub(crate) seed: u64,
+    pub(crate) seeds: u64,
+    pub(crate) gateways: usize,
+    pub(crate) runners: usize,
+    pub(crate) callers: usize,
+    pub(crate) rounds: u32,
+}
+
+/// Soaks release builds with each seed and fails when a promise was broken.
+pub(crate) fn run_soaks(task: SoakTask) -> Result<(), Report<TaskError>> {
+    cargo(&["build", "--release", "--quiet", "--locked", "--package", "knapweedport"])?;
+    let program = program_folder("release")?.join("knapweedport");
+    let failed: Vec<u64> = (task.seed..task.seed + task.seeds)
+        .map(|seed| soak_once(task, seed, program.clone()).map(|kept| (!kept).then_some(seed)))
+        .collect::<Result<Vec<_>, _>>()?
+        .into_iter()
+        .flatten()
+        .collect();
+    println!("{} of {} seeds broke a promise: {failed:?}", failed.len(), task.seeds);
+    if failed.is_empty() { Ok(()) } else { Err(Report::new(TaskError)) }
+}
+
+/// Runs one seed; returns whether all promises were kept.
+fn soak_once(task: SoakTask, seed: u64, program: PathBuf) -> Result<bool, Report<TaskError>> {
+    let folder = program_folder("soak")?.join(seed.to_string());
+    let plan = SoakPlan {
+        seed,
+        gateways: task.gateways,
+        runners: task.runners,
+        callers: task.callers,
+        rounds: task.rounds,
+        program,
+        folder: folder.clone(),
+    };
+    let report = run_soak(&plan).change_context(TaskError)?;
+    println!(
+        "seed {seed}: {} calls, {} served, {} faults, {} broken",
+        report.calls,
+        report.served,
+        report.faults,
+        report.broken.len()
+    );
+    for broken in &report.broken {
+        println!("  {broken}");
+    }
+    if !report.broken.is_empty() {
+        println!("  logs: {}", folder.display());
+    }
+    Ok(report.broken.is_empty())
+}
