--- a/crates/fakes/src/gateway/ports.rs
+++ b/crates/fakes/src/gateway/ports.rs
@@ -8,6 +8,8 @@
 /// Ports from here on are given out; the system takes those of its own connections from 32,768.
 const FIRST_PORT: u16 = 20_000;
 const PORTS: u16 = 12_000;
+/// Distance of the first ports of processes that start one after the other.
+const PROCESS_STRIDE: u32 = 1_009;
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
@@ -20,7 +22,7 @@
 ///
 /// Panics when no port is free.
 pub fn free_address() -> SocketAddr {
-    let offset = (std::process::id() % u32::from(PORTS)) as u16;
+    let offset = (std::process::id().wrapping_mul(PROCESS_STRIDE) % u32::from(PORTS)) as u16;
     for _ in 0..PORTS {
         let index = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (offset + index % PORTS) % PORTS;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -41,7 +41,7 @@
             continue;
         };
         sent += 1;
-        let id = format!("{number:04x}{sent:012x}");
+        let id = format!("{:06x}{number:04x}{sent:06x}", world.plan.seed & 0xff_ffff);
         let kind = *CallKind::ALL.choose(&mut rng).unwrap_or(&CallKind::Safe);
         kept = send_call(&world, gateway, connection, kind, &id).await;
         let pause = Duration::from_millis(rng.random_range(0..PAUSE_MS_MAX));
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -161,7 +161,8 @@
     let key = world.fault(FaultScope::Stop(index), "stop");
     let starts = world.gateways.borrow()[index].starts;
     world.gateways.borrow()[index].process().inspect(|process| process.terminate());
-    while !world.gateways.borrow_mut()[index].has_ended() {
+    // Another fault may have replaced the process meanwhile.
+    while !world.gateways.borrow_mut()[index].has_ended_since(starts) {
         if told.elapsed() > STOP_BOUND + STOP_SLACK {
             let gateway = |scope| scope == FaultScope::Gateway(index);
             // A process that is frozen meanwhile cannot end.
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -77,9 +77,10 @@
         self.process.as_ref()
     }
 
-    /// Whether the process ended by itself.
-    pub(crate) fn has_ended(&mut self) -> bool {
-        self.process.as_mut().is_none_or(|process| process.ended().is_some())
+    /// Whether the process of a start has ended.
+    pub(crate) fn has_ended_since(&mut self, starts: u32) -> bool {
+        self.starts != starts
+            || self.process.as_mut().is_none_or(|process| process.ended().is_some())
     }
 }
 
--- a/crates/soak/src/run/probes.rs
+++ b/crates/soak/src/run/probes.rs
@@ -70,7 +70,12 @@
     let address = world.callers_of(gateway);
     let called = async {
         let mut connection = HttpConnection::new(TcpStream::connect(address).await.ok()?);
-        Some(connection.ask(&request(path, &format!("probe-{id}"))).await.status())
+        Some(
+            connection
+                .ask(&request(path, &format!("probe-{}-{id}", world.plan.seed)))
+                .await
+                .status(),
+        )
     };
     tokio::time::timeout(PROBE_TIMEOUT, called).await.ok().flatten().unwrap_or(0)
 }
