Check silent targets by a connection, and give one up that is not established in 300 ms

Ruled out: a hold after each silence, as runners are as slow as that under load. Change: a call that has waited for the time in which its target should have begun has the target checked by a new connection, once a second; one that takes none is held and not fetched from.

--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -84,7 +84,8 @@
         pub rank: u8,
         /// Point at which the call is given up.
         pub deadline: TimePoint,
-        /// Point at which another target may be tried when this one is silent.
+        /// Point at which the target counts as silent; it is then checked, and another one may be
+        /// tried.
         pub patience: TimePoint,
         /// Engine that the target is to fetch cached parts from.
         pub fetch_from: Option<SocketAddr>,
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -78,6 +78,21 @@
         self.budgets.entry(live.pool.clone()).or_default().spend(now, &bounds, routers)
     }
 
+    /// Whether the silent target of a call is to be checked for whether it takes connections.
+    pub fn check_due(&mut self, now: TimePoint, key: CallKey) -> bool {
+        let current = self.calls.get(&key).and_then(|live| live.current);
+        let record = current.and_then(|current| self.targets.get_mut(current.target));
+        record.is_some_and(|record| record.take_check(now))
+    }
+
+    /// A target took no connection when it was checked.
+    pub fn target_unreachable(&mut self, now: TimePoint, target: TargetKey) {
+        if let Some(record) = self.targets.get_mut(target) {
+            record.life.on_failure(now);
+            record.on_unreachable(now);
+        }
+    }
+
     /// Whether a call whose target is silent can be sent to another one now.
     pub fn may_repeat(&mut self, now: TimePoint, key: CallKey) -> bool {
         let Some(live) = self.calls.remove(&key) else { return false };
@@ -219,11 +234,8 @@
     }
 }
 
-/// Point at which a silent target is given up for another one.
+/// Point at which a target that has not begun to answer is silent.
 fn patience_of(now: TimePoint, live: &LiveCall, unread: u32) -> TimePoint {
-    if !live.repeat.repeatable() || live.sends + 1 >= live.attempts_max {
-        return TimePoint::NEVER;
-    }
     if !live.repeat.streams() {
         return now.after(live.answer_target * PLAIN_PATIENCE);
     }
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -16,6 +16,9 @@
 /// Time for which a target that took no connection is not fetched from.
 const UNREACHABLE_LIFE: Duration = Duration::from_secs(2);
 
+/// Time between two checks of whether a silent target takes connections.
+const CHECK_EVERY: Duration = Duration::from_secs(1);
+
 /// Entries that lapsed while the platform was away are back within this time of its return.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
@@ -70,6 +73,8 @@
     pub(crate) untold: OutcomeCount,
     /// Point until which the target is taken to accept no connections.
     unreachable_until: TimePoint,
+    /// Point from which it may be checked again.
+    check_from: TimePoint,
     listed: bool,
     missing_until: TimePoint,
     /// Point until which a target that leaves still answers others.
@@ -98,6 +103,7 @@
             outcomes: OutcomeRate::default(),
             untold: OutcomeCount { failed: 0, ended: 0 },
             unreachable_until: TimePoint(0),
+            check_from: TimePoint(0),
             listed: true,
             missing_until: TimePoint::NEVER,
             gone_at: TimePoint::NEVER,
@@ -133,6 +139,15 @@
         self.unreachable_until = now.after(UNREACHABLE_LIFE);
     }
 
+    /// Whether a check is due; the next one is due some time later.
+    pub(crate) fn take_check(&mut self, now: TimePoint) -> bool {
+        let due = self.check_from.passed(now) && !self.is_held(now);
+        if due {
+            self.check_from = now.after(CHECK_EVERY);
+        }
+        due
+    }
+
     /// Whether the target took no connection lately.
     pub(crate) fn is_unreachable(&self, now: TimePoint) -> bool {
         !self.unreachable_until.passed(now)
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -444,3 +444,21 @@
         }
     }
 }
+
+#[test]
+fn a_silent_target_is_checked_once_a_second_and_left_when_it_takes_no_connection() {
+    let mut core = core_of(RepeatRule::Once, 1, 2);
+    let now = TimePoint(1_000_000);
+    let call = admit(&mut core, now, None);
+    let order = send(&mut core, now, call).expect("sent");
+    assert!(order.patience < order.deadline, "calls that run once are watched as well");
+    let silent = order.patience;
+    assert!(core.check_due(silent, call));
+    assert!(!core.check_due(silent.after(Duration::from_millis(500)), call));
+    core.target_unreachable(silent, order.target);
+    assert!(!core.may_repeat(silent, call));
+    for _ in 0..20 {
+        let other = admit(&mut core, silent, None);
+        assert_ne!(send(&mut core, silent, other).expect("sent").name, order.name);
+    }
+}
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -12,7 +12,7 @@
     hop::{answer_parts, strip_hop_headers},
     log_lines::CallLog,
     relay::relay_stream,
-    upstream::{SendFault, TargetConnection, open_connection},
+    upstream::{SendFault, TargetConnection, check_target, open_connection},
 };
 
 /// Bytes of a body that are read before a configuration says how many are allowed.
@@ -218,7 +218,7 @@
     }
 
     /// Waits for what a target brings: until the deadline, or shorter where the target is silent
-    /// and another one can be tried.
+    /// and another one can be tried. A silent target is checked.
     pub(crate) async fn answer_in_time<Answer>(
         &self,
         order: &SendOrder,
@@ -232,6 +232,9 @@
                 return Ok(answer);
             }
             let call = self.admitted.call;
+            if self.state.with_core(|core, now| core.check_due(now, call)) {
+                check_target(&self.state, order);
+            }
             if self.state.with_core(|core, now| core.may_repeat(now, call)) {
                 return Err(AttemptEnd::Silent);
             }
--- a/crates/io-forward/src/connect.rs
+++ b/crates/io-forward/src/connect.rs
@@ -5,8 +5,9 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
-/// Time for a connection to be established; one lost opening packet is sent again after 1 s.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time for a connection to be established. It takes some milliseconds; a lost opening packet is
+/// sent again after 1 s, which is later than a call is sent elsewhere.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time after which sent bytes that are not acknowledged end the connection.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_500);
--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -15,7 +15,7 @@
 use io_clock::LoopClock;
 use tokio::task::AbortHandle;
 
-use crate::connect::connect_target;
+use crate::{ForwardState, connect::connect_target};
 
 /// Time for which an idle connection is kept when the target names none.
 const IDLE_LIFE: Duration = Duration::from_secs(4);
@@ -160,6 +160,25 @@
     }
 }
 
+/// Checks whether a silent target takes connections; one that does keeps the new one for a call.
+pub(crate) fn check_target(state: &ForwardState, order: &SendOrder) {
+    let (state, target, address) = (state.clone(), order.target, order.address);
+    let name = order.name.clone();
+    tokio::task::spawn_local(async move {
+        state.with_upstream(|pool, _| pool.count_opened());
+        match TargetConnection::open(address).await {
+            Ok(connection) => {
+                state.with_upstream(|pool, now| pool.put(now, target, connection, None));
+            }
+            Err(error) => {
+                let error = error.to_string();
+                log::info!(target_name = &*name, error = error.as_str(); "target takes no connection");
+                state.with_core(|core, now| core.target_unreachable(now, target));
+            }
+        }
+    });
+}
+
 /// An error and its causes in one line.
 pub(crate) fn describe(error: &dyn std::error::Error) -> Box<str> {
     let mut text = error.to_string();
