Weigh what a copy of cached parts displaces when targets are chosen

Cause: a fetch was weighed by its transfer alone, and copies push other parts out of engines whose memory the sessions fill (zoo: 3.5 of 7.3 million tokens in single copies).

--- a/crates/policy-routing/src/cost.rs
+++ b/crates/policy-routing/src/cost.rs
@@ -9,9 +9,9 @@
 /// Cost of reading one prompt token.
 const READ_COST: f64 = 0.001;
 
-/// Cost of fetching one prompt token from another engine; a transfer takes about a seventh of
-/// the time of reading.
-const FETCH_COST: f64 = 0.000_14;
+/// Cost of fetching one prompt token from another engine: a transfer takes about a seventh of the
+/// time of reading, and the copy displaces what the engine holds.
+const FETCH_COST: f64 = 0.000_3;
 
 /// Cost of each call that a target has above the least loaded one.
 const LOAD_COST: f64 = 0.05;
