--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -39,6 +39,8 @@
         pub parts: usize,
         /// Whether the router is shutting down.
         pub leaving: bool,
+        /// Repeats that are left to this router, by pool.
+        pub retry_room: Vec<(PoolName, u64)>,
         /// The targets.
         pub targets: Vec<TargetStatus>,
     }
@@ -230,8 +232,12 @@
             own: record.own,
             others: self.peer_loads.load(record.hash),
             failure_rate: record.outcomes.rate(now),
+            parts: self.holders.count_of(record.hash),
             phase: record.life.phase(now),
         });
+        let (bounds, routers) = (self.window_bounds(), self.router_count());
+        let budgets = self.budgets.iter();
+        let room = budgets.map(|(pool, budget)| (pool.clone(), budget.room(now, &bounds, routers)));
         ForwardStatus {
             version: self.config.as_ref().map(|config| config.version),
             adopted: self.adopted,
@@ -239,6 +245,7 @@
             peers: self.peers.serving(now).count(),
             parts: self.holders.len(),
             leaving: self.leaving,
+            retry_room: room.collect(),
             targets: targets.collect(),
         }
     }
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -108,12 +108,13 @@
         let other = self.views(now, live).iter().any(|view| !view.closed && !view.doubtful);
         let bounds = self.window_bounds();
         let routers = self.router_count();
-        let budget = self.budgets.entry(live.pool.clone()).or_default();
-        other && !live.deadline.passed(now) && budget.has_room(now, &bounds, routers)
+        let budget = self.budgets.get(&live.pool);
+        let room = budget.is_some_and(|budget| budget.room(now, &bounds, routers) > 0);
+        other && !live.deadline.passed(now) && room
     }
 
     /// Routers that share the budget of repeats, also those that were not heard lately.
-    fn router_count(&self) -> u32 {
+    pub(super) fn router_count(&self) -> u32 {
         self.peers.entries().count() as u32 + 1
     }
 
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -54,6 +54,8 @@
         pub others: u32,
         /// Share of calls of all routers that failed lately, 0 to 1.
         pub failure_rate: f64,
+        /// Prompt parts that it is known to hold.
+        pub parts: usize,
         /// State in its life cycle.
         pub phase: TargetPhase,
     }
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -462,3 +462,22 @@
         assert_ne!(send(&mut core, silent, other).expect("sent").name, order.name);
     }
 }
+
+#[test]
+fn the_status_shows_what_is_left_of_the_budget_and_what_targets_hold() {
+    let mut core = core_of(RepeatRule::ResumableStream, 2, 3);
+    let now = TimePoint(1_000_000);
+    let room = |core: &ForwardCore| core.status(now).retry_room.first().map(|(_, room)| *room);
+    assert_eq!(room(&core), None);
+    let call = admit(&mut core, now, Some(prompt(3)));
+    let first = send(&mut core, now, call).expect("sent");
+    let before = room(&core).expect("a budget");
+    assert_eq!(before, u64::from(BOUNDS.retry_slack) * 8 / 10);
+    core.attempt_ended(now, call, Lost);
+    send(&mut core, now, call).expect("sent again");
+    assert_eq!(room(&core), Some(before - 1));
+    let held = core.status(now).targets;
+    let held = held.iter().find(|target| target.name.as_str() == &*first.name);
+    // The last part is the call's own, which the lost send may not have read.
+    assert_eq!(held.map(|target| target.parts), Some(2));
+}
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -52,8 +52,12 @@
     TargetOwnCalls,
     /// Calls of other routers in flight on a target.
     TargetOtherCalls,
-    /// Moving rate of a target's failures.
+    /// Share of all routers' calls to a target that failed lately.
     TargetFailureRate,
+    /// Prompt parts that a target is known to hold.
+    TargetParts,
+    /// Repeats that are left to this router, by pool.
+    RetryRoom,
     /// Connections opened to targets since the start.
     TargetConnections,
     /// Calls of the platform since the start.
@@ -65,7 +69,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 16] = [
         Self::Calls,
         Self::Ready,
         Self::CallerConnections,
@@ -76,6 +80,8 @@
         Self::TargetOwnCalls,
         Self::TargetOtherCalls,
         Self::TargetFailureRate,
+        Self::TargetParts,
+        Self::RetryRoom,
         Self::TargetConnections,
         Self::PlatformCalls,
         Self::LogLinesLeftOut,
@@ -94,6 +100,8 @@
             Self::TargetOwnCalls => "knapweedport_target_own_calls",
             Self::TargetOtherCalls => "knapweedport_target_other_calls",
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
+            Self::TargetParts => "knapweedport_target_prompt_parts",
+            Self::RetryRoom => "knapweedport_retry_room",
             Self::TargetConnections => "knapweedport_target_connections_opened",
             Self::PlatformCalls => "knapweedport_platform_calls",
             Self::LogLinesLeftOut => "knapweedport_log_lines_left_out",
--- a/crates/policy-retries/src/window.rs
+++ b/crates/policy-retries/src/window.rs
@@ -47,19 +47,19 @@
         self.slice(now, bounds).calls += 1;
     }
 
-    /// Whether this router's part of the budget holds a repeat.
-    pub fn has_room(&mut self, now: TimePoint, bounds: &WindowBounds, routers: u32) -> bool {
-        self.slice(now, bounds);
-        let calls: u64 = self.slices.iter().map(|slice| u64::from(slice.calls)).sum();
-        let repeats: u64 = self.slices.iter().map(|slice| u64::from(slice.repeats)).sum();
+    /// Repeats that are left in this router's part of the budget.
+    pub fn room(&self, now: TimePoint, bounds: &WindowBounds, routers: u32) -> u64 {
+        let counted = || self.slices.iter().filter(|slice| !slice.lapsed(now, bounds));
+        let calls: u64 = counted().map(|slice| u64::from(slice.calls)).sum();
+        let repeats: u64 = counted().map(|slice| u64::from(slice.repeats)).sum();
         let earned = (calls as f64 * bounds.ratio) as u64;
         let given = u64::from(bounds.slack) / u64::from(routers.max(1));
-        repeats < (earned + given) * USED_PERCENT / 100
+        ((earned + given) * USED_PERCENT / 100).saturating_sub(repeats)
     }
 
     /// Spends a repeat, if this router's part of the budget holds one.
     pub fn spend(&mut self, now: TimePoint, bounds: &WindowBounds, routers: u32) -> bool {
-        let room = self.has_room(now, bounds, routers);
+        let room = self.room(now, bounds, routers) > 0;
         if room {
             self.slice(now, bounds).repeats += 1;
         }
@@ -68,7 +68,7 @@
 
     fn slice(&mut self, now: TimePoint, bounds: &WindowBounds) -> &mut WindowSlice {
         let width = bounds.span / SLICES;
-        while self.slices.front().is_some_and(|slice| slice.end.after(bounds.span).passed(now)) {
+        while self.slices.front().is_some_and(|slice| slice.lapsed(now, bounds)) {
             self.slices.pop_front();
         }
         if self.slices.back().is_none_or(|slice| slice.end.passed(now)) {
@@ -78,3 +78,9 @@
         &mut self.slices[last]
     }
 }
+
+impl WindowSlice {
+    fn lapsed(&self, now: TimePoint, bounds: &WindowBounds) -> bool {
+        self.end.after(bounds.span).passed(now)
+    }
+}
--- a/crates/policy-routing/src/parts.rs
+++ b/crates/policy-routing/src/parts.rs
@@ -114,6 +114,11 @@
         })
     }
 
+    /// Number of parts that a target holds.
+    pub fn count_of(&self, target: u64) -> usize {
+        self.parts.values().filter(|record| record.place_of(target).is_ok()).count()
+    }
+
     /// Number of parts.
     pub fn len(&self) -> usize {
         self.parts.len()
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -23,6 +23,7 @@
         tables::edit_pool,
         watch::{FleetWatch, control_bytes},
     },
+    soak::{SoakTask, soak_once},
     steps::{TaskError, cargo, program_folder},
 };
 
@@ -30,6 +31,9 @@
 const KILL_AFTER: Duration = Duration::from_millis(1500);
 const KILLED_ENGINE: usize = 0;
 
+/// Seed of callers and faults on the users' platform.
+const DEMO_SEED: u64 = 1;
+
 /// Builds and starts the fleet, uses it, and fails when a promise was broken.
 pub(crate) fn run_demo(keep: bool) -> Result<(), Report<TaskError>> {
     cargo(&["build", "--locked", "--release", "--package", "knapweedport", "--package", "fakes"])?;
@@ -37,7 +41,15 @@
         .enable_all()
         .build()
         .change_context(TaskError)?;
-    runtime.block_on(show(keep))
+    runtime.block_on(show(keep))?;
+    show_gateways()
+}
+
+/// Runs gateways on the users' platform under some faults, on sockets.
+fn show_gateways() -> Result<(), Report<TaskError>> {
+    println!("the users' platform: 5 gateways, 4 runners, a stand-in store, two series of faults");
+    soak_once(SoakTask::default(), DEMO_SEED)
+        .and_then(|kept| if kept { Ok(()) } else { Err(Report::new(TaskError)) })
 }
 
 async fn show(keep: bool) -> Result<(), Report<TaskError>> {
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -1,7 +1,5 @@
 //! The soak by hand: a range of seeds, one after the other.
 
-use std::path::PathBuf;
-
 use error_stack::{Report, ResultExt};
 use soak::{SoakPlan, run_soak};
 
@@ -18,12 +16,17 @@
     pub(crate) rounds: u32,
 }
 
+impl Default for SoakTask {
+    fn default() -> Self {
+        Self { seed: 1, seeds: 1, gateways: 5, runners: 4, callers: 12, rounds: 2 }
+    }
+}
+
 /// Soaks release builds with each seed and fails when a promise was broken.
 pub(crate) fn run_soaks(task: SoakTask) -> Result<(), Report<TaskError>> {
     cargo(&["build", "--release", "--quiet", "--locked", "--package", "knapweedport"])?;
-    let program = program_folder("release")?.join("knapweedport");
     let failed: Vec<u64> = (task.seed..task.seed + task.seeds)
-        .map(|seed| soak_once(task, seed, program.clone()).map(|kept| (!kept).then_some(seed)))
+        .map(|seed| soak_once(task, seed).map(|kept| (!kept).then_some(seed)))
         .collect::<Result<Vec<_>, _>>()?
         .into_iter()
         .flatten()
@@ -32,8 +35,9 @@
     if failed.is_empty() { Ok(()) } else { Err(Report::new(TaskError)) }
 }
 
-/// Runs one seed; returns whether all promises were kept.
-fn soak_once(task: SoakTask, seed: u64, program: PathBuf) -> Result<bool, Report<TaskError>> {
+/// Runs one seed on the release build; returns whether all promises were kept.
+pub(crate) fn soak_once(task: SoakTask, seed: u64) -> Result<bool, Report<TaskError>> {
+    let program = program_folder("release")?.join("knapweedport");
     let folder = program_folder("soak")?.join(seed.to_string());
     let plan = SoakPlan {
         seed,
