--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -210,7 +210,7 @@
 }
 
 /// A runner leaves, and another one comes.
-async fn drain(world: &SoakWorld) -> Result<(), Report<SoakError>> {
+pub(crate) async fn drain(world: &SoakWorld) -> Result<(), Report<SoakError>> {
     world.add_runner().await?;
     let leaving = {
         let mut runners = world.runners.borrow_mut();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     callers::call_on,
-    faults::harm,
+    faults::{drain, harm},
     gateway::SoakGateway,
     judge::{Broken, judge},
     plan::{CALM_BEFORE, CONFIG_BOUND, RECOVER_BOUND, SoakPlan, configuration, reply_rule},
@@ -31,8 +31,8 @@
 
 /// Time for all gateways to be ready at the start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time without new faults after each round; bounds hold from [`CALM_BEFORE`] on.
-const CALM: Duration = Duration::from_millis(3_000 + 2_000 + 2_000);
+/// Time beyond [`CALM_BEFORE`] after which planned work is done in the calm after each round.
+const CALM_SLACK: Duration = Duration::from_millis(300);
 /// Time for calls that are under way to end.
 const LAST_CALLS: Duration = Duration::from_secs(6);
 
@@ -110,7 +110,11 @@
     let mut rng = SmallRng::seed_from_u64(world.plan.seed);
     for _ in 0..world.plan.rounds {
         harm(&world, &mut rng).await?;
-        tokio::time::sleep(CALM).await;
+        tokio::time::sleep(CALM_BEFORE + CALM_SLACK).await;
+        // Bounds on a configuration and on a leaving runner hold now.
+        world.configure(1);
+        drain(&world).await?;
+        tokio::time::sleep(CONFIG_BOUND).await;
     }
     world.check_recovery().await;
     tokio::time::sleep(CONFIG_BOUND).await;
