--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -11,6 +11,9 @@
 /// Prompt parts in one beat, so that a beat fits into a datagram.
 const HELD_MAX: usize = 200;
 
+/// Targets in one beat whose outcomes are told; the others follow in the next one.
+const OUTCOMES_MAX: usize = 64;
+
 /// Calls without a failure after which others are told of them; a failure is told at once.
 const WHOLE_CALLS_TOLD: u32 = 6;
 
@@ -59,7 +62,7 @@
     fn untold_outcomes(&mut self) -> Vec<TargetOutcomes> {
         let due = |calls: OutcomeCount| calls.failed > 0 || calls.ended >= WHOLE_CALLS_TOLD;
         let records = self.targets.iter_mut().filter(|record| due(record.untold));
-        let told = records.map(|record| TargetOutcomes {
+        let told = records.take(OUTCOMES_MAX).map(|record| TargetOutcomes {
             target: record.hash,
             calls: std::mem::take(&mut record.untold),
         });
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -481,3 +481,24 @@
     // The last part is the call's own, which the lost send may not have read.
     assert_eq!(held.map(|target| target.parts), Some(2));
 }
+
+/// A beat fits into a datagram also where all targets of a large pool have news.
+#[test]
+fn outcomes_of_many_targets_are_told_in_several_beats() {
+    let mut core = core_of(RepeatRule::Once, 1, 200);
+    let now = TimePoint(1_000_000);
+    for _ in 0..200 {
+        let call = admit(&mut core, now, None);
+        send(&mut core, now, call).expect("sent");
+        core.attempt_ended(now, call, Failed);
+        core.finish(call);
+    }
+    let mut told = 0;
+    while let beat = core.next_beat()
+        && !beat.outcomes.is_empty()
+    {
+        assert!(beat.outcomes.len() <= 64);
+        told += beat.outcomes.iter().map(|outcomes| outcomes.calls.failed).sum::<u32>();
+    }
+    assert_eq!(told, 200);
+}
--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -172,7 +172,7 @@
             }
             Err(error) => {
                 let error = error.to_string();
-                log::info!(target_name = &*name, error = error.as_str(); "target takes no connection");
+                log::info!(target = &*name, error = error.as_str(); "target takes no connection");
                 state.with_core(|core, now| core.target_unreachable(now, target));
             }
         }
