--- a/crates/policy-routing/tests/cost.rs
+++ b/crates/policy-routing/tests/cost.rs
@@ -91,6 +91,9 @@
         };
         let mean = open.iter().map(|view| f64::from(view.load)).sum::<f64>() / open.len() as f64;
         let bound = mean * 2.0 + 1.0;
+        let chosen = open.iter().filter(|view| view.target == choice.target);
+        let held = chosen.clone().any(|view| view.held == choice.held);
+        prop_assert!(held, "the choice is an open target");
         let below = |view: &&&CostView| !view.unreachable && f64::from(view.load) < bound;
         let calm = |view: &&&CostView| below(view) && !view.doubtful;
         if open.iter().any(|view| below(&view)) {
