--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -502,3 +502,34 @@
     }
     assert_eq!(told, 200);
 }
+
+/// A holder with two calls beside two idle targets, and whether a router of such a fleet goes there
+/// or fetches from it.
+fn check_room(routers: u16, goes_there: bool) {
+    let mut core = core_of(RepeatRule::Stream, 1, 3);
+    core.list_routers(
+        (0..routers).map(|index| router(&format!("r{index}"), 500 + index)).collect(),
+    );
+    let now = TimePoint(1_000_000);
+    let call = admit(&mut core, now, Some(prompt(3)));
+    let holder = send(&mut core, now, call).expect("sent");
+    let mut loads = core.next_beat().share.loads;
+    loads.iter_mut().for_each(|load| load.in_flight = 2);
+    core.answer_began(call);
+    core.attempt_ended(now, call, Whole);
+    core.finish(call);
+    let mut beat = core_of_router("r0", 500).next_beat();
+    beat.share.loads = loads;
+    core.beat_heard(now, beat);
+    let later = now.after(Duration::from_secs(1));
+    let call = admit(&mut core, later, Some(prompt(3)));
+    let order = send(&mut core, later, call).expect("sent");
+    assert_eq!(order.name == holder.name, goes_there, "{:?}", core.status(later).targets);
+    assert_eq!(order.fetch_from.is_some(), !goes_there);
+}
+
+test_cases! {
+    check_room:
+    a_small_fleet_uses_the_room_below_the_bound(6, true);
+    a_large_fleet_leaves_room_below_the_bound(66, false);
+}
