Share one request of test programs and one way to cut through a proxy

Found on reading the change again: the soak and the tests of gateways each had a function that asks for a path on a connection of its own, two faults of the soak were the same five lines, and a comment of the judge said that orders to stop do not count as disturbance, though they do. Change: `HttpConnection::get` in the stand-ins serves both; `cut` serves both faults; the comment says what is checked. No check, bound or product code changed; the soak's requests no longer name `Connection: close`.

--- a/crates/fakes/src/gateway/http.rs
+++ b/crates/fakes/src/gateway/http.rs
@@ -74,6 +74,12 @@
         Self::new(TcpStream::connect(address).await.expect("a connection"))
     }
 
+    /// Asks for a path on a connection of its own; the answer is empty when there is none.
+    pub async fn get(address: std::net::SocketAddr, path: &str) -> HttpMessage {
+        let Ok(stream) = TcpStream::connect(address).await else { return HttpMessage::default() };
+        Self::new(stream).ask(&format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n")).await
+    }
+
     /// Writes bytes as they are.
     pub async fn send(&mut self, bytes: &[u8]) {
         // The other end may have closed; what it answers, or that it does not, is checked.
--- a/crates/knapweedport/tests/gateway.rs
+++ b/crates/knapweedport/tests/gateway.rs
@@ -7,8 +7,7 @@
 };
 
 use fakes::{
-    HttpConnection, HttpMessage, Reply, RunnerStandIn, SharedScript, StoreMood, StoreStandIn,
-    free_address,
+    HttpConnection, Reply, RunnerStandIn, SharedScript, StoreMood, StoreStandIn, free_address,
 };
 use nix::{
     sys::signal::{Signal, kill},
@@ -84,16 +83,8 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("a signal");
     }
 
-    async fn ask(address: SocketAddr, path: &str) -> HttpMessage {
-        let Ok(stream) = tokio::net::TcpStream::connect(address).await else {
-            return HttpMessage::default();
-        };
-        let text = format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n");
-        HttpConnection::new(stream).ask(&text).await
-    }
-
     async fn is_ready(&self) -> bool {
-        Self::ask(self.readiness, "/api/readyz").await.status() == 200
+        HttpConnection::get(self.readiness, "/api/readyz").await.status() == 200
     }
 
     async fn wait_until_ready(&self) {
@@ -107,7 +98,7 @@
 
     /// Addresses that this router tells callers.
     async fn told(&self) -> Vec<String> {
-        let answer = Self::ask(self.entry, "/api/resolve?name=h&region=r&zone=z").await;
+        let answer = HttpConnection::get(self.entry, "/api/resolve?name=h&region=r&zone=z").await;
         let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
         let addresses = body["addresses"].as_array().cloned().unwrap_or_default();
         addresses.iter().filter_map(|address| Some(address.as_str()?.to_owned())).collect()
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,7 +8,6 @@
 use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
-    gateway::ask,
     plan::{CallKind, HOST, KEY},
     record::{CallEnd, CallRecord},
     run::SoakWorld,
@@ -105,7 +104,8 @@
         for _ in 0..3 {
             let entry = world.entry_of(rng.random_range(0..world.plan.gateways));
             let path = "/api/resolve?name=soak&region=r&zone=z0";
-            let Ok(answer) = tokio::time::timeout(CONNECT_TIMEOUT, ask(entry, path)).await else {
+            let told = HttpConnection::get(entry, path);
+            let Ok(answer) = tokio::time::timeout(CONNECT_TIMEOUT, told).await else {
                 continue;
             };
             let told: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -10,7 +10,7 @@
 use crate::{
     judge::Broken,
     plan::{DRAIN_BOUND, STOP_BOUND},
-    proxy::ProxyMood,
+    proxy::{FaultProxy, ProxyMood},
     record::FaultScope,
     run::{SoakError, SoakWorld},
 };
@@ -128,20 +128,14 @@
             world.heal(key);
         }
         SoakFault::StoreCut(index, mood) => {
-            let key = world.fault(FaultScope::Gateway(index), &format!("store {mood:?}"));
             let proxy = world.gateways.borrow()[index].store.clone();
-            proxy.be(mood);
-            sleep(time).await;
-            proxy.be(ProxyMood::Well);
-            world.heal(key);
+            let what = format!("store {mood:?}");
+            cut(world, &proxy, FaultScope::Gateway(index), &what, mood, time).await;
         }
         SoakFault::Runner(index, mood) => {
-            let key = world.fault(FaultScope::Runner(index), &format!("{mood:?}"));
             let proxy = world.runners.borrow()[index].proxy.clone();
-            proxy.be(mood);
-            sleep(time).await;
-            proxy.be(ProxyMood::Well);
-            world.heal(key);
+            let what = format!("{mood:?}");
+            cut(world, &proxy, FaultScope::Runner(index), &what, mood, time).await;
         }
         SoakFault::Drain => drain(world).await?,
         SoakFault::Configure(step) => world.configure(step),
@@ -155,6 +149,22 @@
     Ok(())
 }
 
+/// Harms the connections through a proxy for a time.
+async fn cut(
+    world: &SoakWorld,
+    proxy: &FaultProxy,
+    scope: FaultScope,
+    what: &str,
+    mood: ProxyMood,
+    time: Duration,
+) {
+    let key = world.fault(scope, what);
+    proxy.be(mood);
+    sleep(time).await;
+    proxy.be(ProxyMood::Well);
+    world.heal(key);
+}
+
 /// Tells a gateway to stop, waits for its end and starts it anew.
 async fn stop(world: &SoakWorld, index: usize) -> Result<(), Report<SoakError>> {
     let told = Instant::now();
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -3,9 +3,8 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use error_stack::{Report, ResultExt};
-use fakes::{HttpConnection, HttpMessage, free_address};
+use fakes::free_address;
 use local_fleet::ChildProcess;
-use tokio::net::TcpStream;
 
 use crate::{
     plan::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, STOP_BOUND, SoakPlan},
@@ -83,10 +82,3 @@
             || self.process.as_mut().is_none_or(|process| process.ended().is_some())
     }
 }
-
-/// Asks for a path on a connection of its own; the answer is empty when there is none.
-pub(crate) async fn ask(address: SocketAddr, path: &str) -> HttpMessage {
-    let Ok(stream) = TcpStream::connect(address).await else { return HttpMessage::default() };
-    let text = format!("GET {path} HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n");
-    HttpConnection::new(stream).ask(&text).await
-}
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -228,7 +228,7 @@
 }
 
 impl SoakWorld {
-    /// Whether anything but planned work disturbed a gateway or the store in a span.
+    /// Whether a fault or an order to stop disturbed a gateway, or a fault the store, in a span.
     fn disturbed(&self, gateway: usize, from: Instant, to: Instant) -> bool {
         let disturbs = |scope| {
             matches!(scope, FaultScope::Store)
