Log and count how the body of each target's response ended

Change: one line `response ended` for each response that started, and a counter knapweedport_response_ends, both with the framing (length, chunked, close), the outcome of the attempt and whether the bytes end inside an event; the line has the number of bytes too. No decision reads any of it. Checked: tests of io-telemetry, io-forward and platform: all passed but the known a_target_that_leaves_after_a_short_silence_gets_nothing.

--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     ExecutionStatus, ForwardState, ResponseBody, ResponseHead,
+    framing::{BodyFraming, BodyProgress},
     hop::{end_to_end_parts, strip_hop_by_hop_headers},
     log_lines::CallLog,
     relay::relay_stream,
@@ -321,9 +322,21 @@
     /// Reads the rest of a response and returns its connection to the pool.
     async fn read_to_end(&mut self, started: StartedResponse) -> Option<Response<Bytes>> {
         let deadline = self.state.clock().instant(started.attempt.deadline);
+        let mut progress = BodyProgress::new(BodyFraming::of(&started.response));
         let (parts, body) = started.response.into_parts();
+        let body = body.map_frame(|frame| {
+            progress.bytes += frame.data_ref().map_or(0, |chunk| chunk.len() as u64);
+            frame
+        });
         let collecting = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-        let collected = tokio::time::timeout_at(deadline, collecting).await.ok()?.ok()?;
+        let collected =
+            tokio::time::timeout_at(deadline, collecting).await.ok().and_then(Result::ok);
+        let outcome = match &collected {
+            Some(_) => AttemptOutcome::Completed,
+            None => AttemptOutcome::Lost,
+        };
+        self.record_response_end(&started.attempt, &progress, outcome);
+        let collected = collected?;
         self.release_connection(&started.attempt, started.connection, &started.head);
         Some(Response::from_parts(end_to_end_parts(parts), collected.to_bytes()))
     }
@@ -389,6 +402,21 @@
         self.state.metrics().count_attempt(self.admitted.pool.as_str(), outcome.as_str(), is_retry);
     }
 
+    /// Logs and counts how far the body of a response was received.
+    pub(crate) fn record_response_end(
+        &self,
+        attempt: &AttemptSpec,
+        progress: &BodyProgress,
+        outcome: AttemptOutcome,
+    ) {
+        self.log.response_ended(self.state.now(), attempt, progress, outcome.as_str());
+        self.state.metrics().count_response_end(
+            progress.framing.as_str(),
+            outcome.as_str(),
+            progress.inside_event,
+        );
+    }
+
     fn build_request(
         &self,
         attempt: &AttemptSpec,
--- a/crates/io-forward/src/events.rs
+++ b/crates/io-forward/src/events.rs
@@ -1,4 +1,4 @@
-//! Splits server-sent event streams at event boundaries.
+//! Positions in streams of server-sent events, and the splitting of streams at event boundaries.
 
 use base_types::message_types;
 use bytes::{Bytes, BytesMut};
@@ -14,6 +14,60 @@
     }
 }
 
+/// Tracks whether the bytes read so far end inside an event.
+///
+/// Lines end with CR LF, LF or CR, and an empty line ends an event. Lines of comments belong to no
+/// event.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EventPosition {
+    line: LinePosition,
+    /// Whether a line since the last empty one belongs to an event.
+    event_started: bool,
+    /// Whether the last byte was a CR, which a LF may complete to one line end.
+    after_carriage_return: bool,
+}
+
+/// Position within a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum LinePosition {
+    #[default]
+    Start,
+    InComment,
+    InField,
+}
+
+impl EventPosition {
+    /// Moves past the bytes of a chunk.
+    pub fn advance(&mut self, chunk: &[u8]) {
+        for &byte in chunk {
+            self.advance_byte(byte);
+        }
+    }
+
+    /// Whether an event has started and its end is missing, or a line is incomplete.
+    pub fn is_inside_event(&self) -> bool {
+        self.event_started || self.line != LinePosition::Start
+    }
+
+    fn advance_byte(&mut self, byte: u8) {
+        let completes_line_end = byte == b'\n' && self.after_carriage_return;
+        self.after_carriage_return = byte == b'\r';
+        if completes_line_end {
+            return;
+        }
+        match (byte, self.line) {
+            (b'\n' | b'\r', LinePosition::Start) => self.event_started = false,
+            (b'\n' | b'\r', _) => self.line = LinePosition::Start,
+            (b':', LinePosition::Start) => self.line = LinePosition::InComment,
+            (_, LinePosition::Start) => {
+                self.line = LinePosition::InField;
+                self.event_started = true;
+            }
+            _ => {}
+        }
+    }
+}
+
 /// Buffers an incomplete event until the rest of the event arrives.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -10,6 +10,7 @@
 mod contents;
 mod dialect;
 mod events;
+mod framing;
 mod front;
 mod hop;
 mod log_lines;
@@ -22,7 +23,7 @@
 pub use crate::{
     body::ResponseBody,
     dialect::{ExecutionStatus, ForwardDialect, ResponseHead},
-    events::{CompleteEvents, EventSplitter},
+    events::{CompleteEvents, EventPosition, EventSplitter},
     front::{CallerListener, serve_callers},
     peers::exchange_heartbeats,
     snapshots::{bootstrap_from_peers, serve_snapshots},
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -5,6 +5,8 @@
 use base_types::{NotRunCode, Refusal, TimePoint};
 use core_forward::{AdmittedCall, AttemptSpec};
 
+use crate::framing::BodyProgress;
+
 /// Writes the log lines of one call.
 #[derive(Debug, Clone)]
 pub(crate) struct CallLog {
@@ -77,6 +79,26 @@
         );
     }
 
+    /// Logs how far the body of a target's response was received, and how the attempt ended.
+    pub(crate) fn response_ended(
+        &self,
+        now: TimePoint,
+        attempt: &AttemptSpec,
+        progress: &BodyProgress,
+        end: &str,
+    ) {
+        log::info!(
+            call = &*self.id,
+            age_ms = self.age_ms(now),
+            target = &*attempt.name,
+            end,
+            framing = progress.framing.as_str(),
+            bytes = progress.bytes,
+            inside_event = progress.inside_event;
+            "response ended"
+        );
+    }
+
     /// Logs a call that the router gave up after its admission.
     pub(crate) fn given_up(&self, now: TimePoint, refusal: Refusal) {
         log::info!(
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -4,15 +4,16 @@
 
 use bytes::Bytes;
 use core_forward::{AttemptOutcome, AttemptSpec};
-use http::Response;
+use http::{Response, header, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::{
-    EventSplitter, ResponseBody, ResponseHead,
+    EventPosition, EventSplitter, ResponseBody, ResponseHead,
     body::{ChunkSender, TruncatedResponse},
     call::{DispatchOutcome, ServedCall, StartedResponse},
+    framing::{BodyFraming, BodyProgress},
     hop::end_to_end_parts,
     upstream::TargetConnection,
 };
@@ -21,23 +22,20 @@
 /// after two seconds without an event.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Content type of event streams, which parameters may follow.
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
+
 /// Spawns a task that forwards a stream to the caller, and returns the response that carries it.
 pub(crate) fn relay_stream(
     mut call: ServedCall,
     started: StartedResponse,
 ) -> Response<ResponseBody> {
-    let (parts, body) = started.response.into_parts();
     let (chunks, response_body) = ResponseBody::streamed();
-    let status = parts.status.as_u16();
+    let status = started.response.status().as_u16();
     if !call.admitted.resumable {
         call.drop_request_data();
     }
-    let source = StreamSource {
-        attempt: started.attempt,
-        connection: started.connection,
-        head: started.head,
-        body,
-    };
+    let (parts, source) = StreamSource::new(started);
     let relay = StreamRelay {
         splitter: call.admitted.resumable.then(EventSplitter::default),
         call,
@@ -56,6 +54,9 @@
     connection: TargetConnection,
     head: ResponseHead,
     body: Incoming,
+    progress: BodyProgress,
+    /// Position in the stream; `None` if the body is not a stream of events.
+    position: Option<EventPosition>,
 }
 
 /// Why reading the stream of one target stopped.
@@ -73,6 +74,47 @@
     CallerDisconnected,
 }
 
+impl StreamSource {
+    /// Splits a response into its head and the source of its body.
+    fn new(started: StartedResponse) -> (response::Parts, Self) {
+        let StartedResponse { attempt, connection, head, response } = started;
+        let progress = BodyProgress::new(BodyFraming::of(&response));
+        let (parts, body) = response.into_parts();
+        let position = carries_events(&parts).then(EventPosition::default);
+        (parts, Self { attempt, connection, head, body, progress, position })
+    }
+
+    /// Moves past a chunk that was received.
+    fn advance(&mut self, chunk: &[u8]) {
+        self.progress.bytes += chunk.len() as u64;
+        if let Some(position) = &mut self.position {
+            position.advance(chunk);
+            self.progress.inside_event = position.is_inside_event();
+        }
+    }
+}
+
+/// Whether the response to a call on a streaming route carries events; errors have plain bodies.
+fn carries_events(head: &response::Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    let is_other_type =
+        content_type.is_some_and(|value| !value.as_bytes().starts_with(EVENT_STREAM_TYPE));
+    head.status.is_success() && !is_other_type
+}
+
+impl StreamEnd {
+    /// Outcome of the attempt whose stream ended.
+    fn outcome(&self) -> AttemptOutcome {
+        match self {
+            Self::Complete => AttemptOutcome::Completed,
+            Self::Broken(_) => AttemptOutcome::Lost,
+            Self::Silent => AttemptOutcome::Silent,
+            Self::Expired => AttemptOutcome::Expired,
+            Self::CallerDisconnected => AttemptOutcome::Abandoned,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct StreamRelay {
     call: ServedCall,
@@ -87,7 +129,9 @@
     async fn run(mut self, source: StreamSource) {
         let mut source = source;
         loop {
-            match self.forward_events(&mut source).await {
+            let end = self.forward_events(&mut source).await;
+            self.call.record_response_end(&source.attempt, &source.progress, end.outcome());
+            match end {
                 StreamEnd::Complete => return self.complete(source).await,
                 StreamEnd::CallerDisconnected => return,
                 StreamEnd::Expired => {
@@ -146,6 +190,7 @@
                     Err(_) => continue,
                 },
             };
+            source.advance(&chunk);
             if !has_started {
                 has_started = true;
                 let call = self.call.admitted.call;
@@ -187,8 +232,8 @@
         };
         match outcome {
             DispatchOutcome::Started(started) if started.response.status().is_success() => {
-                let StartedResponse { attempt, connection, head, response } = *started;
-                Some(StreamSource { attempt, connection, head, body: response.into_body() })
+                let (_, source) = StreamSource::new(*started);
+                Some(source)
             }
             DispatchOutcome::Started(started) => {
                 let status = started.response.status();
--- a/crates/io-telemetry/src/account.rs
+++ b/crates/io-telemetry/src/account.rs
@@ -77,6 +77,7 @@
             let (end, reason) = (text(fields, "end"), text(fields, "reason"));
             format!("The attempt at `{target}` ended: {end} ({reason}).")
         }
+        "response ended" => describe_response_end(fields),
         "call denied" => {
             let (host, path) = (text(fields, "host"), text(fields, "path"));
             format!(
@@ -119,6 +120,21 @@
     sentence
 }
 
+fn describe_response_end(fields: &Fields) -> String {
+    let framing = match text(fields, "framing") {
+        "length" => "with a stated length",
+        "chunked" => "in chunks",
+        _ => "until its connection closed",
+    };
+    let position = match fields.get("inside_event") {
+        Some(Value::Bool(true)) => ", and ended inside an event",
+        _ => "",
+    };
+    let (target, end, bytes) =
+        (text(fields, "target"), text(fields, "end"), number(fields, "bytes"));
+    format!("The answer of `{target}` ended: {end}; {bytes} bytes came {framing}{position}.")
+}
+
 /// Number and description of the result code in the fields.
 fn describe_code(fields: &Fields) -> String {
     let wanted = number(fields, "code");
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -123,6 +123,7 @@
     calls: Counter<u64>,
     call_seconds: Histogram<f64>,
     attempts: Counter<u64>,
+    response_ends: Counter<u64>,
     platform_seconds: Histogram<f64>,
 }
 
@@ -151,6 +152,12 @@
                 .u64_counter("knapweedport_sends")
                 .with_description("Sends to targets that ended, by pool and end.")
                 .build(),
+            response_ends: meter
+                .u64_counter("knapweedport_response_ends")
+                .with_description(
+                    "Responses of targets whose body ended, by framing, end and position.",
+                )
+                .build(),
             platform_seconds: histogram(&meter, "knapweedport_platform_call_seconds"),
             _provider: provider,
         })
@@ -171,6 +178,21 @@
             .add(1, &[pool, KeyValue::new("end", outcome), KeyValue::new("repeat", is_retry)]);
     }
 
+    /// Counts a response of a target when its body has ended, completely or not.
+    pub fn count_response_end(
+        &self,
+        framing: &'static str,
+        outcome: &'static str,
+        inside_event: bool,
+    ) {
+        let labels = [
+            KeyValue::new("framing", framing),
+            KeyValue::new("end", outcome),
+            KeyValue::new("inside_event", inside_event),
+        ];
+        self.response_ends.add(1, &labels);
+    }
+
     /// Counts a call to the platform; `succeeded` is the value of its label `answered`.
     pub fn count_platform_call(&self, kind: &'static str, succeeded: bool, elapsed: Duration) {
         let attributes = [KeyValue::new("kind", kind), KeyValue::new("answered", succeeded)];
--- a/crates/io-telemetry/tests/account.rs
+++ b/crates/io-telemetry/tests/account.rs
@@ -7,6 +7,7 @@
   33.3 edge-a {"age_ms":40,"call":"c2","message":"call ended","status":200,"time":"2026-01-05T19:36:03Z"}
   33.4 edge-a {"age_ms":52,"call":"c1","end":"lost","message":"send ended","reason":"reset","target":"t1","time":"2026-01-05T19:36:01Z"}
 not a line of ours
+  33.4 edge-a {"age_ms":52,"bytes":90,"call":"c1","end":"lost","framing":"close","inside_event":true,"message":"response ended","target":"t1","time":"2026-01-05T19:36:02Z"}
   33.5 edge-a {"age_ms":53,"call":"c1","code":3001,"message":"call given up","time":"2026-01-05T19:36:04Z"}
   33.5 edge-a {"age_ms":53,"call":"c1","end":"given up","message":"call ended","status":502,"ti"#;
 
@@ -23,6 +24,8 @@
          the target was known to have cached 512 and had to process 400, and was to fetch more of \
          them from another engine; 2400 ms were left until the deadline.",
         "edge-a, after 52 ms: The attempt at `t1` ended: lost (reset).",
+        "edge-a, after 52 ms: The answer of `t1` ended: lost; 90 bytes came until its connection \
+         closed, and ended inside an event.",
         "edge-a, after 53 ms: The router gave up the call: 3001, The target was lost after the \
          request was sent.",
     ];
--- a/crates/io-telemetry/tests/telemetry.rs
+++ b/crates/io-telemetry/tests/telemetry.rs
@@ -5,7 +5,8 @@
 use base_settings::{LogFormat, SecretValue};
 use base_types::{HostName, test_cases};
 use io_telemetry::{
-    ControlTraffic, RequestSample, RouterGauges, RouterMetrics, TargetSample, format_record,
+    ControlTraffic, GatewayMetrics, RequestSample, RouterGauges, RouterMetrics, TargetSample,
+    format_record,
 };
 use log::{Level, Record};
 
@@ -81,3 +82,13 @@
         assert!(text.lines().any(|other| other == line), "no `{line}` in\n{text}");
     }
 }
+
+#[test]
+fn response_ends_are_counted_by_framing_and_position() {
+    let metrics = GatewayMetrics::new().unwrap();
+    metrics.count_response_end("close", "lost", true);
+    let text = metrics.scrape(Vec::new()).unwrap();
+    let line =
+        r#"knapweedport_response_ends_total{end="lost",framing="close",inside_event="true"} 1"#;
+    assert!(text.lines().any(|other| other == line), "no `{line}` in\n{text}");
+}
