Reproduce truncated streams that end as complete ones, at every byte of an event

Change: the stand-in of a runner ends a stream at any byte, with a stated length, a last chunk, the end of its connection, or a reset; a plain answer without a length can be reset.

--- a/crates/fakes/src/gateway.rs
+++ b/crates/fakes/src/gateway.rs
@@ -9,6 +9,8 @@
 pub use self::{
     http::{HttpConnection, HttpMessage},
     ports::free_address,
-    runner::{ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn},
+    runner::{
+        ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn, StreamFraming, event_text,
+    },
     store::{StoreMode, StoreStandIn},
 };
--- a/crates/fakes/src/gateway/http.rs
+++ b/crates/fakes/src/gateway/http.rs
@@ -9,6 +9,8 @@
 };
 
 const READ_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time for the peer to read what was sent before a reset.
+const READ_BEFORE_RESET: Duration = Duration::from_millis(20);
 
 /// A request or an answer as it was received.
 #[derive(Debug, Clone, Default)]
@@ -86,6 +88,15 @@
         let _ = self.stream.write_all(bytes).await;
     }
 
+    /// Resets the connection once the peer has had time to read what was sent; returns false, as the
+    /// connection cannot be used any longer.
+    pub async fn reset(&mut self) -> bool {
+        // A reset discards bytes that the peer has not read.
+        tokio::time::sleep(READ_BEFORE_RESET).await;
+        let _ = self.stream.set_zero_linger();
+        false
+    }
+
     /// Sends a request and reads the answer; an empty message when there is none.
     pub async fn request(&mut self, request: &str) -> HttpMessage {
         self.send(request.as_bytes()).await;
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -21,6 +22,8 @@
     Whole,
     /// A complete answer without a length, which ends when the connection closes.
     Unframed,
+    /// An answer without a length whose connection is reset before its end.
+    UnframedReset,
     /// A complete answer, followed by an answer to another call.
     Extra,
     /// A complete answer with the attempt id of another call.
@@ -45,6 +48,28 @@
     EventsCut(u64),
     /// Such a stream that stays open and sends only the start of the event after that number.
     EventsSilent(u64),
+    /// Such a stream with the first bytes of the event after that number; ends as its framing says.
+    EventsEnded {
+        /// Number of the last complete event.
+        last: u64,
+        /// Bytes of the next event that are sent.
+        partial_bytes: usize,
+        /// How the stream ends.
+        framing: StreamFraming,
+    },
+}
+
+/// How a runner marks the end of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamFraming {
+    /// A length in the head, which covers all bytes that are sent.
+    Length,
+    /// A last chunk.
+    Chunked,
+    /// Neither a length nor chunks; the connection is closed.
+    Close,
+    /// Neither a length nor chunks; the connection is reset.
+    Reset,
 }
 
 /// Replies to the next calls, shared by all runners: whichever runner a call reaches takes the
@@ -188,6 +213,11 @@
                 connection.send(format!("{head}Connection: close\r\n\r\n{body}").as_bytes()).await;
                 return false;
             }
+            Reply::UnframedReset => {
+                let head = self.signed_head(200, &id);
+                connection.send(format!("{head}\r\n{}", &body[..body.len() / 2]).as_bytes()).await;
+                return connection.reset().await;
+            }
             Reply::Extra => {
                 let both = format!("{}{}", complete(&id), complete("feedfeedfeedfeed"));
                 connection.send(both.as_bytes()).await;
@@ -228,10 +258,44 @@
                 self.send_events(connection, request, after, "id").await;
                 return self.wait_for_close(connection).await;
             }
+            Reply::EventsEnded { last, partial_bytes, framing } => {
+                let partial_event = &event_text(last + 1)[..partial_bytes];
+                return self.end_events(connection, request, last, partial_event, framing).await;
+            }
         }
         true
     }
 
+    /// Sends events and a partial one, and ends the stream; returns whether the connection stays in
+    /// use.
+    async fn end_events(
+        &self,
+        connection: &mut HttpConnection,
+        request: &HttpMessage,
+        last: u64,
+        partial_event: &str,
+        framing: StreamFraming,
+    ) -> bool {
+        let id = request.header("attempt-id").unwrap_or("");
+        let events: String = event_numbers(request, last).map(event_text).collect();
+        let body = format!("{events}{partial_event}");
+        let (framing_header, body) = match framing {
+            StreamFraming::Length => (format!("Content-Length: {}\r\n", body.len()), body),
+            StreamFraming::Chunked => {
+                ("Transfer-Encoding: chunked\r\n".to_owned(), chunk(&body) + "0\r\n\r\n")
+            }
+            StreamFraming::Close | StreamFraming::Reset => (String::new(), body),
+        };
+        let head = self.signed_head(200, id);
+        let head = format!("{head}Content-Type: text/event-stream\r\n{framing_header}\r\n");
+        connection.send(format!("{head}{body}").as_bytes()).await;
+        match framing {
+            StreamFraming::Length | StreamFraming::Chunked => true,
+            StreamFraming::Close => false,
+            StreamFraming::Reset => connection.reset().await,
+        }
+    }
+
     /// Sends events; a stream with a partial event is left unfinished.
     async fn send_events(
         &self,
@@ -244,11 +308,8 @@
         let head = self.signed_head(200, id);
         let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         connection.send(format!("{head}{kind}").as_bytes()).await;
-        let from = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
-        for event in from.unwrap_or(0) + 1..=last {
-            connection
-                .send(chunk(&format!("id: {event}\ndata: event {event}\n\n")).as_bytes())
-                .await;
+        for event in event_numbers(request, last) {
+            connection.send(chunk(&event_text(event)).as_bytes()).await;
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         if partial_event.is_empty() {
@@ -277,6 +338,17 @@
     }
 }
 
+/// Text of an event, with the empty line that ends it.
+pub fn event_text(number: u64) -> String {
+    format!("id: {number}\ndata: event {number}\n\n")
+}
+
+/// Numbers of the events that answer a call, from the one after its `Last-Event-Id`.
+fn event_numbers(request: &HttpMessage, last: u64) -> RangeInclusive<u64> {
+    let after = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+    after.unwrap_or(0) + 1..=last
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -21,7 +21,7 @@
     faults::{FaultSet, FaultState},
     gateway::{
         HttpConnection, HttpMessage, ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn,
-        StoreMode, StoreStandIn, free_address,
+        StoreMode, StoreStandIn, StreamFraming, event_text, free_address,
     },
     platform::run_platform,
     serve::StandInError,
