Treat a stream that ends inside an event as broken off, whatever its framing

Cause: the relay took the end of a response's body for the end of the stream. A response with neither a length nor chunks ends with its connection, so a target that loses the connection looks to the HTTP client like one that has finished; the relay then ended its own answer with a last chunk, which states that the answer is complete. On routes whose streams may be resumed the incomplete event was forwarded as well, and nothing was resumed. A stated length or a last chunk was trusted the same way. Change: `StreamContent` knows what a response consists of. The position in the event stream decides with the framing whether the end is the end; a stream that ends inside an event counts as lost, is resumed after its last complete event where the route allows, and is otherwise cut for the caller. The same scanner splits resumable streams, so all three line ends and mixtures of them count as boundaries. Responses without events (errors, other types) are passed on by their framing and never resumed with events of another target. Why it works: an event is only ended by its own empty line, which the target must have sent; no transport event can add it. Not covered: a stream without a length or chunks whose connection ends between two events.

--- a/crates/io-forward/src/events.rs
+++ b/crates/io-forward/src/events.rs
@@ -72,41 +72,40 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// Position after the pending bytes.
+    position: EventPosition,
 }
 
 impl EventSplitter {
     /// Appends a chunk of the stream and returns the events that the chunk completes.
     pub fn push(&mut self, chunk: &[u8]) -> Option<CompleteEvents> {
-        let search_start = self.pending.len().saturating_sub(3);
+        let chunk_start = self.pending.len();
         self.pending.extend_from_slice(chunk);
-        let end = search_start + last_event_end(&self.pending[search_start..])?;
-        let bytes = self.pending.split_to(end).freeze();
+        let mut complete_bytes = None;
+        for (index, &byte) in chunk.iter().enumerate() {
+            self.position.advance_byte(byte);
+            if !self.position.is_inside_event() {
+                complete_bytes = Some(chunk_start + index + 1);
+            }
+        }
+        let bytes = self.pending.split_to(complete_bytes?).freeze();
         let last_event_id = last_event_id(&bytes);
         Some(CompleteEvents { bytes, last_event_id })
     }
 
-    /// Takes the incomplete event that is left when the stream ends.
-    pub fn finish(&mut self) -> Bytes {
-        self.pending.split().freeze()
+    /// Whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.position.is_inside_event()
     }
 
-    /// Discards the incomplete event of an interrupted stream.
-    pub fn clear(&mut self) {
-        self.pending.clear();
+    /// Takes the incomplete event that is left when the stream ends or breaks off. The next chunk
+    /// starts a stream that continues after the last complete event.
+    pub fn take_incomplete_event(&mut self) -> Bytes {
+        self.position = EventPosition::default();
+        self.pending.split().freeze()
     }
 }
 
-/// Index after the last empty line, which ends an event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let separators = [&b"\n\n"[..], b"\r\n\r\n", b"\r\r"];
-    separators.iter().filter_map(|separator| end_of_last(bytes, separator)).max()
-}
-
-fn end_of_last(bytes: &[u8], separator: &[u8]) -> Option<usize> {
-    let start = bytes.windows(separator.len()).rposition(|window| window == separator)?;
-    Some(start + separator.len())
-}
-
 fn last_event_id(bytes: &[u8]) -> Option<Box<str>> {
     let lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
     let id = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -1,20 +1,26 @@
 //! Forwards streamed responses as they arrive, and resumes them at another target where allowed.
+//!
+//! A stream is complete only if the framing of the response ended without an error and the last
+//! event is complete. A target may lose its connection anywhere, and a response without a length or
+//! chunks ends with its connection.
+
+mod content;
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use core_forward::{AttemptOutcome, AttemptSpec};
-use http::{Response, header, response};
+use http::{Response, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::{
-    EventPosition, EventSplitter, ResponseBody, ResponseHead,
+    ResponseBody, ResponseHead,
     body::{ChunkSender, TruncatedResponse},
     call::{DispatchOutcome, ServedCall, StartedResponse},
     framing::{BodyFraming, BodyProgress},
     hop::end_to_end_parts,
+    relay::content::{StreamContent, carries_events},
     upstream::TargetConnection,
 };
 
@@ -22,9 +28,6 @@
 /// after two seconds without an event.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Content type of event streams, which parameters may follow.
-const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
-
 /// Spawns a task that forwards a stream to the caller, and returns the response that carries it.
 pub(crate) fn relay_stream(
     mut call: ServedCall,
@@ -37,11 +40,10 @@
     }
     let (parts, source) = StreamSource::new(started);
     let relay = StreamRelay {
-        splitter: call.admitted.resumable.then(EventSplitter::default),
+        content: StreamContent::new(&parts, call.admitted.resumable),
         call,
         chunks,
         status,
-        last_event_id: None,
     };
     tokio::task::spawn_local(relay.run(source));
     Response::from_parts(end_to_end_parts(parts), response_body)
@@ -55,16 +57,14 @@
     head: ResponseHead,
     body: Incoming,
     progress: BodyProgress,
-    /// Position in the stream; `None` if the body is not a stream of events.
-    position: Option<EventPosition>,
 }
 
 /// Why reading the stream of one target stopped.
 #[derive(Debug)]
 enum StreamEnd {
-    /// The target ended the stream, and all of it was forwarded.
+    /// The target ended the stream after a complete event, and all of it was forwarded.
     Complete,
-    /// The connection to the target failed, for the given reason.
+    /// The connection to the target failed, or the stream ended inside an event.
     Broken(Box<str>),
     /// No event arrived in time, and the call may be retried on another target.
     Silent,
@@ -80,28 +80,10 @@
         let StartedResponse { attempt, connection, head, response } = started;
         let progress = BodyProgress::new(BodyFraming::of(&response));
         let (parts, body) = response.into_parts();
-        let position = carries_events(&parts).then(EventPosition::default);
-        (parts, Self { attempt, connection, head, body, progress, position })
-    }
-
-    /// Moves past a chunk that was received.
-    fn advance(&mut self, chunk: &[u8]) {
-        self.progress.bytes += chunk.len() as u64;
-        if let Some(position) = &mut self.position {
-            position.advance(chunk);
-            self.progress.inside_event = position.is_inside_event();
-        }
+        (parts, Self { attempt, connection, head, body, progress })
     }
 }
 
-/// Whether the response to a call on a streaming route carries events; errors have plain bodies.
-fn carries_events(head: &response::Parts) -> bool {
-    let content_type = head.headers.get(header::CONTENT_TYPE);
-    let is_other_type =
-        content_type.is_some_and(|value| !value.as_bytes().starts_with(EVENT_STREAM_TYPE));
-    head.status.is_success() && !is_other_type
-}
-
 impl StreamEnd {
     /// Outcome of the attempt whose stream ended.
     fn outcome(&self) -> AttemptOutcome {
@@ -120,9 +102,7 @@
     call: ServedCall,
     chunks: ChunkSender,
     status: u16,
-    /// Set for resumable streams, of which only complete events are forwarded.
-    splitter: Option<EventSplitter>,
-    last_event_id: Option<Box<str>>,
+    content: StreamContent,
 }
 
 impl StreamRelay {
@@ -130,28 +110,18 @@
         let mut source = source;
         loop {
             let end = self.forward_events(&mut source).await;
+            source.progress.inside_event = self.content.is_inside_event();
             self.call.record_response_end(&source.attempt, &source.progress, end.outcome());
-            match end {
+            let reason = match &end {
                 StreamEnd::Complete => return self.complete(source).await,
                 StreamEnd::CallerDisconnected => return,
-                StreamEnd::Expired => {
-                    self.call.record_failed_attempt(
-                        &source.attempt,
-                        AttemptOutcome::Expired,
-                        "deadline passed",
-                    );
-                    return self.abort("deadline passed").await;
-                }
-                StreamEnd::Broken(reason) => {
-                    self.call.record_failed_attempt(&source.attempt, AttemptOutcome::Lost, &reason);
-                }
-                StreamEnd::Silent => {
-                    self.call.record_failed_attempt(
-                        &source.attempt,
-                        AttemptOutcome::Silent,
-                        "no event in time",
-                    );
-                }
+                StreamEnd::Expired => "deadline passed",
+                StreamEnd::Broken(reason) => reason,
+                StreamEnd::Silent => "no event in time",
+            };
+            self.call.record_failed_attempt(&source.attempt, end.outcome(), reason);
+            if matches!(end, StreamEnd::Expired) {
+                return self.abort("deadline passed").await;
             }
             drop(source);
             let Some(next) = self.resume_elsewhere().await else {
@@ -172,7 +142,7 @@
                 frame = source.body.frame() => frame,
                 () = self.chunks.closed() => return StreamEnd::CallerDisconnected,
                 () = tokio::time::sleep_until(deadline) => return StreamEnd::Expired,
-                () = tokio::time::sleep_until(event_deadline), if self.splitter.is_some() => {
+                () = tokio::time::sleep_until(event_deadline), if self.content.is_resumable() => {
                     let call = self.call.admitted.call;
                     if self.call.state.with_core(|core, now| core.can_retry(now, call)) {
                         return StreamEnd::Silent;
@@ -183,65 +153,48 @@
             };
             event_deadline = Instant::now() + EVENT_TIMEOUT;
             let chunk = match frame {
-                None => return self.forward_remainder().await,
+                None if self.content.is_inside_event() => {
+                    return StreamEnd::Broken("the stream ended inside an event".into());
+                }
+                None => return StreamEnd::Complete,
                 Some(Err(error)) => return StreamEnd::Broken(crate::upstream::error_chain(&error)),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(chunk) => chunk,
                     Err(_) => continue,
                 },
             };
-            source.advance(&chunk);
+            source.progress.bytes += chunk.len() as u64;
             if !has_started {
                 has_started = true;
                 let call = self.call.admitted.call;
                 self.call.state.with_core(|core, _| core.on_response_started(call));
             }
-            if !self.forward_chunk(chunk).await {
+            let Some(bytes) = self.content.push(chunk) else { continue };
+            if self.chunks.send(Ok(bytes)).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
         }
     }
 
-    async fn forward_chunk(&mut self, chunk: Bytes) -> bool {
-        let Some(splitter) = &mut self.splitter else {
-            return self.chunks.send(Ok(chunk)).await.is_ok();
-        };
-        let Some(events) = splitter.push(&chunk) else { return true };
-        if events.last_event_id.is_some() {
-            self.last_event_id = events.last_event_id;
-        }
-        self.chunks.send(Ok(events.bytes)).await.is_ok()
-    }
-
-    async fn forward_remainder(&mut self) -> StreamEnd {
-        let remainder = self.splitter.as_mut().map(EventSplitter::finish).unwrap_or_default();
-        if !remainder.is_empty() && self.chunks.send(Ok(remainder)).await.is_err() {
-            return StreamEnd::CallerDisconnected;
-        }
-        StreamEnd::Complete
-    }
-
     /// Dispatches the call again, to resume the stream after the last complete event.
     async fn resume_elsewhere(&mut self) -> Option<StreamSource> {
-        let splitter = self.splitter.as_mut()?;
-        splitter.clear();
-        let last_event_id = self.last_event_id.clone();
+        if !self.content.prepare_resume() {
+            return None;
+        }
+        let last_event_id = self.content.last_event_id();
         let outcome = tokio::select! {
-            outcome = self.call.dispatch_until_response(last_event_id.as_deref()) => outcome,
+            outcome = self.call.dispatch_until_response(last_event_id) => outcome,
             () = self.chunks.closed() => return None,
         };
         match outcome {
-            DispatchOutcome::Started(started) if started.response.status().is_success() => {
-                let (_, source) = StreamSource::new(*started);
-                Some(source)
-            }
             DispatchOutcome::Started(started) => {
                 let status = started.response.status();
-                self.call.record_failed_attempt(
-                    &started.attempt,
-                    AttemptOutcome::Failed,
-                    status.as_str(),
-                );
+                let (head, source) = StreamSource::new(*started);
+                if carries_events(&head) {
+                    return Some(source);
+                }
+                let reason = format!("status {}, no events", status.as_u16());
+                self.call.record_failed_attempt(&source.attempt, AttemptOutcome::Failed, &reason);
                 None
             }
             DispatchOutcome::TargetFailed(_) => None,
--- /dev/null
+++ b/crates/io-forward/src/relay/content.rs
@@ -0,0 +1,98 @@
+//! What a stream consists of: how its bytes are forwarded, and where it may end.
+
+use bytes::Bytes;
+use http::{header, response};
+
+use crate::{EventPosition, EventSplitter};
+
+/// Content type of event streams, which parameters may follow.
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
+
+/// Content of the response to a call on a streaming route.
+#[derive(Debug)]
+pub(super) enum StreamContent {
+    /// No events, such as the body of an error: forwarded as it arrives, may end anywhere.
+    Plain,
+    /// Events that no other target can continue: forwarded as they arrive.
+    Events(EventPosition),
+    /// Events that another target can continue: only complete events are forwarded.
+    ResumableEvents {
+        splitter: EventSplitter,
+        /// Id of the last event that was forwarded; `None` if it is not known.
+        last_event_id: Option<Box<str>>,
+    },
+}
+
+impl StreamContent {
+    /// Content of a response; `resumable` says whether its route's streams may be resumed.
+    pub(super) fn new(head: &response::Parts, resumable: bool) -> Self {
+        match (carries_events(head), resumable) {
+            (false, _) => Self::Plain,
+            (true, false) => Self::Events(EventPosition::default()),
+            (true, true) => {
+                Self::ResumableEvents { splitter: EventSplitter::default(), last_event_id: None }
+            }
+        }
+    }
+
+    /// Takes a chunk that arrived and returns the bytes to forward, if any.
+    pub(super) fn push(&mut self, chunk: Bytes) -> Option<Bytes> {
+        match self {
+            Self::Plain => Some(chunk),
+            Self::Events(position) => {
+                position.advance(&chunk);
+                Some(chunk)
+            }
+            Self::ResumableEvents { splitter, last_event_id } => {
+                let events = splitter.push(&chunk)?;
+                if events.last_event_id.is_some() {
+                    *last_event_id = events.last_event_id;
+                }
+                Some(events.bytes)
+            }
+        }
+    }
+
+    /// Whether the bytes that arrived end inside an event; the stream is not complete there,
+    /// whatever the framing of the response says.
+    pub(super) fn is_inside_event(&self) -> bool {
+        match self {
+            Self::Plain => false,
+            Self::Events(position) => position.is_inside_event(),
+            Self::ResumableEvents { splitter, .. } => splitter.is_inside_event(),
+        }
+    }
+
+    /// Discards an incomplete event, so that another target can continue after the last complete
+    /// one; returns false if no other target can.
+    pub(super) fn prepare_resume(&mut self) -> bool {
+        match self {
+            Self::Plain | Self::Events(_) => false,
+            Self::ResumableEvents { splitter, .. } => {
+                drop(splitter.take_incomplete_event());
+                true
+            }
+        }
+    }
+
+    /// Id of the event after which another target can continue.
+    pub(super) fn last_event_id(&self) -> Option<&str> {
+        match self {
+            Self::Plain | Self::Events(_) => None,
+            Self::ResumableEvents { last_event_id, .. } => last_event_id.as_deref(),
+        }
+    }
+
+    /// Whether another target can continue the stream.
+    pub(super) fn is_resumable(&self) -> bool {
+        matches!(self, Self::ResumableEvents { .. })
+    }
+}
+
+/// Whether a response carries events. Errors do not, nor do responses that state another type.
+pub(super) fn carries_events(head: &response::Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    let is_other_type =
+        content_type.is_some_and(|value| !value.as_bytes().starts_with(EVENT_STREAM_TYPE));
+    head.status.is_success() && !is_other_type
+}
--- a/crates/io-forward/tests/events.rs
+++ b/crates/io-forward/tests/events.rs
@@ -40,7 +40,7 @@
         prop_assert_eq!(String::from_utf8(out).expect("text"), complete);
         let expected = (events > 0).then(|| events.to_string());
         prop_assert_eq!(last_event_id.as_deref(), expected.as_deref());
-        prop_assert_eq!(splitter.finish(), incomplete);
+        prop_assert_eq!(splitter.take_incomplete_event(), incomplete);
     }
 
     #[test]
@@ -52,7 +52,7 @@
                 out.extend_from_slice(&split.bytes);
             }
         }
-        out.extend_from_slice(&splitter.finish());
+        out.extend_from_slice(&splitter.take_incomplete_event());
         prop_assert_eq!(out, chunks.concat());
     }
 }
