Reset the connection of an HTTP/1.0 caller whose answer is truncated

To an HTTP/1.0 caller a stream is sent without chunks and ends with the connection. A truncated one was closed in the ordinary way, which is how a complete one ends. Change: when the body of a response fails, the connection of a caller whose last request was HTTP/1.0 is closed by a reset. HTTP/1.1 callers see a missing last chunk, and keep the ordinary close, which does not discard events that are on their way. The stand-in of a caller took a reset for the end of an answer without a length, and could not tell the two; it now counts such an answer as truncated. Not covered: the product's own interface, whose HTTP server does not give its sockets back; an event stream there has its own last event, other answers to HTTP/1.0 callers do not.

--- a/crates/fakes/src/gateway/http.rs
+++ b/crates/fakes/src/gateway/http.rs
@@ -131,9 +131,7 @@
         } else if let Some(length) = length {
             message.whole = self.read_exact(length, &mut message.body).await.is_some();
         } else if is_answer {
-            while self.read_more().await.is_some() {}
-            message.body = std::mem::take(&mut self.buffer);
-            message.whole = true;
+            message.whole = self.read_until_close(&mut message.body).await;
         } else {
             message.whole = true;
         }
@@ -151,6 +149,12 @@
         Some(())
     }
 
+    /// Reads until the peer closes the connection; returns false if the connection failed instead.
+    async fn read_until_close(&mut self, body: &mut Vec<u8>) -> bool {
+        body.append(&mut self.buffer);
+        self.stream.read_to_end(body).await.is_ok()
+    }
+
     async fn read_chunks(&mut self, body: &mut Vec<u8>) -> Option<()> {
         loop {
             let line_end = loop {
--- a/crates/io-forward/src/front.rs
+++ b/crates/io-forward/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -103,33 +103,43 @@
     let idle_timeout = limits.map_or(CALLER_IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_timeout);
     let head_bytes = limits.map_or(HEAD_BYTES_MIN, |limits| limits.head_bytes_max);
     let mut shutting_down = state.shutting_down();
-    let received_request = Rc::new(Cell::new(false));
-    let request_flag = received_request.clone();
-    let service = service_fn(move |request| {
-        request_flag.set(true);
+    let last_request_version: Rc<Cell<Option<Version>>> = Rc::default();
+    let request_version = last_request_version.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        request_version.set(Some(request.version()));
         let state = state.clone();
         // Boxed, because hyper reserves space for the entire future on each idle connection.
         Box::pin(async move { Ok::<_, Infallible>(serve_request(state, request).await) })
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(head_bytes.max(HEAD_BYTES_MIN))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = &mut connection => result,
         _ = shutting_down.wait_for(|shutting_down| *shutting_down) => {
             // A graceful shutdown would close a connection that has not carried a request yet. Such
             // a connection is closed by the response to its first request instead.
-            if received_request.get() {
-                connection.as_mut().graceful_shutdown();
+            if last_request_version.get().is_some() {
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
-            connection.await
+            (&mut connection).await
         }
     };
     if let Err(error) = result {
         log::debug!(error = &*crate::upstream::error_chain(&error); "caller connection failed");
+        // An HTTP/1.0 caller takes the close of its connection as the end of the response.
+        if error.is_user() && last_request_version.get() < Some(Version::HTTP_11) {
+            close_by_reset(connection.into_parts().io.into_inner());
+        }
+    }
+}
+
+/// Closes a connection by a reset.
+fn close_by_reset(stream: TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::debug!(error = error.to_string().as_str(); "configuring a caller socket failed");
     }
 }
 
