Treat a stream that its connection ends before the first event as broken off

A target that loses its connection right after the head of a response without a length or chunks left a stream of no events, which was passed on as a complete answer. Change: where the framing of a response is the end of its connection, a stream is complete only if it has a complete event. A stated length of zero, or a last chunk, still makes a stream of no events complete: there the target has said so. Evidence: a_stream_closed_before_its_first_event_is_truncated and _is_resumed_elsewhere failed before the change and pass with it; all other tests of io-forward and platform pass but the known a_target_that_leaves_after_a_short_silence_gets_nothing. Cost: an engine that is asked to go on after the last event, and answers with neither a length nor chunks nor an event, is not believed.

--- a/crates/io-forward/src/events.rs
+++ b/crates/io-forward/src/events.rs
@@ -23,6 +23,8 @@
     line: LinePosition,
     /// Whether a line since the last empty one belongs to an event.
     event_started: bool,
+    /// Whether an event was completed.
+    event_completed: bool,
     /// Whether the last byte was a CR, which a LF may complete to one line end.
     after_carriage_return: bool,
 }
@@ -49,6 +51,11 @@
         self.event_started || self.line != LinePosition::Start
     }
 
+    /// Whether at least one event is complete.
+    pub fn has_complete_event(&self) -> bool {
+        self.event_completed
+    }
+
     fn advance_byte(&mut self, byte: u8) {
         let completes_line_end = byte == b'\n' && self.after_carriage_return;
         self.after_carriage_return = byte == b'\r';
@@ -56,7 +63,10 @@
             return;
         }
         match (byte, self.line) {
-            (b'\n' | b'\r', LinePosition::Start) => self.event_started = false,
+            (b'\n' | b'\r', LinePosition::Start) => {
+                self.event_completed |= self.event_started;
+                self.event_started = false;
+            }
             (b'\n' | b'\r', _) => self.line = LinePosition::Start,
             (b':', LinePosition::Start) => self.line = LinePosition::InComment,
             (_, LinePosition::Start) => {
@@ -93,9 +103,9 @@
         Some(CompleteEvents { bytes, last_event_id })
     }
 
-    /// Whether the bytes so far end inside an event.
-    pub fn is_inside_event(&self) -> bool {
-        self.position.is_inside_event()
+    /// Position after all bytes so far.
+    pub fn position(&self) -> EventPosition {
+        self.position
     }
 
     /// Takes the incomplete event that is left when the stream ends or breaks off. The next chunk
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! A stream is complete only if the framing of the response ended without an error and the last
 //! event is complete. A target may lose its connection anywhere, and a response without a length or
-//! chunks ends with its connection.
+//! chunks ends with its connection; it has to contain an event.
 
 mod content;
 
@@ -64,7 +64,7 @@
 enum StreamEnd {
     /// The target ended the stream after a complete event, and all of it was forwarded.
     Complete,
-    /// The connection to the target failed, or the stream ended inside an event.
+    /// The connection to the target failed, or the stream ended where it cannot be complete.
     Broken(Box<str>),
     /// No event arrived in time, and the call may be retried on another target.
     Silent,
@@ -110,7 +110,9 @@
         let mut source = source;
         loop {
             let end = self.forward_events(&mut source).await;
-            source.progress.inside_event = self.content.is_inside_event();
+            let position = self.content.position();
+            source.progress.inside_event =
+                position.is_some_and(|position| position.is_inside_event());
             self.call.record_response_end(&source.attempt, &source.progress, end.outcome());
             let reason = match &end {
                 StreamEnd::Complete => return self.complete(source).await,
@@ -153,10 +155,12 @@
             };
             event_deadline = Instant::now() + EVENT_TIMEOUT;
             let chunk = match frame {
-                None if self.content.is_inside_event() => {
-                    return StreamEnd::Broken("the stream ended inside an event".into());
+                None => {
+                    return match self.content.missing_end(source.progress.framing) {
+                        Some(reason) => StreamEnd::Broken(reason.into()),
+                        None => StreamEnd::Complete,
+                    };
                 }
-                None => return StreamEnd::Complete,
                 Some(Err(error)) => return StreamEnd::Broken(crate::upstream::error_chain(&error)),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(chunk) => chunk,
--- a/crates/io-forward/src/relay/content.rs
+++ b/crates/io-forward/src/relay/content.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::{header, response};
 
-use crate::{EventPosition, EventSplitter};
+use crate::{EventPosition, EventSplitter, framing::BodyFraming};
 
 /// Content type of event streams, which parameters may follow.
 const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
@@ -53,13 +53,25 @@
         }
     }
 
-    /// Whether the bytes that arrived end inside an event; the stream is not complete there,
-    /// whatever the framing of the response says.
-    pub(super) fn is_inside_event(&self) -> bool {
+    /// Why a stream that ends after the bytes that arrived is not complete, although its framing
+    /// ended without an error; `None` if it is complete.
+    pub(super) fn missing_end(&self, framing: BodyFraming) -> Option<&'static str> {
+        let position = self.position()?;
+        if position.is_inside_event() {
+            return Some("the stream ended inside an event");
+        }
+        if framing == BodyFraming::ConnectionClose && !position.has_complete_event() {
+            return Some("the connection was closed before the first event");
+        }
+        None
+    }
+
+    /// Position in the stream of the current target; `None` if there are no events.
+    pub(super) fn position(&self) -> Option<EventPosition> {
         match self {
-            Self::Plain => false,
-            Self::Events(position) => position.is_inside_event(),
-            Self::ResumableEvents { splitter, .. } => splitter.is_inside_event(),
+            Self::Plain => None,
+            Self::Events(position) => Some(*position),
+            Self::ResumableEvents { splitter, .. } => Some(splitter.position()),
         }
     }
 
