Complete a response only when the task that produces it has said so

The body of a streamed response, on both interfaces, ended as complete when its channel closed without an error. A relay that is cancelled or panics closes the channel, so the server would have ended a truncated answer with its last chunk. Change: io-body, a channel whose sender must say `finish`, which consumes it; a body whose sender goes away earlier fails. Both relays use it in place of their own two channels of results, and abort by dropping the sender.

--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -12,11 +12,11 @@
 use http::{Response, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use io_body::BodySender;
 use tokio::time::Instant;
 
 use crate::{
     ResponseBody, ResponseHead,
-    body::{ChunkSender, TruncatedResponse},
     call::{DispatchOutcome, ServedCall, StartedResponse},
     framing::{BodyFraming, BodyProgress},
     hop::end_to_end_parts,
@@ -100,7 +100,7 @@
 #[derive(Debug)]
 struct StreamRelay {
     call: ServedCall,
-    chunks: ChunkSender,
+    chunks: BodySender,
     status: u16,
     content: StreamContent,
 }
@@ -123,11 +123,11 @@
             };
             self.call.record_failed_attempt(&source.attempt, end.outcome(), reason);
             if matches!(end, StreamEnd::Expired) {
-                return self.abort("deadline passed").await;
+                return self.abort("deadline passed");
             }
             drop(source);
             let Some(next) = self.resume_elsewhere().await else {
-                return self.abort("broke off").await;
+                return self.abort("broke off");
             };
             source = next;
         }
@@ -174,7 +174,7 @@
                 self.call.state.with_core(|core, _| core.on_response_started(call));
             }
             let Some(bytes) = self.content.push(chunk) else { continue };
-            if self.chunks.send(Ok(bytes)).await.is_err() {
+            if self.chunks.send(bytes).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
         }
@@ -213,14 +213,13 @@
         self.call.record_attempt_outcome(&source.attempt, AttemptOutcome::Completed);
         self.call.release_connection(&source.attempt, source.connection, &source.head);
         self.call.mark_finished(self.status, "answered");
+        self.chunks.finish().await;
     }
 
-    /// Closes the caller's connection without terminating the body, so that it reads as truncated.
-    async fn abort(mut self, outcome: &'static str) {
+    /// Ends the response without finishing its body, so that it reads as truncated.
+    fn abort(mut self, outcome: &'static str) {
         if !self.chunks.is_closed() {
             self.call.mark_finished(self.status, outcome);
         }
-        // The send fails only if the caller has disconnected, which needs no handling.
-        let _ = self.chunks.send(Err(TruncatedResponse)).await;
     }
 }
--- a/crates/io-router/src/relay.rs
+++ b/crates/io-router/src/relay.rs
@@ -16,6 +16,7 @@
 use futures_util::Stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use io_body::{BodyReceiver, BodySender, TruncatedBody, body_channel};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -32,21 +33,6 @@
 const RESUMES_MAX: u32 = 2;
 const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The answer was aborted after its head was sent.
-#[derive(Debug)]
-pub(crate) struct AnswerCutError;
-
-impl std::fmt::Display for AnswerCutError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(UnknownCode::AnswerCut.sentence())
-    }
-}
-
-impl std::error::Error for AnswerCutError {}
-
-/// Chunk of an answer's body, or the failure that ends the body.
-pub(crate) type AnswerChunk = Result<Bytes, AnswerCutError>;
-
 /// What a relay needs besides the answer: the request, its attempt and the core's channels.
 pub(crate) struct RelayContext {
     pub(crate) handle: LoopHandle,
@@ -63,7 +49,7 @@
 /// Dropping the returned body ends the relay, which closes the target's connection and thereby
 /// cancels the generation.
 pub(crate) fn relay_answer(context: RelayContext, answer: StartedAnswer) -> AnswerBody {
-    let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS_MAX);
+    let (sender, receiver) = body_channel(BUFFERED_CHUNKS_MAX);
     let events = answer.is_event_stream().then(EventBuffer::default);
     let relay = AnswerRelay { context, sender, events };
     tokio::spawn(relay.run(answer));
@@ -75,18 +61,18 @@
 /// A failure is returned one poll late, so that the server first writes the chunks before it: the
 /// server discards all unwritten bytes when the body fails.
 pub(crate) struct AnswerBody {
-    receiver: mpsc::Receiver<AnswerChunk>,
-    failure: Option<AnswerCutError>,
+    receiver: BodyReceiver,
+    failure: Option<TruncatedBody>,
 }
 
 impl Stream for AnswerBody {
-    type Item = AnswerChunk;
+    type Item = Result<Bytes, TruncatedBody>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         if let Some(failure) = self.failure.take() {
             return Poll::Ready(Some(Err(failure)));
         }
-        match std::task::ready!(self.receiver.poll_recv(context)) {
+        match std::task::ready!(self.receiver.poll_chunk(context)) {
             Some(Err(failure)) => {
                 self.failure = Some(failure);
                 context.waker().wake_by_ref();
@@ -107,7 +93,7 @@
 
 struct AnswerRelay {
     context: RelayContext,
-    sender: mpsc::Sender<AnswerChunk>,
+    sender: BodySender,
     events: Option<EventBuffer>,
 }
 
@@ -121,7 +107,10 @@
                 None => RelayEnd::TargetFailed,
             };
             match end {
-                RelayEnd::Complete => return self.report_outcome(AttemptOutcome::Completed(None)),
+                RelayEnd::Complete => {
+                    self.report_outcome(AttemptOutcome::Completed(None));
+                    return self.sender.finish().await;
+                }
                 RelayEnd::CallerDisconnected => return,
                 RelayEnd::Aborted(code) => return self.abort(code).await,
                 RelayEnd::TargetFailed if resumes < RESUMES_MAX => {
@@ -174,7 +163,7 @@
         tokio::select! {
             biased;
             step = self.context.steps.recv() => Err(RelayEnd::Aborted(abort_code(step))),
-            sent = self.sender.send(Ok(chunk)) => sent.map_err(|_| RelayEnd::CallerDisconnected),
+            sent = self.sender.send(chunk) => sent.map_err(|_| RelayEnd::CallerDisconnected),
         }
     }
 
@@ -202,16 +191,16 @@
         self.context.handle.post(Event::AttemptEnded(request, self.context.attempt, outcome));
     }
 
-    /// Sends an error event on event streams, then fails the body, so that the caller cannot take a
-    /// truncated answer for a complete one.
+    /// Sends an error event on event streams and ends without finishing the body, so that the caller
+    /// cannot take a truncated answer for a complete one.
     async fn abort(mut self, code: UnknownCode) {
         self.context.guard.disarm();
         self.context.steps.close();
         if self.events.is_some() {
             let event = error_event(self.context.call.request, code);
-            let _ = self.sender.send(Ok(event)).await;
+            // Fails only if the caller has disconnected, who then needs no error.
+            let _ = self.sender.send(event).await;
         }
-        let _ = self.sender.send(Err(AnswerCutError)).await;
     }
 }
 
