Write what arrived before a stream broke off before the caller's connection closes

The HTTP server of a gateway discards what it has not written when a body fails, so events that arrived together with the break were lost. The product's own interface avoided that by returning the failure one poll late. Change: io-body, which both use, returns the failure one poll late; the relay of the product's own interface loses its own copy of that rule.

--- a/crates/io-body/src/lib.rs
+++ b/crates/io-body/src/lib.rs
@@ -30,8 +30,15 @@
 #[derive(Debug)]
 pub struct BodyReceiver {
     parts: mpsc::Receiver<BodyPart>,
-    /// Whether the end was received.
-    finished: bool,
+    state: ReceiverState,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReceiverState {
+    Receiving,
+    Finished,
+    /// The sender is gone; the next poll returns the failure.
+    Truncated,
 }
 
 #[derive(Debug)]
@@ -43,7 +50,10 @@
 /// Creates a body of which at most `chunks_max` chunks are buffered for a caller that reads slowly.
 pub fn body_channel(chunks_max: usize) -> (BodySender, BodyReceiver) {
     let (sender, receiver) = mpsc::channel(chunks_max);
-    (BodySender { parts: sender }, BodyReceiver { parts: receiver, finished: false })
+    (
+        BodySender { parts: sender },
+        BodyReceiver { parts: receiver, state: ReceiverState::Receiving },
+    )
 }
 
 impl BodySender {
@@ -79,17 +89,23 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, TruncatedBody>>> {
-        if self.finished {
-            return Poll::Ready(None);
+        match self.state {
+            ReceiverState::Receiving => {}
+            ReceiverState::Finished => return Poll::Ready(None),
+            ReceiverState::Truncated => return Poll::Ready(Some(Err(TruncatedBody))),
         }
-        Poll::Ready(match ready!(self.parts.poll_recv(context)) {
-            Some(BodyPart::Chunk(chunk)) => Some(Ok(chunk)),
+        match ready!(self.parts.poll_recv(context)) {
+            Some(BodyPart::Chunk(chunk)) => Poll::Ready(Some(Ok(chunk))),
             Some(BodyPart::End) => {
-                self.finished = true;
-                None
+                self.state = ReceiverState::Finished;
+                Poll::Ready(None)
             }
-            None => Some(Err(TruncatedBody)),
-        })
+            None => {
+                self.state = ReceiverState::Truncated;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
     }
 }
 
--- a/crates/io-router/src/relay.rs
+++ b/crates/io-router/src/relay.rs
@@ -53,33 +53,17 @@
     let events = answer.is_event_stream().then(EventBuffer::default);
     let relay = AnswerRelay { context, sender, events };
     tokio::spawn(relay.run(answer));
-    AnswerBody { receiver, failure: None }
+    AnswerBody(receiver)
 }
 
 /// Body of a relayed answer.
-///
-/// A failure is returned one poll late, so that the server first writes the chunks before it: the
-/// server discards all unwritten bytes when the body fails.
-pub(crate) struct AnswerBody {
-    receiver: BodyReceiver,
-    failure: Option<TruncatedBody>,
-}
+pub(crate) struct AnswerBody(BodyReceiver);
 
 impl Stream for AnswerBody {
     type Item = Result<Bytes, TruncatedBody>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        if let Some(failure) = self.failure.take() {
-            return Poll::Ready(Some(Err(failure)));
-        }
-        match std::task::ready!(self.receiver.poll_chunk(context)) {
-            Some(Err(failure)) => {
-                self.failure = Some(failure);
-                context.waker().wake_by_ref();
-                Poll::Pending
-            }
-            chunk => Poll::Ready(chunk),
-        }
+        self.0.poll_chunk(context)
     }
 }
 
