--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -22,8 +22,8 @@
     Whole,
     /// A complete answer without a length, which ends when the connection closes.
     Unframed,
-    /// An answer without a length whose connection is reset before its end.
-    UnframedReset,
+    /// An answer with this status and without a length, whose connection is reset before its end.
+    UnframedReset(u16),
     /// A complete answer, followed by an answer to another call.
     Extra,
     /// A complete answer with the attempt id of another call.
@@ -213,8 +213,8 @@
                 connection.send(format!("{head}Connection: close\r\n\r\n{body}").as_bytes()).await;
                 return false;
             }
-            Reply::UnframedReset => {
-                let head = self.signed_head(200, &id);
+            Reply::UnframedReset(status) => {
+                let head = self.signed_head(status, &id);
                 connection.send(format!("{head}\r\n{}", &body[..body.len() / 2]).as_bytes()).await;
                 return connection.reset().await;
             }
