--- /dev/null
+++ b/crates/io-forward/tests/snapshots.rs
@@ -0,0 +1,36 @@
+//! A snapshot that a peer did not send to its end is never decoded.
+
+use base_types::{HostName, PoolName};
+use core_forward::{PeerSnapshot, SegmentHolders, TargetEntry};
+
+fn snapshot() -> PeerSnapshot {
+    let target = |name: &str| TargetEntry {
+        name: HostName::new(name),
+        pool: PoolName::new("pool"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        failure_domain: "z".into(),
+        slots: 8,
+        draining: false,
+        incarnation: 3,
+    };
+    PeerSnapshot {
+        settled: true,
+        config: None,
+        targets: vec![target("t-a"), target("t-b")],
+        segment_holders: vec![
+            SegmentHolders { segment: 300, target_hashes: vec![1, 2] },
+            SegmentHolders { segment: 7, target_hashes: Vec::new() },
+        ],
+    }
+}
+
+#[test]
+fn a_snapshot_cut_at_any_byte_is_malformed() {
+    let snapshot = snapshot();
+    let bytes = postcard::to_stdvec(&snapshot).expect("an encoding");
+    assert_eq!(postcard::from_bytes::<PeerSnapshot>(&bytes).as_ref(), Ok(&snapshot));
+    for length in 0..bytes.len() {
+        let decoded = postcard::from_bytes::<PeerSnapshot>(&bytes[..length]);
+        assert!(decoded.is_err(), "{length} of {} bytes: {decoded:?}", bytes.len());
+    }
+}
