--- a/crates/io-forward/src/front.rs
+++ b/crates/io-forward/src/front.rs
@@ -136,7 +136,7 @@
     }
 }
 
-/// Closes a connection by a reset.
+/// Closes a connection by a reset, which is not the end of a response.
 fn close_by_reset(stream: TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
         log::debug!(error = error.to_string().as_str(); "configuring a caller socket failed");
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! A stream is complete only if the framing of the response ended without an error and the last
 //! event is complete. A target may lose its connection anywhere, and a response without a length or
-//! chunks ends with its connection; it has to contain an event.
+//! chunks ends with its connection, so such a response must also contain a complete event.
 
 mod content;
 
@@ -156,7 +156,7 @@
             event_deadline = Instant::now() + EVENT_TIMEOUT;
             let chunk = match frame {
                 None => {
-                    return match self.content.missing_end(source.progress.framing) {
+                    return match self.content.incomplete_reason(source.progress.framing) {
                         Some(reason) => StreamEnd::Broken(reason.into()),
                         None => StreamEnd::Complete,
                     };
--- a/crates/io-forward/src/relay/content.rs
+++ b/crates/io-forward/src/relay/content.rs
@@ -1,4 +1,5 @@
-//! What a stream consists of: how its bytes are forwarded, and where it may end.
+//! Content of the response on a streaming route: how its bytes are forwarded, where it may end, and
+//! whether another target can continue it.
 
 use bytes::Bytes;
 use http::{header, response};
@@ -55,7 +56,7 @@
 
     /// Why a stream that ends after the bytes that arrived is not complete, although its framing
     /// ended without an error; `None` if it is complete.
-    pub(super) fn missing_end(&self, framing: BodyFraming) -> Option<&'static str> {
+    pub(super) fn incomplete_reason(&self, framing: BodyFraming) -> Option<&'static str> {
         let position = self.position()?;
         if position.is_inside_event() {
             return Some("the stream ended inside an event");
