Let the stand-in of a runner say what happens to its connection after a reply

A stand-in's `reset` returned a constant false, which only made sense to its caller, and a failure to set up the reset was dropped, which would have let a test of a reset pass on an ordinary close. Test code and docs only.

--- a/crates/fakes/src/gateway/http.rs
+++ b/crates/fakes/src/gateway/http.rs
@@ -88,13 +88,15 @@
         let _ = self.stream.write_all(bytes).await;
     }
 
-    /// Resets the connection once the peer has had time to read what was sent; returns false, as the
-    /// connection cannot be used any longer.
-    pub async fn reset(&mut self) -> bool {
-        // A reset discards bytes that the peer has not read.
+    /// Closes the connection by a reset, once the peer has had time to read what was sent: a reset
+    /// discards bytes that the peer has not read.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the socket cannot be configured.
+    pub async fn reset(self) {
         tokio::time::sleep(READ_BEFORE_RESET).await;
-        let _ = self.stream.set_zero_linger();
-        false
+        self.stream.set_zero_linger().expect("cannot configure the socket");
     }
 
     /// Sends a request and reads the answer; an empty message when there is none.
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -48,7 +48,8 @@
     EventsCut(u64),
     /// Such a stream that stays open and sends only the start of the event after that number.
     EventsSilent(u64),
-    /// Such a stream with the first bytes of the event after that number; ends as its framing says.
+    /// A stream of all events up to `last` and the first bytes of the next one, which ends there as
+    /// `framing` says.
     EventsEnded {
         /// Number of the last complete event.
         last: u64,
@@ -97,6 +98,14 @@
     pub at: Instant,
 }
 
+/// What a runner does with a connection after a reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AfterReply {
+    Reuse,
+    Close,
+    Reset,
+}
+
 #[derive(Debug, Default)]
 struct RunnerState {
     received: Vec<ReceivedCall>,
@@ -172,8 +181,10 @@
     async fn serve(self, mut connection: HttpConnection) {
         while let Some(request) = connection.read(false).await {
             let reply = self.record_call(&request);
-            if !self.reply(&mut connection, &request, reply).await {
-                return;
+            match self.reply(&mut connection, &request, reply).await {
+                AfterReply::Reuse => {}
+                AfterReply::Close => return,
+                AfterReply::Reset => return connection.reset().await,
             }
         }
     }
@@ -196,13 +207,13 @@
         reply
     }
 
-    /// Sends a reply; returns whether the connection stays in use.
+    /// Sends a reply; returns what happens to the connection.
     async fn reply(
         &self,
         connection: &mut HttpConnection,
         request: &HttpMessage,
         reply: Reply,
-    ) -> bool {
+    ) -> AfterReply {
         let id = request.header("attempt-id").unwrap_or("").to_owned();
         let body = format!("answer to {id}");
         let complete = |id: &str| self.signed_answer(200, id, &format!("answer to {id}"));
@@ -211,12 +222,12 @@
             Reply::Unframed => {
                 let head = self.signed_head(200, &id);
                 connection.send(format!("{head}Connection: close\r\n\r\n{body}").as_bytes()).await;
-                return false;
+                return AfterReply::Close;
             }
             Reply::UnframedReset(status) => {
                 let head = self.signed_head(status, &id);
                 connection.send(format!("{head}\r\n{}", &body[..body.len() / 2]).as_bytes()).await;
-                return connection.reset().await;
+                return AfterReply::Reset;
             }
             Reply::Extra => {
                 let both = format!("{}{}", complete(&id), complete("feedfeedfeedfeed"));
@@ -239,20 +250,20 @@
                 let answer = "HTTP/1.1 421 X\r\nRunner-Id: other\r\nContent-Length: 0\r\n\r\n";
                 connection.send(answer.as_bytes()).await;
             }
-            Reply::Cut => return false,
+            Reply::Cut => return AfterReply::Close,
             Reply::CutShort => {
                 let head = self.signed_head(200, &id);
                 connection
                     .send(format!("{head}Content-Length: 900\r\n\r\n{body}").as_bytes())
                     .await;
-                return false;
+                return AfterReply::Close;
             }
             Reply::Silent => return self.wait_for_close(connection).await,
             Reply::Events(last) => self.send_events(connection, request, last, "").await,
             Reply::EventsCut(after) => {
                 let half = format!("id: {}\ndata: ev", after + 1);
                 self.send_events(connection, request, after, &half).await;
-                return false;
+                return AfterReply::Close;
             }
             Reply::EventsSilent(after) => {
                 self.send_events(connection, request, after, "id").await;
@@ -263,11 +274,10 @@
                 return self.end_events(connection, request, last, partial_event, framing).await;
             }
         }
-        true
+        AfterReply::Reuse
     }
 
-    /// Sends events and a partial one, and ends the stream; returns whether the connection stays in
-    /// use.
+    /// Sends events and a partial one, and ends the stream; returns what happens to the connection.
     async fn end_events(
         &self,
         connection: &mut HttpConnection,
@@ -275,7 +285,7 @@
         last: u64,
         partial_event: &str,
         framing: StreamFraming,
-    ) -> bool {
+    ) -> AfterReply {
         let id = request.header("attempt-id").unwrap_or("");
         let events: String = event_numbers(request, last).map(event_text).collect();
         let body = format!("{events}{partial_event}");
@@ -290,9 +300,9 @@
         let head = format!("{head}Content-Type: text/event-stream\r\n{framing_header}\r\n");
         connection.send(format!("{head}{body}").as_bytes()).await;
         match framing {
-            StreamFraming::Length | StreamFraming::Chunked => true,
-            StreamFraming::Close => false,
-            StreamFraming::Reset => connection.reset().await,
+            StreamFraming::Length | StreamFraming::Chunked => AfterReply::Reuse,
+            StreamFraming::Close => AfterReply::Close,
+            StreamFraming::Reset => AfterReply::Reset,
         }
     }
 
@@ -319,13 +329,13 @@
         }
     }
 
-    async fn wait_for_close(&self, connection: &mut HttpConnection) -> bool {
+    async fn wait_for_close(&self, connection: &mut HttpConnection) -> AfterReply {
         let mut byte = [0];
         let read = connection.stream.read(&mut byte).await;
         if !read.is_ok_and(|length| length > 0) {
             self.state.lock().expect("the state lock is poisoned").early_close_count += 1;
         }
-        false
+        AfterReply::Close
     }
 
     fn signed_head(&self, status: u16, id: &str) -> String {
