--- a/crates/io-body/src/lib.rs
+++ b/crates/io-body/src/lib.rs
@@ -2,7 +2,10 @@
 //!
 //! A body is complete only after [`BodySender::finish`]. If the sender goes away earlier, for whatever
 //! reason, the body fails: a task that is cancelled or panics leaves a truncated response, never one
-//! that looks complete. The crate knows nothing of HTTP.
+//! that looks complete.
+//!
+//! The failure is returned one poll late, so that an HTTP server first writes the chunks before it: the
+//! server discards all unwritten bytes when a body fails. The crate itself knows nothing of HTTP.
 
 use std::{
     fmt,
@@ -68,7 +71,7 @@
 
     /// Marks the body as complete; waits while the buffer is full.
     pub async fn finish(self) {
-        // Fails only if the caller has disconnected, who then needs no end.
+        // The send fails only if the caller has disconnected, which needs no handling.
         let _ = self.parts.send(BodyPart::End).await;
     }
 
--- a/crates/io-forward/src/framing.rs
+++ b/crates/io-forward/src/framing.rs
@@ -1,4 +1,4 @@
-//! How responses of targets mark the end of their bodies, and how far a body was forwarded.
+//! How responses of targets mark the end of their bodies, and how much of a body was received.
 
 use base_types::key_types;
 use http::{Response, header};
--- a/crates/io-router/src/relay.rs
+++ b/crates/io-router/src/relay.rs
@@ -182,7 +182,7 @@
         self.context.steps.close();
         if self.events.is_some() {
             let event = error_event(self.context.call.request, code);
-            // Fails only if the caller has disconnected, who then needs no error.
+            // The send fails only if the caller has disconnected, which needs no handling.
             let _ = self.sender.send(event).await;
         }
     }
