Log the content that was in flight on a lost connection

Callers saw streams broken off by targets that crash. Change: an attempt that ends as lost logs the keys of the call's request and of its prompt segments but the last. Lines of several routers with the same target and time show what a crash had in common. No decision depends on the keys.

--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -15,7 +15,7 @@
     codes::{CodeRow, CompletedCode, NotRunCode, OutcomeKind, UnknownCode, code_table},
     hosts::{HostEntry, HostRole, HostState},
     names::{
-        AccountName, AttemptKey, ChatName, ContentDigest, FailureDomainName, HostName,
+        AccountName, AttemptKey, ChatName, ContentDigest, ContentKey, FailureDomainName, HostName,
         OperationName, OperatorName, PoolIdentity, PoolName, RequestKey, RouteName, RowVersion,
         TargetKey, TeamName,
     },
--- a/crates/base-types/src/names.rs
+++ b/crates/base-types/src/names.rs
@@ -43,6 +43,17 @@
 
     /// XXH3 digest (128 bits) of a request's content; not resistant to deliberate collisions.
     pub struct ContentDigest(pub u128);
+
+    /// Key of a piece of a call's content that other calls may contain too: a prompt segment, or the
+    /// entire request.
+    pub struct ContentKey(pub u64);
+}
+
+impl ContentKey {
+    /// Key of an entire request.
+    pub fn of_request(content: ContentDigest) -> Self {
+        Self((content.0 >> 64) as u64 ^ content.0 as u64)
+    }
 }
 
 impl ContentDigest {
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -10,15 +10,16 @@
 use std::collections::BTreeMap;
 
 use base_types::{
-    AccountName, ContentDigest, HostName, NotRunCode, PoolName, RouteName, TimePoint, message_types,
+    AccountName, ContentDigest, ContentKey, HostName, NotRunCode, PoolName, RouteName, TimePoint,
+    message_types,
 };
 use policy_retries::{WindowBounds, WindowBudget};
 use policy_routing::{PeerLoads, SegmentDirectory, stable_hash};
 use state_config::{CallerLimits, ConfigVersion, FleetConfig};
 
 use crate::{
-    CallHead, CallKey, ForwardBounds, RouterEntry, TargetEntry, TargetStatus, call::CallState,
-    peers::PeerRegistry, targets::TargetTable,
+    CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, TargetEntry, TargetStatus,
+    call::CallState, peers::PeerRegistry, targets::TargetTable,
 };
 
 /// Prompt segments whose holders are kept; each takes about 300 bytes.
@@ -59,6 +60,8 @@
         pub resumable: bool,
         /// Version of the configuration that the call was admitted under.
         pub version: ConfigVersion,
+        /// Keys of the call's content that other calls may contain too.
+        pub content_keys: Box<[ContentKey]>,
     }
 }
 
@@ -221,6 +224,7 @@
             is_stream: retry_rule.is_streaming(),
             resumable: retry_rule.is_streaming() && retry_rule.is_retryable(),
             version: config.version,
+            content_keys: shared_content_keys(content, state.prompt.as_ref()),
         };
         let bounds = self.retry_bounds();
         self.retry_budgets.entry(state.pool.clone()).or_default().on_call(now, &bounds);
@@ -263,6 +267,15 @@
     }
 }
 
+/// Returns the key of the entire request and those of its prompt segments, without the last one,
+/// which belongs to the call alone.
+fn shared_content_keys(content: ContentDigest, prompt: Option<&PromptHead>) -> Box<[ContentKey]> {
+    let segments = prompt.map_or(&[][..], |prompt| &prompt.segments);
+    let shared_segments = segments.split_last().map_or(&[][..], |(_, shared)| shared);
+    let segment_keys = shared_segments.iter().map(|segment| ContentKey(segment.id));
+    std::iter::once(ContentKey::of_request(content)).chain(segment_keys).collect()
+}
+
 type AccountRank = (Option<AccountName>, Option<u8>);
 
 fn resolve_account(
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -390,7 +390,11 @@
         outcome: AttemptOutcome,
         reason: &str,
     ) {
-        self.log.attempt_failed(self.state.now(), attempt, outcome.as_str(), reason);
+        let now = self.state.now();
+        self.log.attempt_failed(now, attempt, outcome.as_str(), reason);
+        if outcome == AttemptOutcome::Lost {
+            self.log.content_lost(now, attempt, &self.admitted.content_keys);
+        }
         self.record_attempt_outcome(attempt, outcome);
     }
 
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base_types::{NotRunCode, Refusal, TimePoint};
+use base_types::{ContentKey, NotRunCode, Refusal, TimePoint};
 use core_forward::{AdmittedCall, AttemptSpec};
 
 use crate::framing::BodyProgress;
@@ -79,6 +79,24 @@
         );
     }
 
+    /// Logs the content of a call whose connection to a target was lost, as keys in hexadecimal.
+    pub(crate) fn content_lost(
+        &self,
+        now: TimePoint,
+        attempt: &AttemptSpec,
+        content_keys: &[ContentKey],
+    ) {
+        let content: Vec<String> =
+            content_keys.iter().map(|key| format!("{:016x}", key.0)).collect();
+        log::info!(
+            call = &*self.id,
+            age_ms = self.age_ms(now),
+            target = &*attempt.name,
+            content = content.join(",").as_str();
+            "content on a lost connection"
+        );
+    }
+
     /// Logs how far the body of a target's response was received, and how the attempt ended.
     pub(crate) fn response_ended(
         &self,
