Reproduce a prompt segment that crashes every target it reaches

Callers saw streams of several routes broken off because targets crashed one after the other. Suspected: nothing connects a crash with the content that was in flight (hypothesis 1).

--- a/crates/fakes/src/gateway/http.rs
+++ b/crates/fakes/src/gateway/http.rs
@@ -94,7 +94,7 @@
     /// # Panics
     ///
     /// Panics when the socket cannot be configured.
-    pub async fn reset(self) {
+    pub async fn reset(&self) {
         tokio::time::sleep(READ_BEFORE_RESET).await;
         self.stream.set_zero_linger().expect("cannot configure the socket");
     }
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -9,7 +9,7 @@
 };
 
 use serde_json::{Value, json};
-use tokio::{io::AsyncReadExt, net::TcpListener, time::Instant};
+use tokio::{io::AsyncReadExt, net::TcpListener, sync::watch, time::Instant};
 
 use super::{HttpConnection, HttpMessage};
 
@@ -58,6 +58,9 @@
         /// How the stream ends.
         framing: StreamFraming,
     },
+    /// The runner begins an answer and crashes: it breaks off all its answers and takes no further
+    /// connections.
+    Crash,
 }
 
 /// How a runner marks the end of a stream.
@@ -121,6 +124,7 @@
     pub address: SocketAddr,
     state: Arc<Mutex<RunnerState>>,
     replies: ReplySource,
+    crashed: watch::Sender<bool>,
 }
 
 impl Reply {
@@ -145,16 +149,29 @@
     async fn start_with(id: &str, replies: ReplySource) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a port");
         let address = listener.local_addr().expect("the listener has no address");
-        let runner = Self { id: id.into(), address, state: Arc::default(), replies };
+        let crashed = watch::Sender::new(false);
+        let runner = Self { id: id.into(), address, state: Arc::default(), replies, crashed };
         let server = runner.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(server.clone().serve(HttpConnection::new(stream)));
+            let mut crashed = server.crashed.subscribe();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        tokio::spawn(server.clone().serve(HttpConnection::new(stream)));
+                    }
+                    _ = crashed.wait_for(|crashed| *crashed) => return,
+                }
             }
         });
         runner
     }
 
+    /// Whether the runner crashed; it does not come back.
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
     /// The runner's entry for the store.
     pub fn entry(&self, service: &str) -> Value {
         json!({
@@ -179,9 +196,17 @@
     }
 
     async fn serve(self, mut connection: HttpConnection) {
+        let mut crashed = self.crashed.subscribe();
+        tokio::select! {
+            () = self.serve_calls(&mut connection) => {}
+            _ = crashed.wait_for(|crashed| *crashed) => {}
+        }
+    }
+
+    async fn serve_calls(&self, connection: &mut HttpConnection) {
         while let Some(request) = connection.read(false).await {
             let reply = self.record_call(&request);
-            match self.reply(&mut connection, &request, reply).await {
+            match self.reply(connection, &request, reply).await {
                 AfterReply::Reuse => {}
                 AfterReply::Close => return,
                 AfterReply::Reset => return connection.reset().await,
@@ -273,6 +298,11 @@
                 let partial_event = &event_text(last + 1)[..partial_bytes];
                 return self.end_events(connection, request, last, partial_event, framing).await;
             }
+            Reply::Crash => {
+                self.send_events(connection, request, 1, "id").await;
+                self.crashed.send_replace(true);
+                return AfterReply::Close;
+            }
         }
         AfterReply::Reuse
     }
