Block content that was in flight at several crashes of targets

Callers of one route, and of every route with the same pool, got streams that broke off: a prompt segment crashed each target that began an answer to it, and calls with it were sent on for as long as callers sent them. Cause: a crash was treated as a failure of the target alone. Routers of the platform kept no record of what a lost target ran, and each of them saw only its own calls. Class: a failure is attributed to the component on which it shows, not to the input that causes it. Change: content in flight at a confirmed crash (the target then takes no connection) becomes suspect and is reported to all routers; a complete answer through any router clears it. Content that accounts for three waves of crashes is blocked: its calls are refused at once with the time of the next trial, on every attempt, also of a call that is retried or resumed. Blocks travel in each heartbeat. One call of the fleet is sent as a trial after 60 s, then after twice as long each time. Ruled out: to count crashes without waves. Why it works: content that crashes targets never gets a complete answer and is in flight at each crash that it causes; sound content gets one between crashes, or is missing at some.

--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use base_types::{
-    AccountName, ContentDigest, PoolName, Refusal, RouteName, TargetKey, TimePoint, key_types,
-    message_types,
+    AccountName, ContentDigest, ContentKey, PoolName, Refusal, RouteName, TargetKey, TimePoint,
+    key_types, message_types,
 };
 use state_config::{KeyDigest, RetryRule};
 
@@ -157,6 +157,7 @@
     pub(crate) latency_target: Duration,
     pub(crate) prompt: Option<PromptHead>,
     pub(crate) content: ContentDigest,
+    pub(crate) content_keys: Box<[ContentKey]>,
     pub(crate) attempted_targets: Vec<TargetKey>,
     pub(crate) attempts: u32,
     pub(crate) unsent_attempts: u32,
@@ -171,6 +172,6 @@
     pub(crate) target: TargetKey,
     /// Prompt tokens that the target has yet to prefill; zero once the response started.
     pub(crate) prefill_tokens: u32,
-    /// Whether the response started.
-    pub(crate) response_started: bool,
+    /// Time at which the response started; `None` before.
+    pub(crate) response_started_at: Option<TimePoint>,
 }
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, TargetEntry, TargetStatus,
-    call::CallState, peers::PeerRegistry, targets::TargetTable,
+    call::CallState, crashes::CrashReporter, peers::PeerRegistry, targets::TargetTable,
 };
 
 /// Prompt segments whose holders are kept; each takes about 300 bytes.
@@ -38,6 +38,8 @@
         pub serving_peers: usize,
         /// Prompt segments in the directory of holders.
         pub segments: usize,
+        /// Pieces of content that are refused because targets crashed while they ran them.
+        pub blocked_content: usize,
         /// Whether the router is shutting down.
         pub shutting_down: bool,
         /// Retries left in this router's share of the retry budget, by pool.
@@ -82,6 +84,7 @@
     peer_loads: PeerLoads,
     retry_budgets: BTreeMap<PoolName, WindowBudget>,
     segments: SegmentDirectory,
+    crashes: CrashReporter,
     /// Pairs of a prompt segment and a target hash that the other routers do not know yet.
     unreported_holders: Vec<(u64, u64)>,
     calls: BTreeMap<CallKey, CallState>,
@@ -105,6 +108,7 @@
             peer_loads: PeerLoads::default(),
             retry_budgets: BTreeMap::new(),
             segments: SegmentDirectory::new(DIRECTORY_SEGMENTS_MAX),
+            crashes: CrashReporter::default(),
             unreported_holders: Vec::new(),
             calls: BTreeMap::new(),
             next_call_key: 0,
@@ -153,6 +157,7 @@
             self.segments.remove_target(target_hash);
         }
         self.peer_loads.expire(now);
+        self.crashes.tracker.sweep(now);
     }
 
     /// Starts the shutdown: the router still admits calls but is no longer listed for new callers.
@@ -200,6 +205,7 @@
         self.next_call_key += 1;
         let deadline = head.deadline.min(now.after(route_match.rule.timeout));
         let retry_rule = route_match.rule.retry_rule;
+        let content_keys = shared_content_keys(content, head.prompt.as_ref());
         let state = CallState {
             route: route_match.rule.name.clone(),
             pool: route_match.pool.clone(),
@@ -211,6 +217,7 @@
             latency_target: route_match.rule.latency_target,
             prompt: head.prompt,
             content,
+            content_keys: content_keys.clone(),
             attempted_targets: Vec::new(),
             attempts: 0,
             unsent_attempts: 0,
@@ -224,7 +231,7 @@
             is_stream: retry_rule.is_streaming(),
             resumable: retry_rule.is_streaming() && retry_rule.is_retryable(),
             version: config.version,
-            content_keys: shared_content_keys(content, state.prompt.as_ref()),
+            content_keys,
         };
         let bounds = self.retry_bounds();
         self.retry_budgets.entry(state.pool.clone()).or_default().on_call(now, &bounds);
@@ -252,6 +259,7 @@
             calls_in_flight: self.calls.len(),
             serving_peers: self.peers.serving(now).count(),
             segments: self.segments.len(),
+            blocked_content: self.crashes.tracker.blocks().count(),
             shutting_down: self.shutting_down,
             retries_left: retries_left.collect(),
             targets: targets.collect(),
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -41,7 +41,7 @@
 
     /// Returns the next heartbeat to send to all other routers. It takes the changes that it
     /// reports: they are not reported again when the heartbeat is lost.
-    pub fn next_heartbeat(&mut self) -> PeerHeartbeat {
+    pub fn next_heartbeat(&mut self, now: TimePoint) -> PeerHeartbeat {
         self.heartbeat_sequence += 1;
         let loads = self.targets.iter().filter(|(_, record)| record.own_in_flight > 0);
         let loads = loads.map(|(_, record)| TargetLoad {
@@ -62,6 +62,7 @@
             load_share,
             segment_holders,
             outcomes: self.take_unreported_outcomes(),
+            content: self.crashes.next_report(now),
         }
     }
 
@@ -91,6 +92,7 @@
         for (segment, target_hash) in &heartbeat.segment_holders {
             self.segments.record_pending(now, *segment, *target_hash);
         }
+        self.crashes.on_report(now, &heartbeat.content);
         self.peer_loads.record_share(now, heartbeat.load_share);
     }
 
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use base_types::{NotRunCode, Refusal, TargetKey, TimePoint, UnknownCode};
+use base_types::{ContentKey, NotRunCode, Refusal, TargetKey, TimePoint, UnknownCode};
+use policy_retries::ContentVerdict;
 use policy_routing::{
     CostChoice, CostQuery, CostView, choose_cheapest, rendezvous_score, stable_hash,
 };
@@ -56,6 +57,10 @@
         if state.deadline.passed(now) {
             return refuse(now, state, NotRunCode::DeadlinePassed, UnknownCode::DeadlineAfterSend);
         }
+        let content_verdict = self.content_verdict(now, state);
+        if let ContentVerdict::Blocked(until) = content_verdict {
+            return refuse_until(state, NotRunCode::ContentSuspect, UnknownCode::TargetLost, until);
+        }
         if state.may_have_run && !state.retry_rule.is_retryable() {
             return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
         }
@@ -69,11 +74,23 @@
             return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
         }
         match self.start_attempt(now, state, choice) {
-            Some(attempt) => DispatchStep::Send(attempt),
+            Some(attempt) => {
+                if content_verdict == ContentVerdict::Trial {
+                    self.crashes.tracker.start_trial(now, &state.content_keys);
+                }
+                DispatchStep::Send(attempt)
+            }
             None => refuse(now, state, NotRunCode::NoTarget, UnknownCode::TargetLost),
         }
     }
 
+    /// How a call may be dispatched in view of its content. Trials of blocked content are assigned to
+    /// one router, so that they are rare in a fleet of any size.
+    fn content_verdict(&self, now: TimePoint, state: &CallState) -> ContentVerdict {
+        let may_try = |key: ContentKey| self.is_assigned_here(key.0);
+        self.crashes.tracker.verdict(now, &state.content_keys, may_try)
+    }
+
     fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
         let bounds = self.retry_bounds();
         let routers = self.router_count();
@@ -94,6 +111,7 @@
             record.lifecycle.on_failure(now);
             record.on_unreachable(now);
         }
+        self.confirm_crash(now, target);
     }
 
     /// Whether a call whose target is silent can be retried on another target now.
@@ -214,7 +232,7 @@
         state.current_attempt = Some(CurrentAttempt {
             target: choice.target,
             prefill_tokens: choice.prefill_tokens,
-            response_started: false,
+            response_started_at: None,
         });
         state.attempted_targets.push(choice.target);
         self.record_expected_segments(now, state, target_hash);
@@ -267,11 +285,21 @@
     state: &CallState,
     not_run_code: NotRunCode,
     unknown_code: UnknownCode,
+) -> DispatchStep {
+    refuse_until(state, not_run_code, unknown_code, now.after(RETRY_AFTER))
+}
+
+/// Refuses a call; its caller may return at `retry_at` if it did not run.
+fn refuse_until(
+    state: &CallState,
+    not_run_code: NotRunCode,
+    unknown_code: UnknownCode,
+    retry_at: TimePoint,
 ) -> DispatchStep {
     let refusal = if state.may_have_run {
         Refusal::Unknown(unknown_code)
     } else {
-        Refusal::NotRun(not_run_code, now.after(RETRY_AFTER))
+        Refusal::NotRun(not_run_code, retry_at)
     };
     DispatchStep::Refuse(refusal)
 }
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -1,19 +1,60 @@
 //! Effects of an attempt's progress and outcome on its target and its call.
 
+use std::time::Duration;
+
 use base_types::{TargetKey, TimePoint};
+use policy_retries::BlockChange;
 
 use crate::{AttemptOutcome, CallKey, ForwardCore, call::CallState};
 
+/// Time after the start of a response after which its content is not the cause of a crash: content
+/// that crashes a target does so as the answer begins.
+const SAFE_RESPONSE_TIME: Duration = Duration::from_secs(1);
+
 impl ForwardCore {
     /// Records that the target started to answer: it has prefilled the prompt.
-    pub fn on_response_started(&mut self, key: CallKey) {
+    pub fn on_response_started(&mut self, now: TimePoint, key: CallKey) {
         let Some(state) = self.calls.get_mut(&key) else { return };
         let Some(attempt) = &mut state.current_attempt else { return };
         let Some(record) = self.targets.get_mut(attempt.target) else { return };
         record.prefill_tokens =
             record.prefill_tokens.saturating_sub(u64::from(attempt.prefill_tokens));
         attempt.prefill_tokens = 0;
-        attempt.response_started = true;
+        attempt.response_started_at = Some(now);
+    }
+
+    /// Records that the answer of the attempt in progress is complete, and known to be: it has a
+    /// length or chunks, and so did not end because the target crashed.
+    pub fn on_answer_complete(&mut self, now: TimePoint, key: CallKey) {
+        if let Some(state) = self.calls.get(&key) {
+            self.crashes.on_answer(now, &state.content_keys);
+        }
+    }
+
+    /// Whether a target that lost a call is to be probed for a crash, once for calls lost together.
+    pub fn take_crash_probe(&mut self, now: TimePoint, target: TargetKey) -> bool {
+        self.targets.get_mut(target).is_some_and(|record| record.take_crash_probe(now))
+    }
+
+    /// Records that a target accepted a connection after it lost calls: it did not crash.
+    pub fn on_target_reachable(&mut self, target: TargetKey) {
+        if let Some(record) = self.targets.get_mut(target) {
+            record.lost_content.clear();
+        }
+    }
+
+    /// Returns the changes of blocks on content since the last call, for logs.
+    pub fn take_block_changes(&mut self) -> Vec<BlockChange> {
+        self.crashes.tracker.take_changes()
+    }
+
+    /// Counts the calls that a target lost as lost in a crash, as it accepts no connection.
+    pub(super) fn confirm_crash(&mut self, now: TimePoint, target: TargetKey) {
+        let Some(record) = self.targets.get_mut(target) else { return };
+        let target_hash = record.target_hash;
+        if let Some((crashed_at, content)) = record.take_crash(now) {
+            self.crashes.on_own_crash(now, crashed_at, target_hash, content);
+        }
     }
 
     /// Records the outcome of the attempt in progress. The call is kept until [`Self::finish`].
@@ -40,12 +81,17 @@
     }
 
     fn apply_outcome(&mut self, now: TimePoint, state: &mut CallState, outcome: AttemptOutcome) {
-        let response_started =
-            state.current_attempt.is_some_and(|attempt| attempt.response_started);
+        let response_started_at =
+            state.current_attempt.and_then(|attempt| attempt.response_started_at);
         let Some(target) = self.end_attempt(state) else { return };
-        if !response_started {
+        if response_started_at.is_none() {
             self.forget_last_segment(state, target);
         }
+        let is_content_safe = response_started_at
+            .is_some_and(|started_at| started_at.after(SAFE_RESPONSE_TIME).passed(now));
+        if is_content_safe {
+            self.crashes.on_answer(now, &state.content_keys);
+        }
         let Some(record) = self.targets.get_mut(target) else { return };
         match outcome {
             AttemptOutcome::Unsent => {
@@ -55,6 +101,7 @@
                 record.lifecycle.on_failure(now);
                 record.on_unreachable(now);
                 record.record_outcome(now, true);
+                self.confirm_crash(now, target);
             }
             AttemptOutcome::Misdirected => record.lifecycle.on_failure(now),
             AttemptOutcome::Declined => {}
@@ -62,6 +109,9 @@
                 state.may_have_run = true;
                 record.lifecycle.on_failure(now);
                 record.record_outcome(now, true);
+                if !is_content_safe {
+                    record.on_content_lost(now, &state.content_keys);
+                }
             }
             AttemptOutcome::Failed | AttemptOutcome::Silent => {
                 state.may_have_run = true;
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -122,10 +122,10 @@
         }
     }
 
-    fn is_assigned_here(&self, engine_hash: u64) -> bool {
-        let score = |name: &HostName| {
-            rendezvous_score(engine_hash, stable_hash(name.as_str().as_bytes()), 1)
-        };
+    /// Whether rendezvous hashing assigns a hash to this router among those of the store's list.
+    pub(super) fn is_assigned_here(&self, hash: u64) -> bool {
+        let score =
+            |name: &HostName| rendezvous_score(hash, stable_hash(name.as_str().as_bytes()), 1);
         let own_score = score(&self.entry.name);
         self.peers.entries().all(|peer| score(&peer.name) < own_score)
     }
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -8,6 +8,7 @@
 mod bounds;
 mod call;
 mod core;
+mod crashes;
 mod peers;
 mod targets;
 
@@ -18,6 +19,8 @@
         PromptSegment,
     },
     core::{AdmittedCall, EngineAddress, ForwardCore, ForwardStatus, PeerSnapshot, SegmentHolders},
+    crashes::{BlockNotice, ContentReport, CrashNotice},
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
     targets::{TargetEntry, TargetStatus},
 };
+pub use policy_retries::BlockChange;
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -5,6 +5,8 @@
 use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
 use policy_targets::OutcomeCount;
 
+use crate::ContentReport;
+
 /// Time for which a router counts as alive after its last heartbeat.
 const HEARTBEAT_TTL: Duration = Duration::from_millis(1_500);
 
@@ -43,6 +45,8 @@
         pub segment_holders: Vec<(u64, u64)>,
         /// Outcomes of the router's calls since the previous heartbeat, by target.
         pub outcomes: Vec<TargetOutcomes>,
+        /// Crashes of targets and the content that they ran.
+        pub content: ContentReport,
     }
 }
 
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -6,7 +6,9 @@
     time::Duration,
 };
 
-use base_types::{HostName, PoolName, TargetKey, TimePoint, message_types, value_types};
+use base_types::{
+    ContentKey, HostName, PoolName, TargetKey, TimePoint, message_types, value_types,
+};
 use policy_routing::stable_hash;
 use policy_targets::{FailureRate, OutcomeCount, TargetLifecycle, TargetPhase};
 
@@ -21,6 +23,12 @@
 /// Shortest time between two probes of whether a silent target accepts connections.
 const TARGET_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time within which a target that lost calls must accept no connection for this to count as a crash.
+const CRASH_CONFIRM_WINDOW: Duration = Duration::from_secs(2);
+
+/// Shortest time between two probes of whether a target that lost calls crashed.
+const CRASH_PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time after reconnecting to the platform in which entries that expired during its outage are
 /// written again.
 const PLATFORM_RECONNECT_GRACE: Duration = Duration::from_millis(2_200);
@@ -81,6 +89,11 @@
     unreachable_until: TimePoint,
     /// Earliest time of the next probe.
     next_probe_at: TimePoint,
+    /// Earliest time of the next probe of whether the target crashed.
+    next_crash_probe_at: TimePoint,
+    /// Content of the calls that the target lost, since `content_lost_at`.
+    pub(crate) lost_content: BTreeSet<ContentKey>,
+    content_lost_at: TimePoint,
     listed: bool,
     /// Time at which a missing entry counts as removed; `NEVER` while it is listed.
     delist_at: TimePoint,
@@ -112,6 +125,9 @@
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             unreachable_until: TimePoint(0),
             next_probe_at: TimePoint(0),
+            next_crash_probe_at: TimePoint(0),
+            lost_content: BTreeSet::new(),
+            content_lost_at: TimePoint(0),
             listed: true,
             delist_at: TimePoint::NEVER,
             fetchable_until: TimePoint::NEVER,
@@ -157,6 +173,35 @@
         is_due
     }
 
+    /// Records the content of a call that the target lost.
+    pub(crate) fn on_content_lost(&mut self, now: TimePoint, content: &[ContentKey]) {
+        if self.content_lost_at.after(CRASH_CONFIRM_WINDOW).passed(now) {
+            self.lost_content.clear();
+        }
+        if self.lost_content.is_empty() {
+            self.content_lost_at = now;
+        }
+        self.lost_content.extend(content);
+    }
+
+    /// Returns whether a target that lost content is to be probed; if so, schedules the next probe.
+    pub(crate) fn take_crash_probe(&mut self, now: TimePoint) -> bool {
+        let is_due = !self.lost_content.is_empty() && self.next_crash_probe_at.passed(now);
+        if is_due {
+            self.next_crash_probe_at = now.after(CRASH_PROBE_INTERVAL);
+        }
+        is_due
+    }
+
+    /// Takes the content that the target lost shortly before it stopped accepting connections, with
+    /// the time of the first loss.
+    pub(crate) fn take_crash(&mut self, now: TimePoint) -> Option<(TimePoint, Vec<ContentKey>)> {
+        let content = std::mem::take(&mut self.lost_content);
+        let is_recent = !self.content_lost_at.after(CRASH_CONFIRM_WINDOW).passed(now);
+        (is_recent && !content.is_empty())
+            .then(|| (self.content_lost_at, content.into_iter().collect()))
+    }
+
     /// Whether a connection to the target failed within the last [`UNREACHABLE_TTL`].
     pub(crate) fn is_unreachable(&self, now: TimePoint) -> bool {
         !self.unreachable_until.passed(now)
--- /dev/null
+++ b/crates/core-forward/tests/crashes.rs
@@ -0,0 +1,69 @@
+//! Routers of a fleet find out together which content crashes targets, and refuse nothing else.
+
+mod crashes {
+    pub(crate) mod fleet;
+}
+
+use base_types::{TimePoint, test_cases};
+use crashes::fleet::{FleetPlan, FleetRecord, play};
+
+/// Time after the fifth crash from which calls with the content count as late.
+const STABLE_WINDOW_S: u64 = 3;
+const LATE_SENDS_MAX: usize = 3;
+
+/// A segment crashes each target; few calls with it are sent after it must be known, and sound calls
+/// are still sent.
+fn check_crashing_segment(plan: FleetPlan) {
+    for seed in 0..10 {
+        let record = play(plan, seed);
+        let fifth_crash_at = record.crashes.get(4).copied().unwrap_or(TimePoint::NEVER);
+        let late_from = fifth_crash_at.after(std::time::Duration::from_secs(STABLE_WINDOW_S));
+        let late = record.crashing_sends.iter().filter(|at| **at > late_from).count();
+        assert!(late <= LATE_SENDS_MAX, "seed {seed}: {late} late calls: {record:?}");
+        assert!(record.crashes.len() < 20, "seed {seed}: {} crashes", record.crashes.len());
+        check_sound_calls(seed, &record);
+    }
+}
+
+/// Targets crash for reasons of their own; no sound content stays blocked.
+fn check_other_crashes(plan: FleetPlan) {
+    for seed in 0..10 {
+        let record = play(plan, seed);
+        assert!(record.crashes.len() > 5, "seed {seed}: {} crashes", record.crashes.len());
+        check_sound_calls(seed, &record);
+    }
+}
+
+fn check_sound_calls(seed: u64, record: &FleetRecord) {
+    let refused = record.sound_refused as f64 / record.sound_calls as f64;
+    assert!(refused < 0.01, "seed {seed}: {refused:.3} of sound calls refused for their content");
+}
+
+const PLAN: FleetPlan = FleetPlan {
+    routers: 7,
+    targets: 9,
+    calls_per_s: 60,
+    crashing_per_s: 6.0,
+    lost_heartbeats: 0.02,
+    restart_at_s: None,
+    random_crashes_per_s: 0.0,
+    crashes_at_once: 1,
+};
+
+test_cases! {
+    check_crashing_segment:
+    a_frequent_crashing_segment_is_refused(PLAN);
+    a_rare_crashing_segment_is_refused(FleetPlan { crashing_per_s: 0.7, ..PLAN });
+    a_crashing_segment_is_refused_by_a_single_router(FleetPlan { routers: 1, ..PLAN });
+    a_crashing_segment_is_refused_by_many_routers(FleetPlan { routers: 24, targets: 24, calls_per_s: 100, ..PLAN });
+    a_restarted_router_learns_of_a_crashing_segment(FleetPlan { restart_at_s: Some(8), ..PLAN });
+    a_crashing_segment_is_refused_when_heartbeats_are_lost(FleetPlan { lost_heartbeats: 0.3, ..PLAN });
+    a_crashing_segment_is_refused_amid_other_crashes(FleetPlan { random_crashes_per_s: 0.2, ..PLAN });
+}
+
+test_cases! {
+    check_other_crashes:
+    single_crashes_block_no_sound_content(FleetPlan { crashing_per_s: 0.0, random_crashes_per_s: 0.5, ..PLAN });
+    crashes_of_many_targets_at_once_block_no_sound_content(FleetPlan { crashing_per_s: 0.0, random_crashes_per_s: 0.2, crashes_at_once: 6, ..PLAN });
+    crashes_of_all_targets_at_once_block_no_sound_content(FleetPlan { crashing_per_s: 0.0, random_crashes_per_s: 0.15, crashes_at_once: 9, ..PLAN });
+}
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -218,10 +218,10 @@
     for session in 0..20 {
         let call = admit(&mut core, now, Some(prompt(session)));
         let first_attempt = send(&mut core, now, call).expect("sent");
-        core.on_response_started(call);
+        core.on_response_started(now, call);
         core.on_attempt_finished(now, call, Completed);
         core.finish(call);
-        other.on_heartbeat(now, core.next_heartbeat());
+        other.on_heartbeat(now, core.next_heartbeat(now));
         let later = now.after(Duration::from_secs(1));
         for router in [&mut core, &mut other] {
             let call = admit(router, later, Some(prompt(session)));
@@ -273,11 +273,11 @@
     let now = TimePoint(1_000_000);
     assert_eq!(core.caller_addresses(now), [address(100)]);
     let mut other = core_of_router("b", 200);
-    core.on_heartbeat(now, other.next_heartbeat());
+    core.on_heartbeat(now, other.next_heartbeat(now));
     assert_eq!(core.caller_addresses(now), [address(200), address(100)]);
     assert_eq!(core.caller_addresses(now.after(Duration::from_secs(3))), [address(100)]);
     other.start_shutdown();
-    core.on_heartbeat(now, other.next_heartbeat());
+    core.on_heartbeat(now, other.next_heartbeat(now));
     assert_eq!(core.caller_addresses(now), [address(100)]);
     core.start_shutdown();
     assert_eq!(core.caller_addresses(now), []);
@@ -301,7 +301,7 @@
         other.on_attempt_finished(now, call, outcome);
         other.finish(call);
     }
-    let mut heartbeat = other.next_heartbeat();
+    let mut heartbeat = other.next_heartbeat(now);
     heartbeat.entry = router("b", 200);
     heartbeat.load_share.router = heartbeat.entry.name.clone();
     core.on_heartbeat(now, heartbeat);
@@ -329,12 +329,12 @@
     for _ in 0..3 {
         let call = admit(&mut previous_instance, now, None);
         send(&mut previous_instance, now, call).expect("sent");
-        core.on_heartbeat(now, previous_instance.next_heartbeat());
+        core.on_heartbeat(now, previous_instance.next_heartbeat(now));
     }
     assert_eq!(core.status(now).targets[0].peer_in_flight, 3);
     let entry = RouterEntry { incarnation: 7, ..router("b", 200) };
     let mut restarted = ForwardCore::new(entry, BOUNDS);
-    core.on_heartbeat(now, restarted.next_heartbeat());
+    core.on_heartbeat(now, restarted.next_heartbeat(now));
     assert_eq!(core.status(now).targets[0].peer_in_flight, 0);
 }
 
@@ -344,7 +344,7 @@
     let now = TimePoint(1_000_000);
     let call = admit(&mut core, now, Some(prompt(3)));
     let first_attempt = send(&mut core, now, call).expect("sent");
-    core.on_response_started(call);
+    core.on_response_started(now, call);
     core.on_attempt_finished(now, call, Lost);
     core.finish(call);
     let later = now.after(Duration::from_millis(500));
@@ -524,7 +524,7 @@
         core.finish(call);
     }
     let mut reported = 0;
-    while let heartbeat = core.next_heartbeat()
+    while let heartbeat = core.next_heartbeat(now)
         && !heartbeat.outcomes.is_empty()
     {
         assert!(heartbeat.outcomes.len() <= 64);
@@ -543,12 +543,12 @@
     let now = TimePoint(1_000_000);
     let call = admit(&mut core, now, Some(prompt(3)));
     let holder = send(&mut core, now, call).expect("sent");
-    let mut loads = core.next_heartbeat().load_share.loads;
+    let mut loads = core.next_heartbeat(now).load_share.loads;
     loads.iter_mut().for_each(|load| load.in_flight = 2);
-    core.on_response_started(call);
+    core.on_response_started(now, call);
     core.on_attempt_finished(now, call, Completed);
     core.finish(call);
-    let mut heartbeat = core_of_router("r0", 500).next_heartbeat();
+    let mut heartbeat = core_of_router("r0", 500).next_heartbeat(now);
     heartbeat.load_share.loads = loads;
     core.on_heartbeat(now, heartbeat);
     let later = now.after(Duration::from_secs(1));
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -3,7 +3,7 @@
 use base_types::{ContentDigest, NotRunCode, Refusal};
 use bytes::Bytes;
 use core_forward::{AdmittedCall, AttemptOutcome, AttemptSpec, CallHead, DispatchStep};
-use http::{Request, Response, Uri, header, request};
+use http::{Request, Response, StatusCode, Uri, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
@@ -13,7 +13,7 @@
     hop::{end_to_end_parts, strip_hop_by_hop_headers},
     log_lines::CallLog,
     relay::relay_stream,
-    upstream::{SendError, TargetConnection, open_connection, probe_target},
+    upstream::{SendError, TargetConnection, open_connection, probe_for_crash, probe_target},
 };
 
 /// Limit on a request body's bytes while no configuration is loaded.
@@ -308,7 +308,7 @@
     async fn buffer_response(&mut self, started: StartedResponse) -> Option<Response<Bytes>> {
         let attempt = started.attempt.clone();
         let call = self.admitted.call;
-        self.state.with_core(|core, _| core.on_response_started(call));
+        self.state.with_core(|core, now| core.on_response_started(now, call));
         let response = self.read_to_end(started).await;
         match response {
             Some(_) => self.record_attempt_outcome(&attempt, AttemptOutcome::Completed),
@@ -337,6 +337,7 @@
         };
         self.record_response_end(&started.attempt, &progress, outcome);
         let collected = collected?;
+        self.record_complete_answer(&progress, parts.status.as_u16());
         self.release_connection(&started.attempt, started.connection, &started.head);
         Some(Response::from_parts(end_to_end_parts(parts), collected.to_bytes()))
     }
@@ -398,10 +399,26 @@
         self.record_attempt_outcome(attempt, outcome);
     }
 
-    /// Reports the outcome of an attempt to the core and the metrics.
+    /// Reports to the core that a target answered completely, if the response's framing shows so.
+    pub(crate) fn record_complete_answer(&self, progress: &BodyProgress, status: u16) {
+        let is_success = StatusCode::from_u16(status).is_ok_and(|status| status.is_success());
+        if is_success && progress.framing != BodyFraming::ConnectionClose {
+            let call = self.admitted.call;
+            self.state.with_core(|core, now| core.on_answer_complete(now, call));
+        }
+    }
+
+    /// Reports the outcome of an attempt to the core and the metrics. A target that lost the call is
+    /// probed, as it may have crashed.
     pub(crate) fn record_attempt_outcome(&self, attempt: &AttemptSpec, outcome: AttemptOutcome) {
         let call = self.admitted.call;
         self.state.with_core(|core, now| core.on_attempt_finished(now, call, outcome));
+        let target = attempt.target;
+        if outcome == AttemptOutcome::Lost
+            && self.state.with_core(|core, now| core.take_crash_probe(now, target))
+        {
+            probe_for_crash(&self.state, attempt);
+        }
         let is_retry = attempt.attempts_before > 0;
         self.state.metrics().count_attempt(self.admitted.pool.as_str(), outcome.as_str(), is_retry);
     }
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use core_forward::PeerHeartbeat;
+use core_forward::{BlockChange, PeerHeartbeat};
 use tokio::{net::UdpSocket, time::Instant};
 
 use crate::ForwardState;
@@ -79,10 +79,30 @@
     }
 }
 
+fn log_block_changes(state: &ForwardState) {
+    for change in state.with_core(|core, _| core.take_block_changes()) {
+        match change {
+            BlockChange::Blocked(key) => {
+                log::warn!(content = format!("{:016x}", key.0).as_str(); "content blocked")
+            }
+            BlockChange::TrialStarted(key) => {
+                log::info!(
+                    content = format!("{:016x}", key.0).as_str();
+                    "blocked content sent as a trial"
+                )
+            }
+            BlockChange::Lifted(key) => {
+                log::info!(content = format!("{:016x}", key.0).as_str(); "content block lifted")
+            }
+        }
+    }
+}
+
 /// Sends one heartbeat to every peer and returns the number of peers.
 async fn send_heartbeat(state: &ForwardState, socket: &UdpSocket) -> usize {
     let (heartbeat, addresses) =
-        state.with_core(|core, _| (core.next_heartbeat(), core.heartbeat_addresses()));
+        state.with_core(|core, now| (core.next_heartbeat(now), core.heartbeat_addresses()));
+    log_block_changes(state);
     let datagram = match postcard::to_stdvec(&heartbeat) {
         Ok(datagram) => datagram,
         Err(error) => {
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -171,7 +171,7 @@
             if !has_started {
                 has_started = true;
                 let call = self.call.admitted.call;
-                self.call.state.with_core(|core, _| core.on_response_started(call));
+                self.call.state.with_core(|core, now| core.on_response_started(now, call));
             }
             let Some(bytes) = self.content.push(chunk) else { continue };
             if self.chunks.send(bytes).await.is_err() {
@@ -210,6 +210,7 @@
     }
 
     async fn complete(mut self, source: StreamSource) {
+        self.call.record_complete_answer(&source.progress, self.status);
         self.call.record_attempt_outcome(&source.attempt, AttemptOutcome::Completed);
         self.call.release_connection(&source.attempt, source.connection, &source.head);
         self.call.mark_finished(self.status, "answered");
--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -27,6 +27,9 @@
 /// Maximum number of idle connections per target.
 const IDLE_CONNECTIONS_MAX: usize = 32;
 
+/// Time from the loss of a call until its target is probed.
+const CRASH_PROBE_DELAY: Duration = Duration::from_millis(50);
+
 /// Size of the read buffer, which also limits the response head. Every idle connection keeps its
 /// buffer, so hyper's default of 8 KiB would double the memory of each.
 const READ_BUFFER_BYTES: usize = 4_096;
@@ -165,18 +168,30 @@
 /// Probes a silent target with a new connection: pools the connection, or reports the target as
 /// unreachable.
 pub(crate) fn probe_target(state: &ForwardState, attempt: &AttemptSpec) {
+    spawn_probe(state, attempt, Duration::ZERO);
+}
+
+/// Probes a target that lost a call, once a crashed process has had time to close its port.
+pub(crate) fn probe_for_crash(state: &ForwardState, attempt: &AttemptSpec) {
+    spawn_probe(state, attempt, CRASH_PROBE_DELAY);
+}
+
+fn spawn_probe(state: &ForwardState, attempt: &AttemptSpec, delay: Duration) {
     let (state, target, address) = (state.clone(), attempt.target, attempt.address);
     let name = attempt.name.clone();
     tokio::task::spawn_local(async move {
+        tokio::time::sleep(delay).await;
         state.with_upstream(|pool, _| pool.count_opened());
         match TargetConnection::connect(address).await {
             Ok(connection) => {
                 state.with_upstream(|pool, now| pool.put(now, target, connection, None));
+                state.with_core(|core, _| core.on_target_reachable(target));
             }
             Err(error) => {
                 let error = error.to_string();
                 log::info!(target = &*name, error = error.as_str(); "target unreachable");
                 state.with_core(|core, now| core.on_target_unreachable(now, target));
+                state.heartbeat_wakeup().notify_one();
             }
         }
     });
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -49,6 +49,8 @@
     ConfigAge,
     /// Number of prompt segments that at least one target is known to have cached.
     PromptSegments,
+    /// Pieces of content that are refused because targets crashed while they ran them.
+    BlockedContent,
     /// Calls of this router in flight at a target.
     TargetOwnCalls,
     /// Calls of other routers in flight at a target, from their latest heartbeats.
@@ -70,7 +72,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 16] = [
+    const ALL: [Self; 17] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -78,6 +80,7 @@
         Self::ConfigVersion,
         Self::ConfigAge,
         Self::PromptSegments,
+        Self::BlockedContent,
         Self::TargetOwnCalls,
         Self::TargetOtherCalls,
         Self::TargetFailureRate,
@@ -98,6 +101,7 @@
             Self::ConfigVersion => "knapweedport_config_version",
             Self::ConfigAge => "knapweedport_config_age_seconds",
             Self::PromptSegments => "knapweedport_prompt_parts",
+            Self::BlockedContent => "knapweedport_blocked_content",
             Self::TargetOwnCalls => "knapweedport_target_own_calls",
             Self::TargetOtherCalls => "knapweedport_target_other_calls",
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
