--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -246,6 +246,7 @@
             own_in_flight: record.own_in_flight,
             peer_in_flight: self.peer_loads.load(record.target_hash),
             failure_rate: record.failure_rate.rate(now),
+            rate_limit: record.limit.rate,
             cached_segments: self.segments.segment_count(record.target_hash),
             phase: record.lifecycle.phase(now),
         });
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -4,6 +4,7 @@
 
 use base_types::{TargetKey, TimePoint};
 use policy_retries::BlockChange;
+use policy_targets::{CallRate, NamedLimit};
 
 use crate::{AttemptOutcome, CallKey, ForwardCore, call::CallState};
 
@@ -23,6 +24,18 @@
         attempt.response_started_at = Some(now);
     }
 
+    /// Records the limit on the rate of calls that a target named in an answer, or that it named none;
+    /// returns whether the limit changed.
+    pub fn on_rate_limit(
+        &mut self,
+        now: TimePoint,
+        target: TargetKey,
+        rate: Option<CallRate>,
+    ) -> bool {
+        let statement = NamedLimit { rate, named_at: now };
+        self.targets.get_mut(target).is_some_and(|record| record.limit.update(statement))
+    }
+
     /// Records that the answer of the attempt in progress is complete, and known to be: it has a
     /// length or chunks, and so did not end because the target crashed.
     pub fn on_answer_complete(&mut self, now: TimePoint, key: CallKey) {
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -24,3 +24,4 @@
     targets::{TargetEntry, TargetStatus},
 };
 pub use policy_retries::BlockChange;
+pub use policy_targets::CallRate;
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -10,7 +10,9 @@
     ContentKey, HostName, PoolName, TargetKey, TimePoint, message_types, value_types,
 };
 use policy_routing::stable_hash;
-use policy_targets::{FailureRate, OutcomeCount, TargetLifecycle, TargetPhase};
+use policy_targets::{
+    CallRate, FailureRate, NamedLimit, OutcomeCount, TargetLifecycle, TargetPhase,
+};
 
 /// Time for which other engines may still fetch cached segments from a target that is draining,
 /// missing or replaced.
@@ -65,6 +67,8 @@
         pub peer_in_flight: u32,
         /// Recent failure rate over the calls of all routers, 0 to 1; older outcomes weigh less.
         pub failure_rate: f64,
+        /// Limit on the rate of calls that the target names; `None` if it names none.
+        pub rate_limit: Option<CallRate>,
         /// Number of prompt segments that the target is known to cache.
         pub cached_segments: usize,
         /// Phase of the target's lifecycle.
@@ -83,6 +87,8 @@
     /// Prompt tokens of this router's calls in flight that the target has yet to prefill.
     pub(crate) prefill_tokens: u64,
     pub(crate) failure_rate: FailureRate,
+    /// Limit on the rate of calls that the target named.
+    pub(crate) limit: NamedLimit,
     /// Outcomes not yet reported to the other routers.
     pub(crate) unreported_outcomes: OutcomeCount,
     /// Time until which the target is assumed to accept no connections.
@@ -122,6 +128,7 @@
             own_in_flight: 0,
             prefill_tokens: 0,
             failure_rate: FailureRate::default(),
+            limit: NamedLimit::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             unreachable_until: TimePoint(0),
             next_probe_at: TimePoint(0),
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -2,7 +2,7 @@
 
 use base_types::{ContentDigest, NotRunCode, Refusal};
 use bytes::Bytes;
-use core_forward::{AdmittedCall, AttemptOutcome, AttemptSpec, CallHead, DispatchStep};
+use core_forward::{AdmittedCall, AttemptOutcome, AttemptSpec, CallHead, CallRate, DispatchStep};
 use http::{Request, Response, StatusCode, Uri, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -265,6 +265,9 @@
     /// Returns the response if it is the call's own; otherwise reports the failed attempt.
     async fn accept_response(&mut self, started: StartedResponse) -> Option<StartedResponse> {
         let status = started.response.status().as_u16();
+        if let ExecutionStatus::Executed | ExecutionStatus::Declined = started.head.execution {
+            self.record_rate_limit(&started);
+        }
         match started.head.execution {
             ExecutionStatus::Executed => return Some(started),
             ExecutionStatus::Declined => {
@@ -399,6 +402,17 @@
         self.record_attempt_outcome(attempt, outcome);
     }
 
+    fn record_rate_limit(&self, started: &StartedResponse) {
+        let (target, limit) = (started.attempt.target, started.head.rate_limit);
+        if self.state.with_core(|core, now| core.on_rate_limit(now, target, limit)) {
+            log::info!(
+                target = &*started.attempt.name,
+                calls_per_s = limit.map(CallRate::per_second);
+                "target limit changed"
+            );
+        }
+    }
+
     /// Reports to the core that a target answered completely, if the response's framing shows so.
     pub(crate) fn record_complete_answer(&self, progress: &BodyProgress, status: u16) {
         let is_success = StatusCode::from_u16(status).is_ok_and(|status| status.is_success());
--- a/crates/io-forward/src/dialect.rs
+++ b/crates/io-forward/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use base_types::{NotRunCode, Refusal, TimePoint, key_types, message_types};
-use core_forward::{AttemptSpec, CallHead, PromptSegment};
+use core_forward::{AttemptSpec, CallHead, CallRate, PromptSegment};
 use http::{HeaderMap, HeaderValue, Response, request, response};
 
 key_types! {
@@ -28,6 +28,8 @@
         /// Whether the target closes the connection after the response; this does not imply that
         /// the target is draining.
         pub closes_connection: bool,
+        /// Limit on the rate of calls that the target names, over all routers.
+        pub rate_limit: Option<CallRate>,
         /// How long the target keeps an idle connection open; absent if the response does not say.
         pub idle_timeout: Option<Duration>,
     }
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -57,6 +57,8 @@
     TargetOtherCalls,
     /// Fraction (0 to 1) of all routers' recent calls to a target that failed.
     TargetFailureRate,
+    /// Limit in calls a second that a target names; absent while it names none.
+    TargetRateLimit,
     /// Number of prompt segments that a target is known to have cached.
     TargetSegments,
     /// Retries left in this router's part of a pool's retry budget.
@@ -72,7 +74,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 17] = [
+    const ALL: [Self; 18] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -84,6 +86,7 @@
         Self::TargetOwnCalls,
         Self::TargetOtherCalls,
         Self::TargetFailureRate,
+        Self::TargetRateLimit,
         Self::TargetSegments,
         Self::RetriesLeft,
         Self::ConnectionsOpened,
@@ -105,6 +108,7 @@
             Self::TargetOwnCalls => "knapweedport_target_own_calls",
             Self::TargetOtherCalls => "knapweedport_target_other_calls",
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
+            Self::TargetRateLimit => "knapweedport_target_rate_limit",
             Self::TargetSegments => "knapweedport_target_prompt_parts",
             Self::RetriesLeft => "knapweedport_retry_room",
             Self::ConnectionsOpened => "knapweedport_target_connections_opened",
