Reproduce targets that get more calls than the limit that they name

Callers are not concerned; targets in need get as many calls as before they named a limit. The builders of the fleet that crashes moved to a fixture that both simulations use.

--- a/crates/core-forward/tests/crashes.rs
+++ b/crates/core-forward/tests/crashes.rs
@@ -1,5 +1,7 @@
 //! Routers of a fleet find out together which content crashes targets, and refuse nothing else.
 
+mod fixture;
+
 mod crashes {
     pub(crate) mod fleet;
 }
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -1,19 +1,12 @@
 //! Routers, targets and callers in virtual time. Some calls contain a segment that crashes targets.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
-use base_types::{
-    ContentDigest, HostName, NotRunCode, PoolName, Refusal, RouteName, TargetKey, TimePoint,
-};
-use core_forward::{
-    AttemptOutcome, CallHead, CallKey, DispatchStep, ForwardBounds, ForwardCore, PromptHead,
-    PromptSegment, RouterEntry, TargetEntry,
-};
+use base_types::{ContentDigest, NotRunCode, Refusal, TargetKey, TimePoint};
+use core_forward::{AttemptOutcome, CallKey, DispatchStep, ForwardCore, PromptHead, PromptSegment};
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use state_config::{
-    CallerLimits, ConfigVersion, EngineRule, FleetConfig, PoolRule, RetryRule, RouteRule,
-    WeightedPool,
-};
+
+use crate::fixture::{call_head, new_router, target_entry, target_index};
 
 const STEP: Duration = Duration::from_millis(10);
 const STEPS_PER_HEARTBEAT: u64 = 10;
@@ -144,44 +137,19 @@
     }
 
     fn new_router(&self, index: u16, incarnation: u64) -> ForwardCore {
-        let entry = RouterEntry {
-            name: HostName::new(&format!("router-{index}")),
-            caller_address: address(100 + index),
-            peer_address: address(200 + index),
-            failure_domain: "z".into(),
-            incarnation,
-        };
-        let bounds = ForwardBounds {
-            retry_ratio: 0.2,
-            retry_slack: 100,
-            retry_window: Duration::from_secs(10),
-            load_ratio_max: 2.0,
-        };
-        let mut core = ForwardCore::new(entry, bounds);
-        core.adopt_config(self.now, config());
-        let entries = (0..self.targets.len()).map(|target| self.target_entry(target));
+        let mut core = new_router(self.now, index, incarnation);
+        let entries = self.targets.iter().enumerate();
+        let entries = entries.map(|(target, (incarnation, _))| target_entry(target, *incarnation));
         core.list_targets(self.now, entries.collect());
         core
     }
 
-    fn target_entry(&self, target: usize) -> TargetEntry {
-        TargetEntry {
-            name: HostName::new(&format!("t{target}")),
-            pool: PoolName::new("pool"),
-            address: address(9_000 + target as u16),
-            failure_domain: "z".into(),
-            slots: 64,
-            draining: false,
-            incarnation: self.targets[target].0,
-        }
-    }
-
     fn start_targets(&mut self) {
         for target in 0..self.targets.len() {
             let (incarnation, down_until) = self.targets[target];
             if down_until > TimePoint(0) && down_until.passed(self.now) {
                 self.targets[target] = (incarnation + 1, TimePoint(0));
-                let entry = self.target_entry(target);
+                let entry = target_entry(target, incarnation + 1);
                 for router in &mut self.routers {
                     router.put_target(self.now, entry.clone());
                 }
@@ -193,14 +161,8 @@
     fn call(&mut self, is_crashing: bool) {
         let router = self.random.random_range(0..self.routers.len());
         self.next_number += 1;
-        let head = CallHead {
-            id: self.next_number.to_string().into(),
-            host: "h".into(),
-            path: "/x".into(),
-            account_key: None,
-            deadline: self.now.after(Duration::from_secs(10)),
-            prompt: Some(self.prompt(is_crashing)),
-        };
+        let prompt = self.prompt(is_crashing);
+        let head = call_head(self.now, self.next_number, Some(prompt));
         let digest = ContentDigest(u128::from(self.next_number));
         let admitted = self.routers[router].admit(self.now, head, digest).expect("admitted");
         if !is_crashing {
@@ -231,7 +193,7 @@
                     return self.routers[router].finish(call);
                 }
                 DispatchStep::Send(attempt) => {
-                    let target = usize::from(attempt.address.port() - 9_000);
+                    let target = target_index(attempt.address);
                     if self.targets[target].1 > TimePoint(0) {
                         let core = &mut self.routers[router];
                         core.on_attempt_finished(self.now, call, AttemptOutcome::Unsent);
@@ -318,31 +280,3 @@
         }
     }
 }
-
-fn address(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
-}
-
-fn config() -> FleetConfig {
-    let route = RouteRule {
-        name: RouteName::new("route"),
-        host: "h".into(),
-        path_prefix: "/".into(),
-        retry_rule: RetryRule::AtMostOnceStream,
-        timeout: Duration::from_secs(10),
-        latency_target: Duration::from_millis(500),
-        rank: 0,
-        pools: vec![WeightedPool { pool: PoolName::new("pool"), weight: 1 }],
-        attempts_max: 1,
-        public: true,
-    };
-    let engine = EngineRule { slots: 64, cache_tokens: 700_000 };
-    let pool = PoolRule { name: PoolName::new("pool"), connections_max: 360, engine: Some(engine) };
-    let limits = CallerLimits {
-        head_bytes_max: 1,
-        body_bytes_max: 1,
-        head_timeout: Duration::ZERO,
-        idle_timeout: Duration::ZERO,
-    };
-    FleetConfig::new(ConfigVersion(1), vec![pool], vec![route], None, limits)
-}
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -113,6 +113,7 @@
 struct RunnerState {
     received: Vec<ReceivedCall>,
     early_close_count: u32,
+    limit: Option<Box<str>>,
 }
 
 /// The stand-in; once its script is empty it answers each call with a complete answer.
@@ -190,6 +191,11 @@
         self.state.lock().expect("the state lock is poisoned").received.clone()
     }
 
+    /// Sets the limit on the rate of calls that the runner names in its signed answers.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.state.lock().expect("the state lock is poisoned").limit = limit.map(Into::into);
+    }
+
     /// Number of connections that the router closed while a call on them had no complete answer.
     pub fn early_close_count(&self) -> u32 {
         self.state.lock().expect("the state lock is poisoned").early_close_count
@@ -370,7 +376,12 @@
 
     fn signed_head(&self, status: u16, id: &str) -> String {
         let signature = format!("Runner-Signature: sig.{}\r\n", self.id);
-        format!("HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\n{signature}Runner-Load: 1,0,8\r\n")
+        let state = self.state.lock().expect("the state lock is poisoned");
+        let limit = state.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
+        let limit = limit.unwrap_or_default();
+        format!(
+            "HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\n{signature}{limit}Runner-Load: 1,0,8\r\n"
+        )
     }
 
     fn signed_answer(&self, status: u16, id: &str, body: &str) -> String {
--- a/crates/policy-targets/src/rates.rs
+++ b/crates/policy-targets/src/rates.rs
@@ -21,7 +21,7 @@
 impl CallRate {
     /// Makes a rate from calls a second, bounded by the type; `None` if it is negative or no number.
     pub fn from_per_second(calls: f64) -> Option<Self> {
-        (calls >= 0.0).then(|| Self((calls * PER_SECOND) as u32))
+        (calls >= 0.0).then_some(Self((calls * PER_SECOND) as u32))
     }
 
     /// The rate in calls a second.
