Keep the limit that a target names over all routers together

Callers lost nothing yet; a target in need got as many calls as before it named a limit, so that it stayed in need for longer than necessary. Cause: no place read the limit. Class: a statement of a peer on what it can bear is forwarded and not acted upon. Change: the latest limit that any router received counts. Each router keeps the target's whole allowance, spends it by its own calls at once and by those of the others as they report running totals in heartbeats; late reports overdraw it. Between heartbeats routers take turns in using it. Calls that no target has room for are refused at once (1004), with times to return that follow each other at the rate of the limits. Targets are found by their hash through an index. Why it works: a call counts once on every router, however many heartbeats are lost, so the sum over all routers is the limit plus what is sent within one heartbeat. A heartbeat with all lists full fits into its datagram.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -5,6 +5,7 @@
 mod ends;
 mod snapshots;
 
+pub use self::beats::heartbeat_interval;
 pub use self::snapshots::{EngineAddress, PeerSnapshot, SegmentHolders};
 
 use std::collections::BTreeMap;
@@ -19,7 +20,8 @@
 
 use crate::{
     CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, TargetEntry, TargetStatus,
-    call::CallState, crashes::CrashReporter, peers::PeerRegistry, targets::TargetTable,
+    call::CallState, crashes::CrashReporter, limits::ReturnQueue, peers::PeerRegistry,
+    targets::TargetTable,
 };
 
 /// Prompt segments whose holders are kept; each takes about 300 bytes.
@@ -85,6 +87,7 @@
     retry_budgets: BTreeMap<PoolName, WindowBudget>,
     segments: SegmentDirectory,
     crashes: CrashReporter,
+    return_queues: BTreeMap<PoolName, ReturnQueue>,
     /// Pairs of a prompt segment and a target hash that the other routers do not know yet.
     unreported_holders: Vec<(u64, u64)>,
     calls: BTreeMap<CallKey, CallState>,
@@ -109,6 +112,7 @@
             retry_budgets: BTreeMap::new(),
             segments: SegmentDirectory::new(DIRECTORY_SEGMENTS_MAX),
             crashes: CrashReporter::default(),
+            return_queues: BTreeMap::new(),
             unreported_holders: Vec::new(),
             calls: BTreeMap::new(),
             next_call_key: 0,
@@ -246,7 +250,7 @@
             own_in_flight: record.own_in_flight,
             peer_in_flight: self.peer_loads.load(record.target_hash),
             failure_rate: record.failure_rate.rate(now),
-            rate_limit: record.limit.rate,
+            rate_limit: record.allowance.limit().rate,
             cached_segments: self.segments.segment_count(record.target_hash),
             phase: record.lifecycle.phase(now),
         });
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -1,12 +1,13 @@
 //! Heartbeats between routers, and the list of routers that callers use.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use base_types::{HostName, LoadShare, TargetLoad, TimePoint};
 
+use policy_routing::stable_hash;
 use policy_targets::OutcomeCount;
 
-use crate::{ForwardCore, PeerHeartbeat, RouterEntry, TargetOutcomes};
+use crate::{ForwardCore, LimitNotice, PeerHeartbeat, RouterEntry, TargetOutcomes};
 
 /// Largest number of segment holders in one heartbeat, so that it fits into a datagram.
 const SEGMENT_HOLDERS_MAX: usize = 200;
@@ -15,10 +16,29 @@
 /// next one.
 const REPORTED_TARGETS_MAX: usize = 64;
 
+/// Largest number of targets whose limits are reported in one heartbeat.
+const LIMIT_NOTICES_MAX: usize = 32;
+
 /// Number of finished calls without a failure after which they are reported; a failure is reported
 /// in the next heartbeat.
 const SUCCESSES_PER_REPORT: u32 = 6;
 
+/// Heartbeat interval in a small fleet. What peers know of this router's load is at most this old,
+/// plus transit.
+const HEARTBEAT_INTERVAL_MIN: Duration = Duration::from_millis(100);
+
+/// Heartbeat interval per router: from 10 to 50 routers a router sends 100 datagrams per second; above
+/// that the interval is capped at [`HEARTBEAT_INTERVAL_MAX`].
+const HEARTBEAT_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(10);
+
+/// Longest heartbeat interval; a router counts as failed after three such intervals of silence.
+const HEARTBEAT_INTERVAL_MAX: Duration = Duration::from_millis(500);
+
+/// Returns the interval between two heartbeats of a router, by the number of routers.
+pub fn heartbeat_interval(routers: u32) -> Duration {
+    (HEARTBEAT_INTERVAL_PER_ROUTER * routers).clamp(HEARTBEAT_INTERVAL_MIN, HEARTBEAT_INTERVAL_MAX)
+}
+
 impl ForwardCore {
     /// Replaces the list of routers; the entry of this router is ignored.
     pub fn list_routers(&mut self, entries: Vec<RouterEntry>) {
@@ -63,6 +83,7 @@
             segment_holders,
             outcomes: self.take_unreported_outcomes(),
             content: self.crashes.next_report(now),
+            limits: self.take_limit_notices(now),
         }
     }
 
@@ -77,6 +98,29 @@
         reported.collect()
     }
 
+    fn take_limit_notices(&mut self, now: TimePoint) -> Vec<LimitNotice> {
+        let due = self.targets.iter_mut().filter(|record| record.limit_report.is_due());
+        let notices = due.take(LIMIT_NOTICES_MAX).map(|record| {
+            record.limit_report.next_notice(now, record.target_hash, record.allowance.limit())
+        });
+        notices.collect()
+    }
+
+    fn on_limit_notices(&mut self, now: TimePoint, heartbeat: &PeerHeartbeat) {
+        let incarnation =
+            stable_hash(heartbeat.entry.name.as_str().as_bytes()) ^ heartbeat.entry.incarnation;
+        for notice in &heartbeat.limits {
+            if let Some(record) = self.targets.find_by_hash_mut(notice.target_hash) {
+                record.allowance.on_named(now, notice.statement(now));
+                let calls = record.limit_report.on_peer_notice(incarnation, notice);
+                record.allowance.spend(now, calls);
+                if record.allowance.limit().rate.is_none() {
+                    record.limit_report.forget_peers();
+                }
+            }
+        }
+    }
+
     /// Handles a heartbeat of another router; a heartbeat of this one is ignored.
     pub fn on_heartbeat(&mut self, now: TimePoint, heartbeat: PeerHeartbeat) {
         if heartbeat.entry.name == self.entry.name {
@@ -93,6 +137,7 @@
             self.segments.record_pending(now, *segment, *target_hash);
         }
         self.crashes.on_report(now, &heartbeat.content);
+        self.on_limit_notices(now, &heartbeat);
         self.peer_loads.record_share(now, heartbeat.load_share);
     }
 
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -5,12 +5,13 @@
 use base_types::{ContentKey, NotRunCode, Refusal, TargetKey, TimePoint, UnknownCode};
 use policy_retries::ContentVerdict;
 use policy_routing::{
-    CostChoice, CostQuery, CostView, choose_cheapest, rendezvous_score, stable_hash,
+    CostChoice, CostQuery, CostView, choose_cheapest, rendezvous_score, stable_hash, unit_hash,
 };
 
 use crate::{
     AttemptSpec, CallKey, ChoiceInputs, DispatchStep, ForwardCore, PromptHead,
     call::{CallState, CurrentAttempt},
+    heartbeat_interval,
     targets::TargetRecord,
 };
 
@@ -38,6 +39,10 @@
 /// percentage falls by one for each router, as heartbeats are less frequent in a larger fleet.
 const HEADROOM_PERCENT_MIN: u32 = 50;
 
+/// Routers that may use the allowance of a target between two heartbeats, beside those whose calls the
+/// target takes in that time.
+const CONTENDERS_MIN: f64 = 1.0;
+
 /// Number of attempts with outcome `Unsent` after which a call is refused.
 const UNSENT_ATTEMPTS_MAX: u32 = 4;
 
@@ -68,7 +73,7 @@
             return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
         }
         let Some(choice) = self.choose_target(now, state) else {
-            return refuse(now, state, NotRunCode::NoTarget, UnknownCode::TargetLost);
+            return self.refuse_without_target(now, state);
         };
         if state.attempts > 0 && !self.spend_retry(now, state) {
             return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
@@ -91,6 +96,42 @@
         self.crashes.tracker.verdict(now, &state.content_keys, may_try)
     }
 
+    /// Whether this router may use the allowance of a target that names a limit. While other routers do
+    /// not know of each other's latest calls, only a few of them may use it, others after each
+    /// heartbeat.
+    fn is_contender(&self, now: TimePoint, record: &TargetRecord) -> bool {
+        let Some(rate) = record.allowance.rate() else { return true };
+        let routers = self.router_count();
+        let interval = heartbeat_interval(routers);
+        let contenders = CONTENDERS_MIN + rate * interval.as_secs_f64();
+        let turn = now.0 / interval.as_micros() as u64;
+        let hash = stable_hash(self.entry.name.as_str().as_bytes()) ^ record.target_hash ^ turn;
+        unit_hash(hash) * f64::from(routers) < contenders
+    }
+
+    /// Refuses a call that no target takes. If that is because of limits that targets name, its caller
+    /// may return when one of them has room; callers are told different times.
+    fn refuse_without_target(&mut self, now: TimePoint, state: &CallState) -> DispatchStep {
+        let routers = self.router_count();
+        let turn = heartbeat_interval(routers);
+        let (mut room_at, mut rate) = (TimePoint::NEVER, 0.0);
+        for (target, record) in self.targets.responding(now, &state.pool) {
+            if !record.accepts_calls(now) || state.attempted_targets.contains(&target) {
+                continue;
+            }
+            let turn_at = if self.is_contender(now, record) { now } else { now.after(turn) };
+            room_at = room_at.min(record.allowance.room_at(now).max(turn_at));
+            rate += record.allowance.rate().unwrap_or(0.0);
+        }
+        if room_at == TimePoint::NEVER {
+            return refuse(now, state, NotRunCode::NoTarget, UnknownCode::TargetLost);
+        }
+        let interval = Duration::from_secs_f64(f64::from(routers) / rate);
+        let queue = self.return_queues.entry(state.pool.clone()).or_default();
+        let return_at = queue.next_return(now, room_at, interval, state.deadline);
+        refuse_until(state, NotRunCode::TargetsFull, UnknownCode::TargetLost, return_at)
+    }
+
     fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
         let bounds = self.retry_bounds();
         let routers = self.router_count();
@@ -178,7 +219,9 @@
             failure_rate: record.failure_rate.rate(now),
             ejected: record.is_ejected(now),
             unreachable: record.is_unreachable(now),
-            excluded: state.attempted_targets.contains(&target) || !record.accepts_calls(now),
+            excluded: state.attempted_targets.contains(&target)
+                || !record.can_be_sent_calls(now)
+                || !self.is_contender(now, record),
         });
         views.collect()
     }
@@ -206,6 +249,8 @@
         let fetch_from = fetch_from.map(|record| record.entry.address);
         let record = self.targets.get_mut(choice.target)?;
         record.own_in_flight += 1;
+        record.allowance.spend(now, 1);
+        record.limit_report.on_send(&record.allowance);
         record.prefill_tokens += u64::from(choice.prefill_tokens);
         let target_hash = record.target_hash;
         let attempt = AttemptSpec {
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -32,8 +32,12 @@
         target: TargetKey,
         rate: Option<CallRate>,
     ) -> bool {
-        let statement = NamedLimit { rate, named_at: now };
-        self.targets.get_mut(target).is_some_and(|record| record.limit.update(statement))
+        let Some(record) = self.targets.get_mut(target) else { return false };
+        let is_changed = record.allowance.on_named(now, NamedLimit { rate, named_at: now });
+        if is_changed {
+            record.limit_report.schedule();
+        }
+        is_changed
     }
 
     /// Records that the answer of the attempt in progress is complete, and known to be: it has a
--- a/crates/core-forward/src/crashes.rs
+++ b/crates/core-forward/src/crashes.rs
@@ -9,10 +9,10 @@
 const REPORTS_PER_NOTICE: u8 = 3;
 
 /// Largest number of pieces of content in the crash notices of one heartbeat.
-const REPORTED_CONTENT_MAX: usize = 128;
+const REPORTED_CONTENT_MAX: usize = 64;
 
 /// Largest number of pieces of sound content in one heartbeat.
-const REPORTED_SOUND_MAX: usize = 64;
+const REPORTED_SOUND_MAX: usize = 32;
 
 /// Largest number of blocks in one heartbeat.
 const REPORTED_BLOCKS_MAX: usize = 32;
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod call;
 mod core;
 mod crashes;
+mod limits;
 mod peers;
 mod targets;
 
@@ -18,8 +19,12 @@
         AttemptOutcome, AttemptSpec, CallHead, CallKey, ChoiceInputs, DispatchStep, PromptHead,
         PromptSegment,
     },
-    core::{AdmittedCall, EngineAddress, ForwardCore, ForwardStatus, PeerSnapshot, SegmentHolders},
+    core::{
+        AdmittedCall, EngineAddress, ForwardCore, ForwardStatus, PeerSnapshot, SegmentHolders,
+        heartbeat_interval,
+    },
     crashes::{BlockNotice, ContentReport, CrashNotice},
+    limits::LimitNotice,
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
     targets::{TargetEntry, TargetStatus},
 };
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -5,7 +5,7 @@
 use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
 use policy_targets::OutcomeCount;
 
-use crate::ContentReport;
+use crate::{ContentReport, LimitNotice};
 
 /// Time for which a router counts as alive after its last heartbeat.
 const HEARTBEAT_TTL: Duration = Duration::from_millis(1_500);
@@ -47,6 +47,8 @@
         pub outcomes: Vec<TargetOutcomes>,
         /// Crashes of targets and the content that they ran.
         pub content: ContentReport,
+        /// Limits that targets name, and the calls that count against them.
+        pub limits: Vec<LimitNotice>,
     }
 }
 
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -11,9 +11,11 @@
 };
 use policy_routing::stable_hash;
 use policy_targets::{
-    CallRate, FailureRate, NamedLimit, OutcomeCount, TargetLifecycle, TargetPhase,
+    CallRate, FailureRate, OutcomeCount, RateAllowance, TargetLifecycle, TargetPhase,
 };
 
+use crate::limits::LimitReport;
+
 /// Time for which other engines may still fetch cached segments from a target that is draining,
 /// missing or replaced.
 const DRAINING_CACHE_TTL: Duration = Duration::from_secs(3);
@@ -87,8 +89,9 @@
     /// Prompt tokens of this router's calls in flight that the target has yet to prefill.
     pub(crate) prefill_tokens: u64,
     pub(crate) failure_rate: FailureRate,
-    /// Limit on the rate of calls that the target named.
-    pub(crate) limit: NamedLimit,
+    /// Calls within the limit that the target names.
+    pub(crate) allowance: RateAllowance,
+    pub(crate) limit_report: LimitReport,
     /// Outcomes not yet reported to the other routers.
     pub(crate) unreported_outcomes: OutcomeCount,
     /// Time until which the target is assumed to accept no connections.
@@ -113,6 +116,7 @@
 pub(crate) struct TargetTable {
     records: BTreeMap<TargetKey, TargetRecord>,
     keys_by_name: BTreeMap<HostName, TargetKey>,
+    keys_by_hash: BTreeMap<u64, TargetKey>,
     next_key: u32,
     /// Until this time, a missing entry does not count as removed.
     relist_until: TimePoint,
@@ -128,7 +132,8 @@
             own_in_flight: 0,
             prefill_tokens: 0,
             failure_rate: FailureRate::default(),
-            limit: NamedLimit::default(),
+            allowance: RateAllowance::default(),
+            limit_report: LimitReport::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             unreachable_until: TimePoint(0),
             next_probe_at: TimePoint(0),
@@ -154,6 +159,11 @@
         self.listed && !self.entry.draining && !is_draining && !self.delist_at.passed(now)
     }
 
+    /// Whether a call may be sent to the target now.
+    pub(crate) fn can_be_sent_calls(&self, now: TimePoint) -> bool {
+        self.accepts_calls(now) && self.allowance.has_room(now)
+    }
+
     /// Whether the target is ejected after a failure.
     pub(crate) fn is_ejected(&self, now: TimePoint) -> bool {
         matches!(self.lifecycle.phase(now), TargetPhase::Held(_))
@@ -220,6 +230,7 @@
         Self {
             records: BTreeMap::new(),
             keys_by_name: BTreeMap::new(),
+            keys_by_hash: BTreeMap::new(),
             next_key: 0,
             relist_until: TimePoint(0),
         }
@@ -269,7 +280,9 @@
         let key = TargetKey(self.next_key);
         self.next_key += 1;
         self.keys_by_name.insert(entry.name.clone(), key);
-        self.records.insert(key, TargetRecord::new(entry));
+        let record = TargetRecord::new(entry);
+        self.keys_by_hash.insert(record.target_hash, key);
+        self.records.insert(key, record);
     }
 
     /// Marks an entry as missing from the list. Shortly after an outage of the platform, it gets
@@ -297,7 +310,7 @@
                 record.listed = false;
             }
         }
-        let keys_by_name = &mut self.keys_by_name;
+        let (keys_by_name, keys_by_hash) = (&mut self.keys_by_name, &mut self.keys_by_hash);
         let mut removed_hashes = Vec::new();
         self.records.retain(|key, record| {
             let is_kept =
@@ -305,6 +318,9 @@
             if !is_kept && keys_by_name.get(&record.entry.name) == Some(key) {
                 keys_by_name.remove(&record.entry.name);
             }
+            if !is_kept && keys_by_hash.get(&record.target_hash) == Some(key) {
+                keys_by_hash.remove(&record.target_hash);
+            }
             if !is_kept {
                 removed_hashes.push(record.target_hash);
             }
@@ -325,6 +341,10 @@
         self.records.values_mut()
     }
 
+    pub(crate) fn find_by_hash_mut(&mut self, target_hash: u64) -> Option<&mut TargetRecord> {
+        self.records.get_mut(self.keys_by_hash.get(&target_hash)?)
+    }
+
     /// Records the outcomes of another router's calls to a target; ignored when the target is
     /// unknown.
     pub(crate) fn record_peer_outcomes(
@@ -333,8 +353,7 @@
         target_hash: u64,
         counts: OutcomeCount,
     ) {
-        let record = self.records.values_mut().find(|record| record.target_hash == target_hash);
-        if let Some(record) = record {
+        if let Some(record) = self.find_by_hash_mut(target_hash) {
             record.failure_rate.record(now, counts);
         }
     }
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -7,8 +7,8 @@
     test_cases,
 };
 use core_forward::{
-    AttemptOutcome, AttemptSpec, CallHead, CallKey, DispatchStep, ForwardBounds, ForwardCore,
-    PromptHead, PromptSegment, RouterEntry, TargetEntry,
+    AttemptOutcome, AttemptSpec, CallHead, CallKey, CallRate, DispatchStep, ForwardBounds,
+    ForwardCore, PromptHead, PromptSegment, RouterEntry, TargetEntry,
 };
 use proptest::prelude::*;
 use state_config::{
@@ -533,6 +533,34 @@
     assert_eq!(reported, 200);
 }
 
+/// All lists of a heartbeat are full: loads, segments, outcomes, crashes, blocks and limits.
+#[test]
+fn a_full_heartbeat_fits_into_a_datagram() {
+    const DATAGRAM_BYTES_MAX: usize = 8_192;
+    let mut core = core_of(RetryRule::AtMostOnceStream, 1, 90);
+    let limit = CallRate::from_per_second(4_000_000.0);
+    let segment = |id: u64| PromptSegment { id: u64::MAX - id, tokens: 100 };
+    for second in 1..40 {
+        let now = TimePoint(second * 1_000_000);
+        for number in 0..90u64 {
+            let segments = (0..40).chain([1_000 + number]).map(segment).collect();
+            let prompt = PromptHead { input_tokens: 500, output_tokens: 1, segments };
+            let call = admit(&mut core, now, Some(prompt));
+            let Some(attempt) = send(&mut core, now, call) else { continue };
+            core.on_rate_limit(now, attempt.target, limit);
+            if number % 6 == 0 {
+                core.on_attempt_finished(now, call, Lost);
+                core.on_target_unreachable(now, attempt.target);
+            }
+        }
+        let later = now.after(Duration::from_millis(700));
+        let heartbeat = core.next_heartbeat(later);
+        let bytes = postcard::to_stdvec(&heartbeat).expect("encoded").len();
+        assert!(bytes <= DATAGRAM_BYTES_MAX, "{bytes} bytes at {second} s");
+    }
+    assert!(core.status(TimePoint(40_000_000)).blocked_content > 32, "the list of blocks is full");
+}
+
 /// A holder of the prompt has two calls in flight, two other targets have none. Checks whether a
 /// router in a fleet of this size chooses the holder or fetches from it.
 fn check_load_headroom(routers: u16, chooses_holder: bool) {
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -2,22 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use core_forward::{BlockChange, PeerHeartbeat};
+use core_forward::{BlockChange, PeerHeartbeat, heartbeat_interval};
 use tokio::{net::UdpSocket, time::Instant};
 
 use crate::ForwardState;
 
-/// Heartbeat interval in a small fleet. What peers know of this router's load is at most this old,
-/// plus transit.
-const HEARTBEAT_INTERVAL_MIN: Duration = Duration::from_millis(100);
-
-/// Heartbeat interval per peer: from 10 to 50 peers a router sends 100 datagrams per second; above
-/// that the interval is capped at [`HEARTBEAT_INTERVAL_MAX`].
-const HEARTBEAT_INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
-
-/// Longest heartbeat interval; a router counts as failed after three such intervals of silence.
-const HEARTBEAT_INTERVAL_MAX: Duration = Duration::from_millis(500);
-
 /// Divisor of the interval after a wakeup (a new attempt or fetched segments).
 const URGENT_DIVISOR: u32 = 4;
 
@@ -34,7 +23,7 @@
     let mut datagram = vec![0; DATAGRAM_MAX];
     let mut schedule = HeartbeatSchedule {
         last_sent_at: Instant::now(),
-        interval: HEARTBEAT_INTERVAL_MIN,
+        interval: heartbeat_interval(0),
         urgent: false,
     };
     loop {
@@ -48,8 +37,7 @@
             () = state.heartbeat_wakeup().notified(), if !schedule.urgent => schedule.urgent = true,
             () = tokio::time::sleep_until(schedule.next_at()) => {
                 let peer_count = send_heartbeat(&state, &socket).await;
-                let interval = (HEARTBEAT_INTERVAL_PER_PEER * peer_count as u32)
-                    .clamp(HEARTBEAT_INTERVAL_MIN, HEARTBEAT_INTERVAL_MAX);
+                let interval = heartbeat_interval(peer_count as u32);
                 schedule =
                     HeartbeatSchedule { last_sent_at: Instant::now(), interval, urgent: false };
             }
--- a/crates/policy-targets/src/lib.rs
+++ b/crates/policy-targets/src/lib.rs
@@ -11,5 +11,5 @@
 pub use crate::{
     life::{TargetLifecycle, TargetPhase},
     outcomes::{FailureRate, OutcomeCount},
-    rates::{CallRate, NamedLimit},
+    rates::{CallRate, NamedLimit, RateAllowance},
 };
