End a stream whose event does not end

Callers of a stream got bytes without an event until their deadline, or nothing at all where the stream may be resumed. Cause: the length of an event was not limited. On routes whose streams may be resumed, the incomplete event is kept in memory, so that an engine that sends bytes without end could exhaust it. Change: an event above 256 KiB counts as a stream that broke off, which is resumed elsewhere or cut. Why it works: the position in the stream counts the bytes since the last complete event, whatever the framing. Complete events that arrive before are forwarded first. Not changed: a buffered answer is kept up to 16 MiB.

--- a/crates/fakes/src/gateway.rs
+++ b/crates/fakes/src/gateway.rs
@@ -10,7 +10,8 @@
     http::{HttpConnection, HttpMessage},
     ports::free_address,
     runner::{
-        ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn, StreamFraming, event_text,
+        EndlessPart, ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn, StreamFraming,
+        event_text,
     },
     store::{StoreMode, StoreStandIn},
 };
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -9,7 +9,12 @@
 };
 
 use serde_json::{Value, json};
-use tokio::{io::AsyncReadExt, net::TcpListener, sync::watch, time::Instant};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    sync::watch,
+    time::Instant,
+};
 
 use super::{HttpConnection, HttpMessage};
 
@@ -58,11 +63,26 @@
         /// How the stream ends.
         framing: StreamFraming,
     },
+    /// Bytes without end, until the connection closes.
+    Endless(EndlessPart),
     /// The runner begins an answer and crashes: it breaks off all its answers and takes no further
     /// connections.
     Crash,
 }
 
+/// Part of an answer that has no end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndlessPart {
+    /// The head.
+    Head,
+    /// A body in chunks.
+    Chunks,
+    /// A body without a length or chunks.
+    Body,
+    /// The first event of a stream.
+    Event,
+}
+
 /// How a runner marks the end of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamFraming {
@@ -76,6 +96,9 @@
     Reset,
 }
 
+/// Number of repeated pieces in one write of an answer without end.
+const ENDLESS_REPEATS: usize = 16_384;
+
 /// Replies to the next calls, shared by all runners: whichever runner a call reaches takes the
 /// next reply.
 pub type ReplyScript = Arc<Mutex<VecDeque<Reply>>>;
@@ -304,6 +327,10 @@
                 let partial_event = &event_text(last + 1)[..partial_bytes];
                 return self.end_events(connection, request, last, partial_event, framing).await;
             }
+            Reply::Endless(part) => {
+                self.send_without_end(connection, &id, part).await;
+                return AfterReply::Close;
+            }
             Reply::Crash => {
                 self.send_events(connection, request, 1, "id").await;
                 self.crashed.send_replace(true);
@@ -342,6 +369,25 @@
         }
     }
 
+    /// Sends bytes until the connection closes.
+    async fn send_without_end(&self, connection: &mut HttpConnection, id: &str, part: EndlessPart) {
+        let head = self.signed_head(200, id);
+        let (start, piece) = match part {
+            EndlessPart::Head => (head, "X-More: more\r\n".repeat(ENDLESS_REPEATS)),
+            EndlessPart::Chunks => {
+                let piece = chunk(&"x".repeat(ENDLESS_REPEATS));
+                (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), piece)
+            }
+            EndlessPart::Body => (format!("{head}\r\n"), "x".repeat(ENDLESS_REPEATS)),
+            EndlessPart::Event => {
+                let start = format!("{head}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ");
+                (start, "x".repeat(ENDLESS_REPEATS))
+            }
+        };
+        connection.send(start.as_bytes()).await;
+        while connection.stream.write_all(piece.as_bytes()).await.is_ok() {}
+    }
+
     /// Sends events; a stream with a partial event is left unfinished.
     async fn send_events(
         &self,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -20,8 +20,8 @@
     engine::run_engine,
     faults::{FaultSet, FaultState},
     gateway::{
-        HttpConnection, HttpMessage, ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn,
-        StoreMode, StoreStandIn, StreamFraming, event_text, free_address,
+        EndlessPart, HttpConnection, HttpMessage, ReceivedCall, Reply, ReplyRule, ReplyScript,
+        RunnerStandIn, StoreMode, StoreStandIn, StreamFraming, event_text, free_address,
     },
     platform::run_platform,
     serve::StandInError,
--- a/crates/io-forward/src/events.rs
+++ b/crates/io-forward/src/events.rs
@@ -25,6 +25,8 @@
     event_started: bool,
     /// Whether an event was completed.
     event_completed: bool,
+    /// Bytes since the last place where the stream may end.
+    pending_bytes: usize,
     /// Whether the last byte was a CR, which a LF may complete to one line end.
     after_carriage_return: bool,
 }
@@ -46,6 +48,11 @@
         }
     }
 
+    /// Bytes of the event, or line, that is incomplete.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending_bytes
+    }
+
     /// Whether an event has started and its end is missing, or a line is incomplete.
     pub fn is_inside_event(&self) -> bool {
         self.event_started || self.line != LinePosition::Start
@@ -57,6 +64,11 @@
     }
 
     fn advance_byte(&mut self, byte: u8) {
+        self.advance_line(byte);
+        self.pending_bytes = if self.is_inside_event() { self.pending_bytes + 1 } else { 0 };
+    }
+
+    fn advance_line(&mut self, byte: u8) {
         let completes_line_end = byte == b'\n' && self.after_carriage_return;
         self.after_carriage_return = byte == b'\r';
         if completes_line_end {
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -173,10 +173,14 @@
                 let call = self.call.admitted.call;
                 self.call.state.with_core(|core, now| core.on_response_started(now, call));
             }
-            let Some(bytes) = self.content.push(chunk) else { continue };
-            if self.chunks.send(bytes).await.is_err() {
+            if let Some(bytes) = self.content.push(chunk)
+                && self.chunks.send(bytes).await.is_err()
+            {
                 return StreamEnd::CallerDisconnected;
             }
+            if self.content.has_oversized_event() {
+                return StreamEnd::Broken("an event is too long".into());
+            }
         }
     }
 
--- a/crates/io-forward/src/relay/content.rs
+++ b/crates/io-forward/src/relay/content.rs
@@ -9,6 +9,9 @@
 /// Content type of event streams, which parameters may follow.
 const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
 
+/// Limit on the bytes of one event. An incomplete event is kept in memory if its stream is resumable.
+const EVENT_BYTES_MAX: usize = 256 * 1024;
+
 /// Content of the response to a call on a streaming route.
 #[derive(Debug)]
 pub(super) enum StreamContent {
@@ -67,6 +70,11 @@
         None
     }
 
+    /// Whether the incomplete event is longer than any event may be.
+    pub(super) fn has_oversized_event(&self) -> bool {
+        self.position().is_some_and(|position| position.pending_bytes() > EVENT_BYTES_MAX)
+    }
+
     /// Position in the stream of the current target; `None` if there are no events.
     pub(super) fn position(&self) -> Option<EventPosition> {
         match self {
