Report all content that was lost in a crash, however much it is

Callers would have got broken streams for longer where few routers carry many calls: content that crashes targets was not reported to the other routers. Cause: the content of one crash was cut to what fits into one heartbeat, always the same keys. Class: a bound on a message silently bounds what is known. Evidence: found in reading; a test in which 60 calls are lost with one target failed, 64 of 181 keys were reported. Change: the content is split into several notices, which follow each other in heartbeats. Measured: all 181 keys are reported; the test passes.

--- a/crates/core-forward/src/crashes.rs
+++ b/crates/core-forward/src/crashes.rs
@@ -83,13 +83,13 @@
     ) {
         let sound = self.tracker.record_crash(now, crashed_at, target_hash, &content);
         content.retain(|key| !sound.contains(key));
-        content.truncate(REPORTED_CONTENT_MAX);
-        self.unreported_crashes.push(UnreportedCrash {
+        let pieces = content.chunks(REPORTED_CONTENT_MAX).map(|piece| UnreportedCrash {
             target_hash,
             crashed_at,
-            content,
+            content: piece.to_vec(),
             reports_left: REPORTS_PER_NOTICE,
         });
+        self.unreported_crashes.extend(pieces);
     }
 
     /// Records that a call was answered completely.
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -533,6 +533,31 @@
     assert_eq!(reported, 200);
 }
 
+/// More content is lost in a crash than fits into one heartbeat; another router learns all of it.
+#[test]
+fn content_of_a_large_crash_is_split_over_heartbeats() {
+    let mut core = core_of(RetryRule::AtMostOnceStream, 1, 1);
+    let now = TimePoint(1_000_000);
+    let mut lost_target = None;
+    for number in 0..60 {
+        let segments = [100, 200 + number, 300 + number, 1_000 + number];
+        let segments = segments.map(|id| PromptSegment { id, tokens: 100 }).to_vec();
+        let prompt = PromptHead { input_tokens: 400, output_tokens: 1, segments };
+        let call = admit(&mut core, TimePoint(now.0 + number), Some(prompt));
+        lost_target = send(&mut core, now, call).map(|attempt| attempt.target);
+        core.on_attempt_finished(now, call, Lost);
+    }
+    core.on_target_unreachable(now, lost_target.expect("sent"));
+    let mut reported = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        let crashes = core.next_heartbeat(now).content.crashes;
+        assert!(crashes.iter().map(|notice| notice.content.len()).sum::<usize>() <= 64);
+        reported.extend(crashes.into_iter().flat_map(|notice| notice.content));
+    }
+    // The shared segment, two segments of each call, and each request.
+    assert_eq!(reported.len(), 1 + 3 * 60);
+}
+
 /// All lists of a heartbeat are full: loads, segments, outcomes, crashes, blocks and limits.
 #[test]
 fn a_full_heartbeat_fits_into_a_datagram() {
