Read and log the announcement of a target that it leaves

Callers and targets are not concerned yet. No decision depends on it. An answer of another target at the same address (421), or to another call, announces nothing.

--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -6,7 +6,7 @@
 use policy_retries::BlockChange;
 use policy_targets::{CallRate, NamedLimit};
 
-use crate::{AttemptOutcome, CallKey, ForwardCore, call::CallState};
+use crate::{AttemptOutcome, CallKey, ForwardCore, LeavingNotice, call::CallState};
 
 /// Time after the start of a response after which its content is not the cause of a crash: content
 /// that crashes a target does so as the answer begins.
@@ -40,6 +40,18 @@
         is_changed
     }
 
+    /// Records that a target announced in an answer that it leaves; returns what the list says of the
+    /// target if the announcement is new.
+    pub fn on_leaving_announced(
+        &mut self,
+        now: TimePoint,
+        target: TargetKey,
+    ) -> Option<LeavingNotice> {
+        let record = self.targets.get_mut(target)?;
+        let is_new = !std::mem::replace(&mut record.announced_leaving, true);
+        is_new.then(|| LeavingNotice { listed_as_serving: record.accepts_calls(now) })
+    }
+
     /// Records that the answer of the attempt in progress is complete, and known to be: it has a
     /// length or chunks, and so did not end because the target crashed.
     pub fn on_answer_complete(&mut self, now: TimePoint, key: CallKey) {
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -26,7 +26,7 @@
     crashes::{BlockNotice, ContentReport, CrashNotice},
     limits::LimitNotice,
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
-    targets::{TargetEntry, TargetStatus},
+    targets::{LeavingNotice, TargetEntry, TargetStatus},
 };
 pub use policy_retries::BlockChange;
 pub use policy_targets::CallRate;
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -7,7 +7,7 @@
 };
 
 use base_types::{
-    ContentKey, HostName, PoolName, TargetKey, TimePoint, message_types, value_types,
+    ContentKey, HostName, PoolName, TargetKey, TimePoint, key_types, message_types, value_types,
 };
 use policy_routing::stable_hash;
 use policy_targets::{
@@ -78,6 +78,14 @@
     }
 }
 
+key_types! {
+    /// First announcement of a target that it leaves.
+    pub struct LeavingNotice {
+        /// Whether the list still named the target as one that accepts calls.
+        pub listed_as_serving: bool,
+    }
+}
+
 /// State of one target; outlives its entry in the list while calls are in flight or its cache can
 /// be fetched.
 #[derive(Debug)]
@@ -103,6 +111,8 @@
     /// Content of the calls that the target lost, since `content_lost_at`.
     pub(crate) lost_content: BTreeSet<ContentKey>,
     content_lost_at: TimePoint,
+    /// Whether the target announced in an answer that it leaves.
+    pub(crate) announced_leaving: bool,
     listed: bool,
     /// Time at which a missing entry counts as removed; `NEVER` while it is listed.
     delist_at: TimePoint,
@@ -140,6 +150,7 @@
             next_crash_probe_at: TimePoint(0),
             lost_content: BTreeSet::new(),
             content_lost_at: TimePoint(0),
+            announced_leaving: false,
             listed: true,
             delist_at: TimePoint::NEVER,
             fetchable_until: TimePoint::NEVER,
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -267,6 +267,7 @@
         let status = started.response.status().as_u16();
         if let ExecutionStatus::Executed | ExecutionStatus::Declined = started.head.execution {
             self.record_rate_limit(&started);
+            self.record_leaving(&started);
         }
         match started.head.execution {
             ExecutionStatus::Executed => return Some(started),
@@ -413,6 +414,21 @@
         }
     }
 
+    fn record_leaving(&self, started: &StartedResponse) {
+        let target = started.attempt.target;
+        if !started.head.announces_leaving {
+            return;
+        }
+        if let Some(notice) =
+            self.state.with_core(|core, now| core.on_leaving_announced(now, target))
+        {
+            log::info!(
+                target = &*started.attempt.name, listed = notice.listed_as_serving;
+                "target announced that it leaves"
+            );
+        }
+    }
+
     /// Reports to the core that a target answered completely, if the response's framing shows so.
     pub(crate) fn record_complete_answer(&self, progress: &BodyProgress, status: u16) {
         let is_success = StatusCode::from_u16(status).is_ok_and(|status| status.is_success());
