Reproduce calls to targets that announced that they leave

A stand-in runner can announce in all its answers that it leaves, while its entry in the store still says that it serves. Calls were sent on when all targets of the pool had announced it.

--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -137,6 +137,14 @@
     received: Vec<ReceivedCall>,
     early_close_count: u32,
     limit: Option<Box<str>>,
+    leaving: Option<Box<str>>,
+}
+
+impl RunnerState {
+    fn leaving_header(&self) -> String {
+        let value = self.leaving.as_ref();
+        value.map(|value| format!("Server-Leaving: {value}\r\n")).unwrap_or_default()
+    }
 }
 
 /// The stand-in; once its script is empty it answers each call with a complete answer.
@@ -219,6 +227,11 @@
         self.state.lock().expect("the state lock is poisoned").limit = limit.map(Into::into);
     }
 
+    /// Sets the announcement that the runner makes in all its answers; `1` says that it leaves.
+    pub fn announce_leaving(&self, value: Option<&str>) {
+        self.state.lock().expect("the state lock is poisoned").leaving = value.map(Into::into);
+    }
+
     /// Number of connections that the router closed while a call on them had no complete answer.
     pub fn early_close_count(&self) -> u32 {
         self.state.lock().expect("the state lock is poisoned").early_close_count
@@ -290,18 +303,20 @@
             Reply::Foreign => connection.send(complete("feedfeedfeedfeed").as_bytes()).await,
             Reply::Unsigned => {
                 let answer =
-                    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n{}", self.empty_body_head());
                 connection.send(answer.as_bytes()).await;
             }
             Reply::Failure => {
                 connection.send(self.signed_answer(500, &id, "failed").as_bytes()).await
             }
             Reply::Declined => {
-                let answer = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+                let end = self.empty_body_head();
+                let answer = format!("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n{end}");
                 connection.send(answer.as_bytes()).await;
             }
             Reply::Misdirected => {
-                let answer = "HTTP/1.1 421 X\r\nRunner-Id: other\r\nContent-Length: 0\r\n\r\n";
+                let end = self.empty_body_head();
+                let answer = format!("HTTP/1.1 421 X\r\nRunner-Id: other\r\n{end}");
                 connection.send(answer.as_bytes()).await;
             }
             Reply::Cut => return AfterReply::Close,
@@ -424,12 +439,18 @@
         let signature = format!("Runner-Signature: sig.{}\r\n", self.id);
         let state = self.state.lock().expect("the state lock is poisoned");
         let limit = state.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
-        let limit = limit.unwrap_or_default();
+        let notices = limit.unwrap_or_default() + &state.leaving_header();
         format!(
-            "HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\n{signature}{limit}Runner-Load: 1,0,8\r\n"
+            "HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\n{signature}{notices}Runner-Load: 1,0,8\r\n"
         )
     }
 
+    /// End of the head of an answer without a body.
+    fn empty_body_head(&self) -> String {
+        let state = self.state.lock().expect("the state lock is poisoned");
+        format!("{}Content-Length: 0\r\n\r\n", state.leaving_header())
+    }
+
     fn signed_answer(&self, status: u16, id: &str, body: &str) -> String {
         format!("{}Content-Length: {}\r\n\r\n{body}", self.signed_head(status, id), body.len())
     }
