Send no calls to a target that announced that it leaves

Targets that had said in an answer that they leave got calls for as long as their entry in the store said that they serve; callers lost those calls when the target ended. Cause: no place read the announcement. Class: a statement that a peer makes about itself in an answer is forwarded and not acted upon, because only the list counts. Evidence: nine tests failed, with 10 to 24 of 24 calls sent two seconds later. Change: from the announcement on, this start of the target gets nothing. Entries that are written or listed again do not undo it, also not after the target was forgotten: announcements are kept by name and start for 600 s after the target was last listed. An entry of another start does. Why it works: every attempt passes through one choice, which leaves out targets in the phase Leaving; a call that a caller sends after the announcement was passed on is dispatched after it was recorded.

--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -40,16 +40,14 @@
         is_changed
     }
 
-    /// Records that a target announced in an answer that it leaves; returns what the list says of the
-    /// target if the announcement is new.
+    /// Records that a target announced in an answer that it leaves: this start of it gets no further
+    /// calls. Returns what the list says of the target if the announcement is new.
     pub fn on_leaving_announced(
         &mut self,
         now: TimePoint,
         target: TargetKey,
     ) -> Option<LeavingNotice> {
-        let record = self.targets.get_mut(target)?;
-        let is_new = !std::mem::replace(&mut record.announced_leaving, true);
-        is_new.then(|| LeavingNotice { listed_as_serving: record.accepts_calls(now) })
+        self.targets.on_leaving_announced(now, target)
     }
 
     /// Records that the answer of the attempt in progress is complete, and known to be: it has a
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -37,6 +37,10 @@
 /// written again.
 const PLATFORM_RECONNECT_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time for which a leaving target is remembered after it was last listed; an entry of the same start
+/// may be listed again, for example by a store restored from an older copy.
+const LEAVING_TTL: Duration = Duration::from_secs(600);
+
 value_types! {
     /// Entry of a target in the platform's list.
     #[derive(Eq)]
@@ -111,8 +115,8 @@
     /// Content of the calls that the target lost, since `content_lost_at`.
     pub(crate) lost_content: BTreeSet<ContentKey>,
     content_lost_at: TimePoint,
-    /// Whether the target announced in an answer that it leaves.
-    pub(crate) announced_leaving: bool,
+    /// Whether the target announced in an answer that it leaves; true until it ends.
+    announced_leaving: bool,
     listed: bool,
     /// Time at which a missing entry counts as removed; `NEVER` while it is listed.
     delist_at: TimePoint,
@@ -128,6 +132,9 @@
     keys_by_name: BTreeMap<HostName, TargetKey>,
     keys_by_hash: BTreeMap<u64, TargetKey>,
     next_key: u32,
+    /// Hashes of the targets that announced that they leave, each until it is forgotten. Outlives the
+    /// record of a target that is no longer listed.
+    leaving_until: BTreeMap<u64, TimePoint>,
     /// Until this time, a missing entry does not count as removed.
     relist_until: TimePoint,
 }
@@ -163,7 +170,14 @@
         self.fetchable_until = self.fetchable_until.min(now.after(DRAINING_CACHE_TTL));
     }
 
-    /// Whether the target is listed and not draining, so that it may get new calls.
+    /// Ends new calls to the target for good.
+    fn mark_leaving(&mut self, now: TimePoint) {
+        self.announced_leaving = true;
+        self.lifecycle.on_leaving_listed(now);
+        self.limit_fetching(now);
+    }
+
+    /// Whether the target is listed and neither draining nor leaving, so that it may get new calls.
     pub(crate) fn accepts_calls(&self, now: TimePoint) -> bool {
         let is_draining =
             matches!(self.lifecycle.phase(now), TargetPhase::Leaving(_) | TargetPhase::Drained);
@@ -243,6 +257,7 @@
             keys_by_name: BTreeMap::new(),
             keys_by_hash: BTreeMap::new(),
             next_key: 0,
+            leaving_until: BTreeMap::new(),
             relist_until: TimePoint(0),
         }
     }
@@ -274,7 +289,7 @@
             if is_same_instance {
                 record.listed = true;
                 record.delist_at = TimePoint::NEVER;
-                if !entry.draining {
+                if !entry.draining && !record.announced_leaving {
                     record.fetchable_until = TimePoint::NEVER;
                     record.lifecycle.on_live(now);
                 }
@@ -291,7 +306,10 @@
         let key = TargetKey(self.next_key);
         self.next_key += 1;
         self.keys_by_name.insert(entry.name.clone(), key);
-        let record = TargetRecord::new(entry);
+        let mut record = TargetRecord::new(entry);
+        if self.leaving_until.contains_key(&record.target_hash) {
+            record.mark_leaving(now);
+        }
         self.keys_by_hash.insert(record.target_hash, key);
         self.records.insert(key, record);
     }
@@ -308,6 +326,20 @@
         }
     }
 
+    /// Records that a target announced that it leaves: from now on this start of it gets no calls,
+    /// whatever its entry says. Returns what the list says of the target if this is new.
+    pub(crate) fn on_leaving_announced(
+        &mut self,
+        now: TimePoint,
+        key: TargetKey,
+    ) -> Option<LeavingNotice> {
+        let record = self.records.get_mut(&key).filter(|record| !record.announced_leaving)?;
+        let notice = LeavingNotice { listed_as_serving: record.accepts_calls(now) };
+        record.mark_leaving(now);
+        self.leaving_until.insert(record.target_hash, now.after(LEAVING_TTL));
+        Some(notice)
+    }
+
     /// Starts the time in which missing entries may be listed again.
     pub(crate) fn on_platform_reconnected(&mut self, now: TimePoint) {
         self.relist_until = now.after(PLATFORM_RECONNECT_GRACE);
@@ -337,6 +369,13 @@
             }
             is_kept
         });
+        let keys_by_hash = &self.keys_by_hash;
+        self.leaving_until.retain(|target_hash, until| {
+            if keys_by_hash.contains_key(target_hash) {
+                *until = now.after(LEAVING_TTL);
+            }
+            !until.passed(now)
+        });
         removed_hashes
     }
 
