Tell other routers which targets announced that they leave

One router learned from an answer that a target leaves; the others went on sending calls to it until they got such an answer themselves or its entry changed, and a restarted router knew nothing of it. Cause: the announcement stayed on the router that received it. Same class as: what a target says in an answer counted for nothing beyond that answer.

A heartbeat with all lists full still fits into its datagram; the test includes the new list.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -21,7 +21,7 @@
 use crate::{
     CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, TargetEntry, TargetStatus,
     call::CallState, crashes::CrashReporter, limits::ReturnQueue, peers::PeerRegistry,
-    targets::TargetTable,
+    reports::ReportQueue, targets::TargetTable,
 };
 
 /// Prompt segments whose holders are kept; each takes about 300 bytes.
@@ -90,6 +90,8 @@
     return_queues: BTreeMap<PoolName, ReturnQueue>,
     /// Pairs of a prompt segment and a target hash that the other routers do not know yet.
     unreported_holders: Vec<(u64, u64)>,
+    /// Hashes of targets that announced to this router that they leave.
+    unreported_leaving: ReportQueue<u64>,
     calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
     heartbeat_sequence: u64,
@@ -114,6 +116,7 @@
             crashes: CrashReporter::default(),
             return_queues: BTreeMap::new(),
             unreported_holders: Vec::new(),
+            unreported_leaving: ReportQueue::default(),
             calls: BTreeMap::new(),
             next_call_key: 0,
             heartbeat_sequence: 0,
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -19,6 +19,9 @@
 /// Largest number of targets whose limits are reported in one heartbeat.
 const LIMIT_NOTICES_MAX: usize = 32;
 
+/// Largest number of leaving targets in one heartbeat; the others follow in the next one.
+const LEAVING_TARGETS_MAX: usize = 32;
+
 /// Number of finished calls without a failure after which they are reported; a failure is reported
 /// in the next heartbeat.
 const SUCCESSES_PER_REPORT: u32 = 6;
@@ -84,6 +87,7 @@
             outcomes: self.take_unreported_outcomes(),
             content: self.crashes.next_report(now),
             limits: self.take_limit_notices(now),
+            leaving_targets: self.unreported_leaving.next_report(LEAVING_TARGETS_MAX),
         }
     }
 
@@ -135,6 +139,9 @@
         }
         self.crashes.on_report(now, &heartbeat.content);
         self.on_limit_notices(now, &heartbeat);
+        for target_hash in &heartbeat.leaving_targets {
+            self.targets.on_leaving_announced(now, *target_hash);
+        }
         self.peer_loads.record_share(now, heartbeat.load_share);
     }
 
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -47,7 +47,10 @@
         now: TimePoint,
         target: TargetKey,
     ) -> Option<LeavingNotice> {
-        self.targets.on_leaving_announced(now, target)
+        let target_hash = self.targets.get(target)?.target_hash;
+        let notice = self.targets.on_leaving_announced(now, target_hash)?;
+        self.unreported_leaving.push(target_hash);
+        Some(notice)
     }
 
     /// Records that the answer of the attempt in progress is complete, and known to be: it has a
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -46,6 +46,8 @@
         pub config: Option<FleetConfig>,
         /// Targets that accept calls.
         pub targets: Vec<TargetEntry>,
+        /// Hashes of targets that announced that they leave; the platform may still list them.
+        pub leaving_targets: Vec<u64>,
         /// Holders of prompt segments, the most recently used segment first; empty until the router
         /// is settled.
         pub segment_holders: Vec<SegmentHolders>,
@@ -64,6 +66,7 @@
             settled,
             config: self.config.clone(),
             targets: targets.map(|(_, record)| record.entry.clone()).collect(),
+            leaving_targets: self.targets.leaving_hashes().collect(),
             segment_holders: segments
                 .map(|(segment, target_hashes)| SegmentHolders { segment, target_hashes })
                 .collect(),
@@ -76,6 +79,9 @@
         if let Some(config) = snapshot.config {
             self.adopt_config(now, config);
         }
+        for target_hash in snapshot.leaving_targets {
+            self.targets.on_leaving_announced(now, target_hash);
+        }
         if !self.targets_listed && !snapshot.targets.is_empty() {
             self.list_targets(now, snapshot.targets);
         }
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod limits;
 mod peers;
+mod reports;
 mod targets;
 
 pub use crate::{
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -49,6 +49,8 @@
         pub content: ContentReport,
         /// Limits that targets name, and the calls that count against them.
         pub limits: Vec<LimitNotice>,
+        /// Hashes of targets that announced to the router that they leave.
+        pub leaving_targets: Vec<u64>,
     }
 }
 
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -327,19 +327,28 @@
     }
 
     /// Records that a target announced that it leaves: from now on this start of it gets no calls,
-    /// whatever its entry says. Returns what the list says of the target if this is new.
+    /// whatever its entry says, also if the target is not listed yet. Returns what the list says of a
+    /// known target if this is new.
     pub(crate) fn on_leaving_announced(
         &mut self,
         now: TimePoint,
-        key: TargetKey,
+        target_hash: u64,
     ) -> Option<LeavingNotice> {
-        let record = self.records.get_mut(&key).filter(|record| !record.announced_leaving)?;
+        self.leaving_until.insert(target_hash, now.after(LEAVING_TTL));
+        let record = self.find_by_hash_mut(target_hash)?;
+        if record.announced_leaving {
+            return None;
+        }
         let notice = LeavingNotice { listed_as_serving: record.accepts_calls(now) };
         record.mark_leaving(now);
-        self.leaving_until.insert(record.target_hash, now.after(LEAVING_TTL));
         Some(notice)
     }
 
+    /// Hashes of the targets that announced that they leave.
+    pub(crate) fn leaving_hashes(&self) -> impl Iterator<Item = u64> {
+        self.leaving_until.keys().copied()
+    }
+
     /// Starts the time in which missing entries may be listed again.
     pub(crate) fn on_platform_reconnected(&mut self, now: TimePoint) {
         self.relist_until = now.after(PLATFORM_RECONNECT_GRACE);
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -558,14 +558,17 @@
     assert_eq!(reported.len(), 1 + 3 * 60);
 }
 
-/// All lists of a heartbeat are full: loads, segments, outcomes, crashes, blocks and limits.
+/// All lists of a heartbeat are full: loads, segments, outcomes, crashes, blocks, limits, and at last
+/// the targets that leave.
 #[test]
 fn a_full_heartbeat_fits_into_a_datagram() {
     const DATAGRAM_BYTES_MAX: usize = 8_192;
+    const LAST_SECOND: u64 = 39;
+    let mut targets = std::collections::BTreeSet::new();
     let mut core = core_of(RetryRule::AtMostOnceStream, 1, 90);
     let limit = CallRate::from_per_second(4_000_000.0);
     let segment = |id: u64| PromptSegment { id: u64::MAX - id, tokens: 100 };
-    for second in 1..40 {
+    for second in 1..=LAST_SECOND {
         let now = TimePoint(second * 1_000_000);
         for number in 0..90u64 {
             let segments = (0..40).chain([1_000 + number]).map(segment).collect();
@@ -573,15 +576,22 @@
             let call = admit(&mut core, now, Some(prompt));
             let Some(attempt) = send(&mut core, now, call) else { continue };
             core.on_rate_limit(now, attempt.target, limit);
+            targets.insert(attempt.target);
             if number % 6 == 0 {
                 core.on_attempt_finished(now, call, Lost);
                 core.on_target_unreachable(now, attempt.target);
             }
         }
         let later = now.after(Duration::from_millis(700));
+        if second == LAST_SECOND {
+            for target in &targets {
+                assert!(core.on_leaving_announced(later, *target).is_some());
+            }
+        }
         let heartbeat = core.next_heartbeat(later);
         let bytes = postcard::to_stdvec(&heartbeat).expect("encoded").len();
         assert!(bytes <= DATAGRAM_BYTES_MAX, "{bytes} bytes at {second} s");
+        assert_eq!(heartbeat.leaving_targets.len(), if second == LAST_SECOND { 32 } else { 0 });
     }
     assert!(core.status(TimePoint(40_000_000)).blocked_content > 32, "the list of blocks is full");
 }
--- a/crates/io-forward/tests/snapshots.rs
+++ b/crates/io-forward/tests/snapshots.rs
@@ -17,6 +17,7 @@
         settled: true,
         config: None,
         targets: vec![target("t-a"), target("t-b")],
+        leaving_targets: vec![4],
         segment_holders: vec![
             SegmentHolders { segment: 300, target_hashes: vec![1, 2] },
             SegmentHolders { segment: 7, target_hashes: Vec::new() },
