Soak targets that announce in their answers that they leave

The new check: a gateway sends it no call that a caller sent later than the drain bound after the gateway had passed the announcement on. Faults of the store do not excuse that, those of the gateway do.

--- a/crates/knapweedport/tests/soak.rs
+++ b/crates/knapweedport/tests/soak.rs
@@ -4,7 +4,7 @@
 use base_types::test_cases;
 use soak::{SoakPlan, run_soak};
 
-fn check_seed(seed: u64) {
+fn check_seed(seed: u64, announcements: bool) {
     let folder =
         std::env::temp_dir().join(format!("knapweedport-soak-{}-{seed}", std::process::id()));
     let plan = SoakPlan {
@@ -13,6 +13,7 @@
         runners: 4,
         callers: 8,
         rounds: 1,
+        announcements,
         program: env!("CARGO_BIN_EXE_knapweedport").into(),
         folder: folder.clone(),
     };
@@ -26,5 +27,6 @@
 
 test_cases! {
     check_seed:
-    a_first_seed(1);
+    a_first_seed(1, false);
+    a_target_that_announces_its_leaving(2, true);
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -25,6 +25,8 @@
 const DURATION_MS_MAX: u64 = 4_000;
 /// Time to wait for a restarted gateway to serve.
 const RESTART_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time from the start of a round until a runner announces that it leaves.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(1);
 /// Time beyond the stop bound after which a process that still runs is a violation.
 const STOP_SLACK: Duration = Duration::from_millis(500);
 
@@ -238,8 +240,7 @@
     cluster.add_runner().await?;
     let draining = {
         let mut runners = cluster.runners.borrow_mut();
-        let Some(runner) = runners.iter_mut().find(|runner| runner.drain_started_at.is_none())
-        else {
+        let Some(runner) = runners.iter_mut().find(|runner| runner.stays()) else {
             return Ok(());
         };
         cluster.store.put("servers", &runner.stand_in.id, runner.entry("draining"));
@@ -250,3 +251,22 @@
     cluster.store.remove("servers", &draining);
     Ok(())
 }
+
+/// Adds a runner, and has the oldest one that stays announce in its answers that it leaves. Its entry
+/// does not say so; it is removed after the drain bound plus 2 s.
+pub(crate) async fn announce_leaving(cluster: Rc<SoakCluster>) -> Result<(), Report<SoakError>> {
+    cluster.add_runner().await?;
+    sleep(ANNOUNCEMENT_DELAY).await;
+    let leaving = {
+        let mut runners = cluster.runners.borrow_mut();
+        let Some(runner) = runners.iter_mut().find(|runner| runner.stays()) else {
+            return Ok(());
+        };
+        runner.announces_leaving = true;
+        runner.stand_in.announce_leaving(Some("1"));
+        runner.stand_in.id.clone()
+    };
+    sleep(DRAIN_BOUND + Duration::from_secs(2)).await;
+    cluster.store.remove("servers", &leaving);
+    Ok(())
+}
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -68,6 +68,7 @@
     }
     check_headers(&received, &mut violations);
     check_drains(cluster, &received, &mut violations);
+    check_announcements(cluster, &received, &mut violations);
     check_versions(cluster, &mut violations);
     check_retry_budget(cluster, &received, &mut violations);
     violations
@@ -200,6 +201,43 @@
     }
 }
 
+/// Checks that a runner gets no call from a gateway that passed on its announcement that it leaves, if
+/// the caller sent the call later than the drain bound after that. A stop or fault of the gateway since
+/// then excuses the call; faults of the store do not.
+fn check_announcements(
+    cluster: &SoakCluster,
+    received: &ReceivedCalls,
+    violations: &mut Vec<Violation>,
+) {
+    let calls = cluster.calls.borrow();
+    let runners = cluster.runners.borrow();
+    let mut announced_at: BTreeMap<(usize, &str), Instant> = BTreeMap::new();
+    for call in calls.iter() {
+        if let Some(runner) = &call.leaving_runner {
+            let at = announced_at.entry((call.gateway, runner)).or_insert(call.ended);
+            *at = call.ended.min(*at);
+        }
+    }
+    for call in calls.iter() {
+        for attempt in received.get(&call.id).into_iter().flatten() {
+            let runner = &*runners[attempt.runner].stand_in.id;
+            let Some(at) = announced_at.get(&(call.gateway, runner)) else { continue };
+            let restarts = |scope| {
+                scope == FaultScope::Gateway(call.gateway)
+                    || scope == FaultScope::Stop(call.gateway)
+            };
+            let excused = cluster.fault_log.borrow().any_active(*at, attempt.received.at, restarts);
+            if call.sent > *at + DRAIN_BOUND && !excused {
+                let (id, gateway, after) = (&call.id, call.gateway, attempt.received.at - *at);
+                let detail = format!(
+                    "call {id} from g-{gateway} {after:?} after it passed on an announcement"
+                );
+                violations.push(Violation::new("DRAIN", detail));
+            }
+        }
+    }
+}
+
 /// Checks that a version is in force in time, and that a gateway process never goes back to an
 /// older one.
 fn check_versions(cluster: &SoakCluster, violations: &mut Vec<Violation>) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -43,6 +43,8 @@
     pub callers: usize,
     /// Number of series of faults, each followed by a time without faults.
     pub rounds: u32,
+    /// Whether a runner announces in its answers in each round that it leaves.
+    pub announcements: bool,
     /// Path of the `knapweedport` binary.
     pub program: PathBuf,
     /// Folder for the settings and logs of the gateways.
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -16,6 +16,8 @@
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
     pub(crate) end: Outcome,
+    /// Id of the runner whose answer, as the caller received it, announced that the runner leaves.
+    pub(crate) leaving_runner: Option<Box<str>>,
 }
 
 /// How a call ended for its caller.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     callers::send_calls,
-    faults::{inject_faults, replace_runner},
+    faults::{announce_leaving, inject_faults, replace_runner},
     gateway::SoakGateway,
     judge::{Violation, find_violations},
     plan::{CONFIG_BOUND, FAULT_FREE_TIME, RECOVER_BOUND, SoakPlan, configuration, reply_rule},
@@ -69,6 +69,8 @@
     pub(crate) proxy: FaultProxy,
     /// When the runner's entry was set to draining; none while it is ready.
     pub(crate) drain_started_at: Option<Instant>,
+    /// Whether the runner announces in its answers that it leaves.
+    pub(crate) announces_leaving: bool,
 }
 
 /// The cluster under test and the records of the soak, shared by all its tasks.
@@ -112,7 +114,14 @@
     tokio::time::sleep(FAULT_FREE_TIME).await;
     let mut rng = SmallRng::seed_from_u64(cluster.plan.seed);
     for _ in 0..cluster.plan.rounds {
+        let announcement = cluster
+            .plan
+            .announcements
+            .then(|| tokio::task::spawn_local(announce_leaving(cluster.clone())));
         inject_faults(&cluster, &mut rng).await?;
+        if let Some(announcement) = announcement {
+            announcement.await.change_context(SoakError)??;
+        }
         tokio::time::sleep(FAULT_FREE_TIME + SETTLE_SLACK).await;
         // No fault is active, so the bounds on configuration and draining apply.
         cluster.configure(1);
@@ -170,7 +179,8 @@
         let seed = self.plan.seed.wrapping_mul(31).wrapping_add(index);
         let stand_in = RunnerStandIn::start_with_rule(&id, reply_rule, seed).await;
         let proxy = FaultProxy::start(stand_in.address).await.change_context(SoakError)?;
-        let runner = SoakRunner { stand_in, proxy, drain_started_at: None };
+        let runner =
+            SoakRunner { stand_in, proxy, drain_started_at: None, announces_leaving: false };
         self.store.put("servers", &id, runner.entry("ready"));
         self.runners.borrow_mut().push(runner);
         Ok(())
@@ -252,6 +262,11 @@
 }
 
 impl SoakRunner {
+    /// Whether the runner has no reason to leave.
+    pub(crate) fn stays(&self) -> bool {
+        self.drain_started_at.is_none() && !self.announces_leaving
+    }
+
     /// The runner's store entry, with the address of its proxy.
     pub(crate) fn entry(&self, state: &str) -> Value {
         let mut entry = self.stand_in.entry("pool");
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -63,6 +63,8 @@
         /// Rounds of faults for each seed.
         #[bpaf(argument("ROUNDS"), fallback(2))]
         rounds: u32,
+        /// Has a runner announce in its answers in each round that it leaves.
+        announcements: bool,
     },
     /// Benchmarks a release router: added latency, throughput, start time, memory.
     #[bpaf(command)]
@@ -110,8 +112,16 @@
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken_ledger: broken })
         }
-        Task::Soak { seed, seeds, gateways, runners, callers, rounds } => {
-            soak::run_soaks(soak::SoakTask { seed, seeds, gateways, runners, callers, rounds })
+        Task::Soak { seed, seeds, gateways, runners, callers, rounds, announcements } => {
+            soak::run_soaks(soak::SoakTask {
+                seed,
+                seeds,
+                gateways,
+                runners,
+                callers,
+                rounds,
+                announcements,
+            })
         }
         Task::Bench => bench::run_bench(),
         Task::Configure { seconds, seed, broken } => {
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -16,11 +16,20 @@
     pub(crate) runners: usize,
     pub(crate) callers: usize,
     pub(crate) rounds: u32,
+    pub(crate) announcements: bool,
 }
 
 impl Default for SoakTask {
     fn default() -> Self {
-        Self { seed: 1, seeds: 1, gateways: 5, runners: 4, callers: 12, rounds: 2 }
+        Self {
+            seed: 1,
+            seeds: 1,
+            gateways: 5,
+            runners: 4,
+            callers: 12,
+            rounds: 2,
+            announcements: false,
+        }
     }
 }
 
@@ -47,6 +56,7 @@
         runners: task.runners,
         callers: task.callers,
         rounds: task.rounds,
+        announcements: task.announcements,
         program,
         folder: folder.clone(),
     };
