--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -55,6 +55,13 @@
         pub segments: Vec<PromptSegment>,
     }
 
+    /// A caller's request to take up a stream after its connection broke.
+    pub struct StreamResumption {
+        /// Id of the call that brought the first event of the stream; `None` if the caller does not
+        /// name it.
+        pub origin: Option<Box<str>>,
+    }
+
     /// Properties of a call that are read from its request head.
     pub struct CallHead {
         /// Identifier of the call, set by the caller.
@@ -69,6 +76,8 @@
         pub deadline: TimePoint,
         /// Prompt metadata; `None` when the caller sent none.
         pub prompt: Option<PromptHead>,
+        /// The stream that the call takes up; `None` when it begins anew.
+        pub resumption: Option<StreamResumption>,
     }
 
     /// Instructions for one attempt of a call at a target.
@@ -79,6 +88,8 @@
         pub name: Box<str>,
         /// Address that the target listens on.
         pub address: SocketAddr,
+        /// Version of the target's software.
+        pub software_version: Box<str>,
         /// Client account of the caller; `None` when the call has no known key, which only public
         /// routes and configurations without keys admit.
         pub account: Option<AccountName>,
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -19,9 +19,9 @@
 use state_config::{CallerLimits, ConfigVersion, FleetConfig};
 
 use crate::{
-    CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, TargetEntry, TargetStatus,
-    call::CallState, crashes::CrashReporter, limits::ReturnQueue, peers::PeerRegistry,
-    reports::ReportQueue, targets::TargetTable,
+    CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, StreamResumption, TargetEntry,
+    TargetStatus, call::CallState, crashes::CrashReporter, limits::ReturnQueue,
+    peers::PeerRegistry, reports::ReportQueue, targets::TargetTable,
 };
 
 /// Prompt segments whose holders are kept; each takes about 300 bytes.
@@ -64,6 +64,8 @@
         pub resumable: bool,
         /// Version of the configuration that the call was admitted under.
         pub version: ConfigVersion,
+        /// The stream that the call takes up; `None` when it begins anew.
+        pub resumption: Option<StreamResumption>,
         /// Keys of the call's content that other calls may contain too.
         pub content_keys: Box<[ContentKey]>,
     }
@@ -238,6 +240,7 @@
             is_stream: retry_rule.is_streaming(),
             resumable: retry_rule.is_streaming() && retry_rule.is_retryable(),
             version: config.version,
+            resumption: head.resumption,
             content_keys,
         };
         let bounds = self.retry_bounds();
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -257,6 +257,7 @@
             target: choice.target,
             name: record.entry.name.as_str().into(),
             address: record.entry.address,
+            software_version: record.entry.software_version.clone(),
             account: state.account.clone(),
             rank: state.rank,
             deadline: state.deadline,
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -18,7 +18,7 @@
     bounds::ForwardBounds,
     call::{
         AttemptOutcome, AttemptSpec, CallHead, CallKey, ChoiceInputs, DispatchStep, PromptHead,
-        PromptSegment,
+        PromptSegment, StreamResumption,
     },
     core::{
         AdmittedCall, EngineAddress, ForwardCore, ForwardStatus, PeerSnapshot, SegmentHolders,
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -53,6 +53,8 @@
         pub address: SocketAddr,
         /// Failure domain of the target.
         pub failure_domain: Box<str>,
+        /// Version of the target's software; empty if the entry states none.
+        pub software_version: Box<str>,
         /// Calls that the target can run concurrently.
         pub slots: u32,
         /// Whether the target is draining and takes no new calls.
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -43,6 +43,7 @@
         pool: PoolName::new("pool"),
         address: address(9_000 + index),
         failure_domain: "z".into(),
+        software_version: "v1".into(),
         slots: 8,
         draining: false,
         incarnation: 1,
@@ -88,6 +89,7 @@
         account_key: None,
         deadline: now.after(Duration::from_secs(3)),
         prompt,
+        resumption: None,
     };
     core.admit(now, head, ContentDigest(u128::from(now.0))).expect("admitted").call
 }
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -50,6 +50,8 @@
             pool = call.pool.as_str(),
             version = call.version.0,
             target = &*attempt.name,
+            software = &*attempt.software_version,
+            resumes = call.resumption.as_ref().map(|stream| stream.origin.as_deref().unwrap_or("")),
             send = attempt.attempts_before + 1,
             rank = attempt.rank,
             left_ms = attempt.deadline.since(now).as_millis() as u64,
--- a/crates/io-forward/tests/snapshots.rs
+++ b/crates/io-forward/tests/snapshots.rs
@@ -9,6 +9,7 @@
         pool: PoolName::new("pool"),
         address: "127.0.0.1:9".parse().expect("an address"),
         failure_domain: "z".into(),
+        software_version: "v1".into(),
         slots: 8,
         draining: false,
         incarnation: 3,
