Continue streams only at the software version that began them

Callers got streams that hold events of two software versions of a pool's targets, within one answer and when they took a stream up after their connection broke. Cause: the version of a target was not read, and nothing of a stream outlived the call that began it: neither another router nor the same one could tell where a returning caller's stream had begun. Class: state that must survive a call is kept with the call. Only targets of that software continue the stream; a returning call stays in the stream's pool where its route has several. If no report arrived, the pool's only version of the last 60 s serves the call, provided that the list of targets is current; otherwise the call is refused at once with code 1023, as a guess would join two versions. Ruled out: a write to the store for each stream, asking peers on return, a version derived from the id. Why it works: what is recorded never changes, every attempt passes through one choice, and a router that does not know does not send. A heartbeat with all lists full fits into its datagram.

--- a/crates/base-types/src/codes.rs
+++ b/crates/base-types/src/codes.rs
@@ -113,6 +113,7 @@
     OperationReleased = 1020, 503, "An operator settled the operation as not run.";
     BodyTimeout = 1021, 408, "The body of the request did not come in time.";
     KeyUnknown = 1022, 401, "The account key is not known.";
+    OriginUnknown = 1023, 503, "It is not known which software version began the stream.";
 }
 
 codes! {
--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -8,6 +8,8 @@
 };
 use state_config::{KeyDigest, RetryRule};
 
+use crate::origins::StreamSoftware;
+
 key_types! {
     /// Key of a call, unique within one process.
     pub struct CallKey(pub u64);
@@ -168,6 +170,11 @@
     pub(crate) latency_target: Duration,
     pub(crate) prompt: Option<PromptHead>,
     pub(crate) content: ContentDigest,
+    /// Hash of the id of the call.
+    pub(crate) call_hash: u64,
+    /// Time at which the caller stops waiting, which may be later than `deadline`.
+    pub(crate) caller_deadline: TimePoint,
+    pub(crate) software: StreamSoftware,
     pub(crate) content_keys: Box<[ContentKey]>,
     pub(crate) attempted_targets: Vec<TargetKey>,
     pub(crate) attempts: u32,
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -20,8 +20,14 @@
 
 use crate::{
     CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, StreamResumption, TargetEntry,
-    TargetStatus, call::CallState, crashes::CrashReporter, limits::ReturnQueue,
-    peers::PeerRegistry, reports::ReportQueue, targets::TargetTable,
+    TargetStatus,
+    call::CallState,
+    crashes::CrashReporter,
+    limits::ReturnQueue,
+    origins::{OriginTable, StreamSoftware},
+    peers::PeerRegistry,
+    reports::ReportQueue,
+    targets::TargetTable,
 };
 
 /// Prompt segments whose holders are kept; each takes about 300 bytes.
@@ -94,6 +100,7 @@
     unreported_holders: Vec<(u64, u64)>,
     /// Hashes of targets that announced to this router that they leave.
     unreported_leaving: ReportQueue<u64>,
+    origins: OriginTable,
     calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
     heartbeat_sequence: u64,
@@ -119,6 +126,7 @@
             return_queues: BTreeMap::new(),
             unreported_holders: Vec::new(),
             unreported_leaving: ReportQueue::default(),
+            origins: OriginTable::default(),
             calls: BTreeMap::new(),
             next_call_key: 0,
             heartbeat_sequence: 0,
@@ -160,6 +168,11 @@
         self.targets.on_platform_reconnected(now);
     }
 
+    /// Records that the platform responded, so that the list of targets is current.
+    pub fn on_platform_responded(&mut self, now: TimePoint) {
+        self.targets.software.on_platform_responded(now);
+    }
+
     /// Removes expired targets and load shares; to be called about once a second.
     pub fn sweep(&mut self, now: TimePoint) {
         for target_hash in self.targets.sweep(now) {
@@ -167,6 +180,7 @@
         }
         self.peer_loads.expire(now);
         self.crashes.tracker.sweep(now);
+        self.origins.sweep(now);
     }
 
     /// Starts the shutdown: the router still admits calls but is no longer listed for new callers.
@@ -207,7 +221,12 @@
     ) -> Result<AdmittedCall, NotRunCode> {
         let config = self.config.as_ref().ok_or(NotRunCode::TablesMissing)?;
         let call_hash = stable_hash(head.id.as_bytes());
-        let route_match = config.match_route(&head.host, &head.path, call_hash);
+        let origin = head.resumption.as_ref().map(|stream| {
+            stream.origin.as_ref().map(|origin_id| stable_hash(origin_id.as_bytes()))
+        });
+        // A stream stays in the pool in which it began, where the route has several.
+        let pool_hash = origin.flatten().unwrap_or(call_hash);
+        let route_match = config.match_route(&head.host, &head.path, pool_hash);
         let route_match = route_match.ok_or(NotRunCode::UnknownRoute)?;
         let (account, account_rank) = resolve_account(config, route_match.rule.public, &head)?;
         let call = CallKey(self.next_call_key);
@@ -226,6 +245,12 @@
             latency_target: route_match.rule.latency_target,
             prompt: head.prompt,
             content,
+            call_hash,
+            caller_deadline: head.deadline,
+            software: match origin {
+                Some(origin) if retry_rule.is_streaming() => StreamSoftware::Unresolved(origin),
+                _ => StreamSoftware::Any,
+            },
             content_keys: content_keys.clone(),
             attempted_targets: Vec::new(),
             attempts: 0,
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -22,6 +22,9 @@
 /// Largest number of leaving targets in one heartbeat; the others follow in the next one.
 const LEAVING_TARGETS_MAX: usize = 32;
 
+/// Largest number of stream origins in one heartbeat; the others follow in the next one.
+const STREAM_ORIGINS_MAX: usize = 64;
+
 /// Number of finished calls without a failure after which they are reported; a failure is reported
 /// in the next heartbeat.
 const SUCCESSES_PER_REPORT: u32 = 6;
@@ -88,6 +91,7 @@
             content: self.crashes.next_report(now),
             limits: self.take_limit_notices(now),
             leaving_targets: self.unreported_leaving.next_report(LEAVING_TARGETS_MAX),
+            stream_origins: self.origins.next_report(now, STREAM_ORIGINS_MAX),
         }
     }
 
@@ -142,6 +146,9 @@
         for target_hash in &heartbeat.leaving_targets {
             self.targets.on_leaving_announced(now, *target_hash);
         }
+        for notice in &heartbeat.stream_origins {
+            self.origins.on_notice(now, *notice);
+        }
         self.peer_loads.record_share(now, heartbeat.load_share);
     }
 
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -12,6 +12,7 @@
     AttemptSpec, CallKey, ChoiceInputs, DispatchStep, ForwardCore, PromptHead,
     call::{CallState, CurrentAttempt},
     heartbeat_interval,
+    origins::StreamSoftware,
     targets::TargetRecord,
 };
 
@@ -66,6 +67,10 @@
         if let ContentVerdict::Blocked(until) = content_verdict {
             return refuse_until(state, NotRunCode::ContentSuspect, UnknownCode::TargetLost, until);
         }
+        self.resolve_software(now, state);
+        if let StreamSoftware::Unresolved(_) = state.software {
+            return refuse(now, state, NotRunCode::OriginUnknown, UnknownCode::TargetLost);
+        }
         if state.may_have_run && !state.retry_rule.is_retryable() {
             return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
         }
@@ -89,6 +94,21 @@
         }
     }
 
+    /// Finds the software that began the stream which a call takes up: the one that a router reported,
+    /// or the only one of the pool. A list that may be out of date counts only where the caller does not
+    /// name the call that began its stream, as no later report can tell its software.
+    fn resolve_software(&self, now: TimePoint, state: &mut CallState) {
+        let StreamSoftware::Unresolved(origin) = state.software else { return };
+        let reported = origin.and_then(|call_hash| self.origins.software(now, call_hash));
+        let history = &self.targets.software;
+        let is_list_enough = origin.is_none() || history.is_current(now);
+        let only_software =
+            is_list_enough.then(|| history.only_software(now, &state.pool)).flatten();
+        if let Some(software) = reported.or(only_software) {
+            state.software = StreamSoftware::Only(software);
+        }
+    }
+
     /// How a call may be dispatched in view of its content. Trials of blocked content are assigned to
     /// one router, so that they are rare in a fleet of any size.
     fn content_verdict(&self, now: TimePoint, state: &CallState) -> ContentVerdict {
@@ -116,7 +136,8 @@
         let turn = heartbeat_interval(routers);
         let (mut room_at, mut rate) = (TimePoint::NEVER, 0.0);
         for (target, record) in self.targets.responding(now, &state.pool) {
-            if !record.accepts_calls(now) || state.attempted_targets.contains(&target) {
+            let is_candidate = record.accepts_calls(now) && state.software.allows(record.software);
+            if !is_candidate || state.attempted_targets.contains(&target) {
                 continue;
             }
             let turn_at = if self.is_contender(now, record) { now } else { now.after(turn) };
@@ -220,6 +241,7 @@
             ejected: record.is_ejected(now),
             unreachable: record.is_unreachable(now),
             excluded: state.attempted_targets.contains(&target)
+                || !state.software.allows(record.software)
                 || !record.can_be_sent_calls(now)
                 || !self.is_contender(now, record),
         });
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -6,11 +6,14 @@
 use policy_routing::{rendezvous_score, stable_hash};
 use state_config::FleetConfig;
 
-use crate::{ForwardCore, PromptSegment, TargetEntry};
+use crate::{ForwardCore, OriginNotice, PromptSegment, TargetEntry};
 
 /// Largest number of prompt segments in a snapshot; the most recently used are included.
 const SNAPSHOT_SEGMENTS_MAX: usize = 2_048;
 
+/// Largest number of stream origins in a snapshot.
+const SNAPSHOT_ORIGINS_MAX: usize = 16_384;
+
 /// Largest number of prompt segments taken from the list of one engine.
 const ENGINE_SEGMENTS_MAX: usize = 192;
 
@@ -48,6 +51,8 @@
         pub targets: Vec<TargetEntry>,
         /// Hashes of targets that announced that they leave; the platform may still list them.
         pub leaving_targets: Vec<u64>,
+        /// Origins of streams that callers may take up.
+        pub stream_origins: Vec<OriginNotice>,
         /// Holders of prompt segments, the most recently used segment first; empty until the router
         /// is settled.
         pub segment_holders: Vec<SegmentHolders>,
@@ -67,6 +72,7 @@
             config: self.config.clone(),
             targets: targets.map(|(_, record)| record.entry.clone()).collect(),
             leaving_targets: self.targets.leaving_hashes().collect(),
+            stream_origins: self.origins.notices(now).take(SNAPSHOT_ORIGINS_MAX).collect(),
             segment_holders: segments
                 .map(|(segment, target_hashes)| SegmentHolders { segment, target_hashes })
                 .collect(),
@@ -82,6 +88,9 @@
         for target_hash in snapshot.leaving_targets {
             self.targets.on_leaving_announced(now, target_hash);
         }
+        for notice in snapshot.stream_origins {
+            self.origins.on_notice(now, notice);
+        }
         if !self.targets_listed && !snapshot.targets.is_empty() {
             self.list_targets(now, snapshot.targets);
         }
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -10,6 +10,7 @@
 mod core;
 mod crashes;
 mod limits;
+mod origins;
 mod peers;
 mod reports;
 mod targets;
@@ -26,6 +27,7 @@
     },
     crashes::{BlockNotice, ContentReport, CrashNotice},
     limits::LimitNotice,
+    origins::{OriginNotice, SoftwareKey},
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
     targets::{LeavingNotice, TargetEntry, TargetStatus},
 };
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -5,7 +5,7 @@
 use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
 use policy_targets::OutcomeCount;
 
-use crate::{ContentReport, LimitNotice};
+use crate::{ContentReport, LimitNotice, OriginNotice};
 
 /// Time for which a router counts as alive after its last heartbeat.
 const HEARTBEAT_TTL: Duration = Duration::from_millis(1_500);
@@ -51,6 +51,8 @@
         pub limits: Vec<LimitNotice>,
         /// Hashes of targets that announced to the router that they leave.
         pub leaving_targets: Vec<u64>,
+        /// Origins of streams that began through the router.
+        pub stream_origins: Vec<OriginNotice>,
     }
 }
 
--- a/crates/core-forward/src/reports.rs
+++ b/crates/core-forward/src/reports.rs
@@ -24,6 +24,11 @@
         self.pending.push_back((statement, REPEATS));
     }
 
+    /// Drops statements that need no report any more.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(&T) -> bool) {
+        self.pending.retain(|(statement, _)| is_kept(statement));
+    }
+
     /// Takes the statements of one heartbeat, at most `count_max`, none of them twice.
     pub(crate) fn next_report(&mut self, count_max: usize) -> Vec<T> {
         let count = self.pending.len().min(count_max);
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -14,7 +14,10 @@
     CallRate, FailureRate, OutcomeCount, RateAllowance, TargetLifecycle, TargetPhase,
 };
 
-use crate::limits::LimitReport;
+use crate::{
+    limits::LimitReport,
+    origins::{SoftwareHistory, SoftwareKey},
+};
 
 /// Time for which other engines may still fetch cached segments from a target that is draining,
 /// missing or replaced.
@@ -98,6 +101,7 @@
 pub(crate) struct TargetRecord {
     pub(crate) entry: TargetEntry,
     pub(crate) target_hash: u64,
+    pub(crate) software: SoftwareKey,
     pub(crate) lifecycle: TargetLifecycle,
     pub(crate) own_in_flight: u32,
     /// Prompt tokens of this router's calls in flight that the target has yet to prefill.
@@ -137,6 +141,7 @@
     /// Hashes of the targets that announced that they leave, each until it is forgotten. Outlives the
     /// record of a target that is no longer listed.
     leaving_until: BTreeMap<u64, TimePoint>,
+    pub(crate) software: SoftwareHistory,
     /// Until this time, a missing entry does not count as removed.
     relist_until: TimePoint,
 }
@@ -146,6 +151,7 @@
         let identity = format!("{}/{}", entry.name, entry.incarnation);
         Self {
             target_hash: stable_hash(identity.as_bytes()),
+            software: SoftwareKey::new(&entry.pool, &entry.software_version),
             entry,
             lifecycle: TargetLifecycle::serving(),
             own_in_flight: 0,
@@ -260,6 +266,7 @@
             keys_by_hash: BTreeMap::new(),
             next_key: 0,
             leaving_until: BTreeMap::new(),
+            software: SoftwareHistory::default(),
             relist_until: TimePoint(0),
         }
     }
@@ -280,14 +287,18 @@
         }
     }
 
-    /// Adds or updates an entry. A changed incarnation, address or pool makes it a new target.
+    /// Adds or updates an entry. A changed incarnation, address, pool or software version makes it a
+    /// new target.
     pub(crate) fn upsert(&mut self, now: TimePoint, entry: TargetEntry) {
+        let software = SoftwareKey::new(&entry.pool, &entry.software_version);
+        self.software.on_listed(now, &entry.pool, software);
         if let Some(key) = self.keys_by_name.get(&entry.name).copied()
             && let Some(record) = self.records.get_mut(&key)
         {
             let is_same_instance = record.entry.incarnation == entry.incarnation
                 && record.entry.address == entry.address
-                && record.entry.pool == entry.pool;
+                && record.entry.pool == entry.pool
+                && record.entry.software_version == entry.software_version;
             if is_same_instance {
                 record.listed = true;
                 record.delist_at = TimePoint::NEVER;
@@ -363,8 +374,12 @@
             if record.delist_at.passed(now) {
                 record.listed = false;
             }
+            if record.listed {
+                self.software.on_listed(now, &record.entry.pool, record.software);
+            }
         }
         let (keys_by_name, keys_by_hash) = (&mut self.keys_by_name, &mut self.keys_by_hash);
+        self.software.sweep(now);
         let mut removed_hashes = Vec::new();
         self.records.retain(|key, record| {
             let is_kept =
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -560,8 +560,8 @@
     assert_eq!(reported.len(), 1 + 3 * 60);
 }
 
-/// All lists of a heartbeat are full: loads, segments, outcomes, crashes, blocks, limits, and at last
-/// the targets that leave.
+/// All lists of a heartbeat are full: loads, segments, outcomes, crashes, blocks, limits, origins of
+/// streams, and at last the targets that leave.
 #[test]
 fn a_full_heartbeat_fits_into_a_datagram() {
     const DATAGRAM_BYTES_MAX: usize = 8_192;
@@ -579,6 +579,7 @@
             let Some(attempt) = send(&mut core, now, call) else { continue };
             core.on_rate_limit(now, attempt.target, limit);
             targets.insert(attempt.target);
+            core.on_first_event(now, call);
             if number % 6 == 0 {
                 core.on_attempt_finished(now, call, Lost);
                 core.on_target_unreachable(now, attempt.target);
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -44,6 +44,7 @@
         call,
         chunks,
         status,
+        has_first_event: false,
     };
     tokio::task::spawn_local(relay.run(source));
     Response::from_parts(end_to_end_parts(parts), response_body)
@@ -103,6 +104,8 @@
     chunks: BodySender,
     status: u16,
     content: StreamContent,
+    /// Whether an event was forwarded.
+    has_first_event: bool,
 }
 
 impl StreamRelay {
@@ -173,10 +176,11 @@
                 let call = self.call.admitted.call;
                 self.call.state.with_core(|core, now| core.on_response_started(now, call));
             }
-            if let Some(bytes) = self.content.push(chunk)
-                && self.chunks.send(bytes).await.is_err()
-            {
-                return StreamEnd::CallerDisconnected;
+            if let Some(bytes) = self.content.push(chunk) {
+                self.record_first_event();
+                if self.chunks.send(bytes).await.is_err() {
+                    return StreamEnd::CallerDisconnected;
+                }
             }
             if self.content.has_oversized_event() {
                 return StreamEnd::Broken("an event is too long".into());
@@ -184,6 +188,18 @@
         }
     }
 
+    /// Reports the first event of a resumable stream to the core, and soon to the other routers, where
+    /// the caller may take the stream up.
+    fn record_first_event(&mut self) {
+        if self.has_first_event || !self.content.is_resumable() {
+            return;
+        }
+        self.has_first_event = true;
+        let call = self.call.admitted.call;
+        self.call.state.with_core(|core, now| core.on_first_event(now, call));
+        self.call.state.heartbeat_wakeup().notify_one();
+    }
+
     /// Dispatches the call again, to resume the stream after the last complete event.
     async fn resume_elsewhere(&mut self) -> Option<StreamSource> {
         if !self.content.prepare_resume() {
