--- a/crates/fakes/src/gateway/http.rs
+++ b/crates/fakes/src/gateway/http.rs
@@ -5,7 +5,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::timeout,
+    time::{Instant, timeout, timeout_at},
 };
 
 const READ_TIMEOUT: Duration = Duration::from_secs(6);
@@ -59,12 +59,19 @@
     /// Socket of the connection, for reads and writes past the message level.
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    /// Time from which nothing more is read; messages that are incomplete then end there.
+    read_until: Option<Instant>,
 }
 
 impl HttpConnection {
     /// Wraps a socket that was accepted or connected.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self { stream, buffer: Vec::new(), read_until: None }
+    }
+
+    /// Has a message that is incomplete at a time end there, as if the connection had closed.
+    pub fn stop_reading_at(&mut self, at: Instant) {
+        self.read_until = Some(at);
     }
 
     /// Connects to an address.
@@ -178,7 +185,12 @@
 
     async fn read_more(&mut self) -> Option<()> {
         let mut bytes = [0; 4096];
-        let length = self.stream.read(&mut bytes).await.ok().filter(|length| *length > 0)?;
+        let reading = self.stream.read(&mut bytes);
+        let read = match self.read_until {
+            Some(at) => timeout_at(at, reading).await.ok()?,
+            None => reading.await,
+        };
+        let length = read.ok().filter(|length| *length > 0)?;
         self.buffer.extend_from_slice(&bytes[..length]);
         Some(())
     }
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -138,6 +138,7 @@
     early_close_count: u32,
     limit: Option<Box<str>>,
     leaving: Option<Box<str>>,
+    software: Option<Box<str>>,
 }
 
 impl RunnerState {
@@ -206,8 +207,10 @@
 
     /// The runner's entry for the store.
     pub fn entry(&self, service: &str) -> Value {
+        let state = self.state.lock().expect("the state lock is poisoned");
+        let version = state.software.as_deref().unwrap_or("v1");
         json!({
-            "service": service, "address": self.address.to_string(), "zone": "z", "version": "v1",
+            "service": service, "address": self.address.to_string(), "zone": "z", "version": version,
             "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1_700_000_000_000u64,
         })
     }
@@ -232,6 +235,11 @@
         self.state.lock().expect("the state lock is poisoned").leaving = value.map(Into::into);
     }
 
+    /// Sets the software version in the runner's entry, and adds it to each event as a comment.
+    pub fn run_software(&self, version: &str) {
+        self.state.lock().expect("the state lock is poisoned").software = Some(version.into());
+    }
+
     /// Number of connections that the router closed while a call on them had no complete answer.
     pub fn early_close_count(&self) -> u32 {
         self.state.lock().expect("the state lock is poisoned").early_close_count
@@ -416,7 +424,7 @@
         let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         connection.send(format!("{head}{kind}").as_bytes()).await;
         for event in event_numbers(request, last) {
-            connection.send(chunk(&event_text(event)).as_bytes()).await;
+            connection.send(chunk(&self.event_text(event)).as_bytes()).await;
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         if partial_event.is_empty() {
@@ -426,6 +434,15 @@
         }
     }
 
+    /// Text of an event, with a comment on the software if it was set.
+    fn event_text(&self, number: u64) -> String {
+        let state = self.state.lock().expect("the state lock is poisoned");
+        match &state.software {
+            Some(version) => event_text(number).replace("\n\n", &format!("\n: {version}\n\n")),
+            None => event_text(number),
+        }
+    }
+
     async fn wait_for_close(&self, connection: &mut HttpConnection) -> AfterReply {
         let mut byte = [0];
         let read = connection.stream.read(&mut byte).await;
--- a/crates/knapweedport/tests/soak.rs
+++ b/crates/knapweedport/tests/soak.rs
@@ -4,7 +4,7 @@
 use base_types::test_cases;
 use soak::{SoakPlan, run_soak};
 
-fn check_seed(seed: u64, announcements: bool) {
+fn check_seed(seed: u64, announcements: bool, software_versions: bool) {
     let folder =
         std::env::temp_dir().join(format!("knapweedport-soak-{}-{seed}", std::process::id()));
     let plan = SoakPlan {
@@ -14,6 +14,7 @@
         callers: 8,
         rounds: 1,
         announcements,
+        software_versions,
         program: env!("CARGO_BIN_EXE_knapweedport").into(),
         folder: folder.clone(),
     };
@@ -27,6 +28,7 @@
 
 test_cases! {
     check_seed:
-    a_first_seed(1, false);
-    a_target_that_announces_its_leaving(2, true);
+    a_first_seed(1, false, false);
+    a_target_that_announces_its_leaving(2, true, false);
+    targets_of_two_software_versions(3, false, true);
 }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -9,7 +9,7 @@
 use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
-    plan::{CallKind, HOST, KEY},
+    plan::{CallKind, HOST, KEY, SOFTWARE_VERSIONS},
     record::{CallRecord, Outcome},
     run::SoakCluster,
 };
@@ -25,7 +25,7 @@
 /// Sends calls until the soak stops.
 pub(crate) async fn send_calls(cluster: Rc<SoakCluster>, caller_index: u64) {
     let mut rng = SmallRng::seed_from_u64(cluster.plan.seed ^ (caller_index << 32));
-    let mut address_list = AddressList { addresses: Vec::new(), expires_at: Instant::now() };
+    let mut address_list = AddressList::new();
     let mut idle: Option<(usize, HttpConnection)> = None;
     let mut sent = 0u64;
     while !cluster.is_stopped() {
@@ -53,9 +53,14 @@
 
 /// Text of a call; its `Tenant` header is forged, which the gateway must replace.
 pub(crate) fn request(path: &str, id: &str) -> String {
+    request_with(path, id, "")
+}
+
+/// Text of a call with further headers, each with its line end.
+pub(crate) fn request_with(path: &str, id: &str, headers: &str) -> String {
     format!(
         "POST {path}x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
-         Tenant: forged\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 4\r\n\r\nbody"
+         Tenant: forged\r\nAuthorization: Bearer {KEY}\r\n{headers}Content-Length: 4\r\n\r\nbody"
     )
 }
 
@@ -95,19 +100,31 @@
         status: answer.status(),
         id: answer.header("attempt-id").unwrap_or("").into(),
         signed: answer.header("runner-signature").is_some(),
-        body: answer.text().into(),
+        body: without_software(&answer.text()).into(),
     }
 }
 
+/// Text of an answer without the comments that name the software of each event's runner.
+fn without_software(text: &str) -> String {
+    SOFTWARE_VERSIONS
+        .iter()
+        .fold(text.to_owned(), |text, version| text.replace(&format!("\n: {version}\n\n"), "\n\n"))
+}
+
 /// Gateway addresses that a caller may use until they expire.
-struct AddressList {
+pub(crate) struct AddressList {
     addresses: Vec<SocketAddr>,
     expires_at: Instant,
 }
 
 impl AddressList {
+    /// A list that must be refreshed before its first use.
+    pub(crate) fn new() -> Self {
+        Self { addresses: Vec::new(), expires_at: Instant::now() }
+    }
+
     /// Asks up to three gateways for the list; the previous one stays in use when none answers.
-    async fn refresh(&mut self, cluster: &SoakCluster, rng: &mut SmallRng) {
+    pub(crate) async fn refresh(&mut self, cluster: &SoakCluster, rng: &mut SmallRng) {
         if Instant::now() < self.expires_at {
             return;
         }
@@ -130,7 +147,7 @@
         }
     }
 
-    async fn connect(
+    pub(crate) async fn connect(
         &self,
         cluster: &SoakCluster,
         rng: &mut SmallRng,
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -10,7 +10,7 @@
         ACCOUNT, ATTEMPTS, CONFIG_BOUND, CallKind, DRAIN_BOUND, EVENTS, FAULT_FREE_TIME,
         RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW,
     },
-    record::{CallRecord, FaultScope, Outcome},
+    record::{CallRecord, FaultScope, Outcome, ResumptionRecord},
     run::{ProbeOutcome, SoakCluster},
 };
 
@@ -20,6 +20,9 @@
 /// Time that an attempt may be in transit before a runner reads it.
 const IN_TRANSIT_SLACK: Duration = Duration::from_millis(100);
 
+/// Number of streams taken up from which their share that goes on is judged.
+const RESUMPTIONS_MIN: usize = 12;
+
 /// A guarantee that was violated in a soak.
 #[derive(Debug, Clone)]
 pub struct Violation {
@@ -69,6 +72,7 @@
     check_headers(&received, &mut violations);
     check_drains(cluster, &received, &mut violations);
     check_announcements(cluster, &received, &mut violations);
+    check_streams(cluster, &mut violations);
     check_versions(cluster, &mut violations);
     check_retry_budget(cluster, &received, &mut violations);
     violations
@@ -238,6 +242,29 @@
     }
 }
 
+/// Checks that each stream holds its events in order and from one software version, and that enough of
+/// the streams that callers take up at undisturbed gateways go on.
+fn check_streams(cluster: &SoakCluster, violations: &mut Vec<Violation>) {
+    let streams = cluster.streams.borrow();
+    for stream in streams.iter() {
+        let in_order = stream.events.iter().zip(1..).all(|(event, expected)| *event == expected);
+        if stream.software.len() > 1 || !in_order {
+            violations.push(Violation::new("ORDER", format!("{stream:?}")));
+        }
+    }
+    let resumptions: Vec<&ResumptionRecord> = streams
+        .iter()
+        .flat_map(|stream| &stream.resumptions)
+        .filter(|call| !cluster.disturbed(call.gateway, call.sent - FAULT_FREE_TIME, call.ended))
+        .collect();
+    let went_on = resumptions.iter().filter(|call| call.went_on).count();
+    if resumptions.len() >= RESUMPTIONS_MIN && went_on * 2 < resumptions.len() {
+        let statuses: Vec<u16> = resumptions.iter().map(|call| call.status).collect();
+        let detail = format!("{went_on} streams that were taken up went on, statuses {statuses:?}");
+        violations.push(Violation::new("LOST", detail));
+    }
+}
+
 /// Checks that a version is in force in time, and that a gateway process never goes back to an
 /// older one.
 fn check_versions(cluster: &SoakCluster, violations: &mut Vec<Violation>) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod proxy;
 mod record;
 mod run;
+mod streams;
 
 pub use crate::{
     judge::Violation,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -22,6 +22,8 @@
 pub(crate) const RETRY_SLACK: usize = 20;
 pub(crate) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
+/// Software versions that runners run in turn, if they run several.
+pub(crate) const SOFTWARE_VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Number of events in a complete stream.
 pub(crate) const EVENTS: u64 = 10;
 /// Attempts that a route allows per call.
@@ -45,6 +47,9 @@
     pub rounds: u32,
     /// Whether a runner announces in its answers in each round that it leaves.
     pub announcements: bool,
+    /// Whether runners run two software versions in turn, and callers break streams off and take them
+    /// up.
+    pub software_versions: bool,
     /// Path of the `knapweedport` binary.
     pub program: PathBuf,
     /// Folder for the settings and logs of the gateways.
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,5 +1,7 @@
 //! Records of calls as callers saw them, and of the faults active at each time.
 
+use std::collections::BTreeSet;
+
 use tokio::time::Instant;
 
 use crate::plan::CallKind;
@@ -20,6 +22,32 @@
     pub(crate) leaving_runner: Option<Box<str>>,
 }
 
+/// A stream that its caller broke off and took up, as it received it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StreamRecord {
+    /// Id of the call that brought the first event.
+    pub(crate) origin: Box<str>,
+    /// Numbers of the events, in the order of arrival.
+    pub(crate) events: Vec<u64>,
+    /// Software versions of the runners that sent them.
+    pub(crate) software: BTreeSet<Box<str>>,
+    /// Calls that took the stream up.
+    pub(crate) resumptions: Vec<ResumptionRecord>,
+}
+
+/// A call that took a stream up.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ResumptionRecord {
+    /// Index of the gateway that received the call.
+    pub(crate) gateway: usize,
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
+    /// Status of the answer; zero when there was none.
+    pub(crate) status: u16,
+    /// Whether at least one event arrived.
+    pub(crate) went_on: bool,
+}
+
 /// How a call ended for its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Outcome {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,10 +22,14 @@
     faults::{announce_leaving, inject_faults, replace_runner},
     gateway::SoakGateway,
     judge::{Violation, find_violations},
-    plan::{CONFIG_BOUND, FAULT_FREE_TIME, RECOVER_BOUND, SoakPlan, configuration, reply_rule},
+    plan::{
+        CONFIG_BOUND, FAULT_FREE_TIME, RECOVER_BOUND, SOFTWARE_VERSIONS, SoakPlan, configuration,
+        reply_rule,
+    },
     proxy::FaultProxy,
-    record::{CallRecord, FaultId, FaultLog, FaultScope},
+    record::{CallRecord, FaultId, FaultLog, FaultScope, StreamRecord},
     run::probes::{VersionProbe, is_serving, probe_versions},
+    streams::take_up_streams,
 };
 
 pub(crate) use self::probes::ProbeOutcome;
@@ -34,6 +38,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time beyond [`FAULT_FREE_TIME`] between the last fault of a round and the planned changes.
 const SETTLE_SLACK: Duration = Duration::from_millis(300);
+/// Callers that break streams off and take them up.
+const STREAM_CALLERS: u64 = 4;
 /// Time for calls in flight to finish at the end of the soak.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -56,6 +62,10 @@
     pub calls: usize,
     /// Calls whose callers received the complete answer.
     pub served: usize,
+    /// Calls that took a stream up.
+    pub taken_up: usize,
+    /// Those of them whose stream went on.
+    pub went_on: usize,
     /// Faults that were injected.
     pub faults: usize,
     /// Guarantees that were violated.
@@ -81,6 +91,7 @@
     pub(crate) gateways: RefCell<Vec<SoakGateway>>,
     pub(crate) runners: RefCell<Vec<SoakRunner>>,
     pub(crate) calls: RefCell<Vec<CallRecord>>,
+    pub(crate) streams: RefCell<Vec<StreamRecord>>,
     pub(crate) probes: RefCell<Vec<VersionProbe>>,
     /// Configuration versions and when the store accepted them.
     pub(crate) versions: RefCell<Vec<(u64, Instant)>>,
@@ -111,6 +122,12 @@
         .map(|caller_index| tokio::task::spawn_local(send_calls(cluster.clone(), caller_index)))
         .collect();
     tasks.push(tokio::task::spawn_local(probe_versions(cluster.clone())));
+    if cluster.plan.software_versions {
+        let stream_callers = (0..STREAM_CALLERS).map(|caller_index| {
+            tokio::task::spawn_local(take_up_streams(cluster.clone(), caller_index))
+        });
+        tasks.extend(stream_callers);
+    }
     tokio::time::sleep(FAULT_FREE_TIME).await;
     let mut rng = SmallRng::seed_from_u64(cluster.plan.seed);
     for _ in 0..cluster.plan.rounds {
@@ -138,7 +155,11 @@
     let violations = find_violations(&cluster);
     let served = cluster.calls.borrow().iter().filter(|call| call.is_served()).count();
     let (calls, faults) = (cluster.calls.borrow().len(), cluster.fault_log.borrow().len());
-    Ok(SoakReport { calls, served, faults, violations })
+    let streams = cluster.streams.borrow();
+    let resumptions = || streams.iter().flat_map(|stream| &stream.resumptions);
+    let taken_up = resumptions().count();
+    let went_on = resumptions().filter(|call| call.went_on).count();
+    Ok(SoakReport { calls, served, taken_up, went_on, faults, violations })
 }
 
 impl SoakCluster {
@@ -158,6 +179,7 @@
             gateways: RefCell::new(gateways),
             runners: RefCell::default(),
             calls: RefCell::default(),
+            streams: RefCell::default(),
             probes: RefCell::default(),
             versions: RefCell::default(),
             fault_log: RefCell::default(),
@@ -178,6 +200,9 @@
         let id = format!("r-{index}");
         let seed = self.plan.seed.wrapping_mul(31).wrapping_add(index);
         let stand_in = RunnerStandIn::start_with_rule(&id, reply_rule, seed).await;
+        if self.plan.software_versions {
+            stand_in.run_software(SOFTWARE_VERSIONS[index as usize % SOFTWARE_VERSIONS.len()]);
+        }
         let proxy = FaultProxy::start(stand_in.address).await.change_context(SoakError)?;
         let runner =
             SoakRunner { stand_in, proxy, drain_started_at: None, announces_leaving: false };
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -49,7 +49,7 @@
 /// Runs gateway processes with a stand-in for the users' platform, under faults.
 fn run_gateways() -> Result<(), Report<TaskError>> {
     println!("the users' platform: 5 gateways, 4 runners, a stand-in store, two rounds of faults");
-    soak_once(SoakTask::default(), DEMO_SEED)
+    soak_once(&SoakTask::default(), DEMO_SEED)
         .and_then(|passed| if passed { Ok(()) } else { Err(Report::new(TaskError)) })
 }
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -65,6 +65,11 @@
         rounds: u32,
         /// Has a runner announce in its answers in each round that it leaves.
         announcements: bool,
+        /// Runs two software versions, whose streams callers break off and take up.
+        software_versions: bool,
+        /// Binary to run instead of the release build.
+        #[bpaf(argument("PATH"), optional)]
+        program: Option<PathBuf>,
     },
     /// Benchmarks a release router: added latency, throughput, start time, memory.
     #[bpaf(command)]
@@ -112,17 +117,27 @@
         Task::Torture { minutes, seed, broken } => {
             torture::run_torture(torture::TorturePlan { minutes, seed, broken_ledger: broken })
         }
-        Task::Soak { seed, seeds, gateways, runners, callers, rounds, announcements } => {
-            soak::run_soaks(soak::SoakTask {
-                seed,
-                seeds,
-                gateways,
-                runners,
-                callers,
-                rounds,
-                announcements,
-            })
-        }
+        Task::Soak {
+            seed,
+            seeds,
+            gateways,
+            runners,
+            callers,
+            rounds,
+            announcements,
+            software_versions,
+            program,
+        } => soak::run_soaks(soak::SoakTask {
+            seed,
+            seeds,
+            gateways,
+            runners,
+            callers,
+            rounds,
+            announcements,
+            software_versions,
+            program,
+        }),
         Task::Bench => bench::run_bench(),
         Task::Configure { seconds, seed, broken } => {
             configure::run_configure(configure::ConfigurePlan { seconds, seed, bypass_api: broken })
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -1,12 +1,14 @@
 //! Runs the soak test on a range of seeds, one after another.
 
+use std::path::PathBuf;
+
 use error_stack::{Report, ResultExt};
 use soak::{SoakPlan, run_soak};
 
 use crate::steps::{TaskError, cargo, target_path};
 
 /// Parameters of the soak runs.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct SoakTask {
     /// First seed to run.
     pub(crate) seed: u64,
@@ -17,6 +19,9 @@
     pub(crate) callers: usize,
     pub(crate) rounds: u32,
     pub(crate) announcements: bool,
+    pub(crate) software_versions: bool,
+    /// Binary to run instead of the release build.
+    pub(crate) program: Option<PathBuf>,
 }
 
 impl Default for SoakTask {
@@ -29,6 +34,8 @@
             callers: 12,
             rounds: 2,
             announcements: false,
+            software_versions: false,
+            program: None,
         }
     }
 }
@@ -37,7 +44,7 @@
 pub(crate) fn run_soaks(task: SoakTask) -> Result<(), Report<TaskError>> {
     cargo(&["build", "--release", "--quiet", "--locked", "--package", "knapweedport"])?;
     let failed: Vec<u64> = (task.seed..task.seed + task.seeds)
-        .map(|seed| soak_once(task, seed).map(|passed| (!passed).then_some(seed)))
+        .map(|seed| soak_once(&task, seed).map(|passed| (!passed).then_some(seed)))
         .collect::<Result<Vec<_>, _>>()?
         .into_iter()
         .flatten()
@@ -47,8 +54,11 @@
 }
 
 /// Runs one seed on the release binary; returns whether it passed without violations.
-pub(crate) fn soak_once(task: SoakTask, seed: u64) -> Result<bool, Report<TaskError>> {
-    let program = target_path("release")?.join("knapweedport");
+pub(crate) fn soak_once(task: &SoakTask, seed: u64) -> Result<bool, Report<TaskError>> {
+    let program = match &task.program {
+        Some(program) => program.clone(),
+        None => target_path("release")?.join("knapweedport"),
+    };
     let folder = target_path("soak")?.join(seed.to_string());
     let plan = SoakPlan {
         seed,
@@ -57,14 +67,17 @@
         callers: task.callers,
         rounds: task.rounds,
         announcements: task.announcements,
+        software_versions: task.software_versions,
         program,
         folder: folder.clone(),
     };
     let report = run_soak(&plan).change_context(TaskError)?;
     println!(
-        "seed {seed}: {} calls, {} served, {} faults, {} violations",
+        "seed {seed}: {} calls, {} served, {} of {} streams went on, {} faults, {} violations",
         report.calls,
         report.served,
+        report.went_on,
+        report.taken_up,
         report.faults,
         report.violations.len()
     );
