Wait a moment for the report of a stream's origin before refusing its caller

A caller that returned within milliseconds of the first event of its stream was refused with code 1023 by the router that it reached: the report of the stream's origin was still under way. Its next answer said when to come back, but most callers return only once. Cause: the report travels with the next heartbeat, 25 ms (7 routers) to 125 ms (50 and more) later. Change: a call whose origin is not known waits for it, half a heartbeat interval at most; it goes on as soon as a heartbeat brings the origin. A router without peers does not wait.

--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -12,7 +12,7 @@
     AttemptSpec, CallKey, ChoiceInputs, DispatchStep, ForwardCore, PromptHead,
     call::{CallState, CurrentAttempt},
     heartbeat_interval,
-    origins::StreamSoftware,
+    origins::{SoftwareKey, StreamSoftware},
     targets::TargetRecord,
 };
 
@@ -44,6 +44,10 @@
 /// target takes in that time.
 const CONTENDERS_MIN: f64 = 1.0;
 
+/// Fraction of the heartbeat interval for which a call waits for the origin of its stream. A router
+/// that has an origin to report sends its next heartbeat early.
+const ORIGIN_WAIT_DIVISOR: u32 = 2;
+
 /// Number of attempts with outcome `Unsent` after which a call is refused.
 const UNSENT_ATTEMPTS_MAX: u32 = 4;
 
@@ -94,19 +98,34 @@
         }
     }
 
+    /// Time until which another router may still report the origin of the stream that a call takes up;
+    /// `None` if the call need not wait for it.
+    pub fn origin_deadline(&self, now: TimePoint, key: CallKey) -> Option<TimePoint> {
+        let state = self.calls.get(&key)?;
+        let routers = self.router_count();
+        let is_awaited = matches!(state.software, StreamSoftware::Unresolved(Some(_)))
+            && self.find_software(now, state).is_none()
+            && routers > 1;
+        is_awaited.then(|| now.after(heartbeat_interval(routers) / ORIGIN_WAIT_DIVISOR))
+    }
+
+    fn resolve_software(&self, now: TimePoint, state: &mut CallState) {
+        if let Some(software) = self.find_software(now, state) {
+            state.software = StreamSoftware::Only(software);
+        }
+    }
+
     /// Finds the software that began the stream which a call takes up: the one that a router reported,
     /// or the only one of the pool. A list that may be out of date counts only where the caller does not
     /// name the call that began its stream, as no later report can tell its software.
-    fn resolve_software(&self, now: TimePoint, state: &mut CallState) {
-        let StreamSoftware::Unresolved(origin) = state.software else { return };
+    fn find_software(&self, now: TimePoint, state: &CallState) -> Option<SoftwareKey> {
+        let StreamSoftware::Unresolved(origin) = state.software else { return None };
         let reported = origin.and_then(|call_hash| self.origins.software(now, call_hash));
         let history = &self.targets.software;
         let is_list_enough = origin.is_none() || history.is_current(now);
         let only_software =
             is_list_enough.then(|| history.only_software(now, &state.pool)).flatten();
-        if let Some(software) = reported.or(only_software) {
-            state.software = StreamSoftware::Only(software);
-        }
+        reported.or(only_software)
     }
 
     /// How a call may be dispatched in view of its content. Trials of blocked content are assigned to
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -34,24 +34,37 @@
     core
 }
 
-/// Sends a call that begins a stream, or takes up the one that the call `origin` began.
-fn send(
-    core: &mut ForwardCore,
-    now: TimePoint,
-    id: u64,
-    origin: Option<u64>,
-) -> Result<(CallKey, usize), (NotRunCode, TimePoint)> {
+/// Admits a call that begins a stream, or takes up the one that the call `origin` began.
+fn admit(core: &mut ForwardCore, now: TimePoint, id: u64, origin: Option<u64>) -> CallKey {
     let mut head = call_head(now, id, None);
     let named = |origin: u64| StreamResumption { origin: Some(origin.to_string().into()) };
     head.resumption = origin.map(named);
-    let call = core.admit(now, head, ContentDigest(u128::from(id))).expect("admitted").call;
+    core.admit(now, head, ContentDigest(u128::from(id))).expect("admitted").call
+}
+
+/// Index of the target that a call is sent to, or the refusal's code and time to return.
+fn dispatch(
+    core: &mut ForwardCore,
+    now: TimePoint,
+    call: CallKey,
+) -> Result<usize, (NotRunCode, TimePoint)> {
     match core.dispatch(now, call) {
-        DispatchStep::Send(attempt) => Ok((call, target_index(attempt.address))),
+        DispatchStep::Send(attempt) => Ok(target_index(attempt.address)),
         DispatchStep::Refuse(Refusal::NotRun(code, retry_at)) => Err((code, retry_at)),
         DispatchStep::Refuse(refusal) => panic!("{refusal:?}"),
     }
 }
 
+fn send(
+    core: &mut ForwardCore,
+    now: TimePoint,
+    id: u64,
+    origin: Option<u64>,
+) -> Result<(CallKey, usize), (NotRunCode, TimePoint)> {
+    let call = admit(core, now, id, origin);
+    Ok((call, dispatch(core, now, call)?))
+}
+
 #[derive(Debug, Clone, Copy)]
 struct FleetPlan {
     routers: u16,
@@ -64,9 +77,26 @@
 
 #[derive(Debug, Clone, Copy)]
 enum StreamPhase {
-    Begun { call: CallKey, first_event_at: TimePoint },
-    Running { call: CallKey, breaks_at: TimePoint },
-    Broken { returns_at: TimePoint, returned: bool },
+    Begun {
+        call: CallKey,
+        first_event_at: TimePoint,
+    },
+    Running {
+        call: CallKey,
+        breaks_at: TimePoint,
+    },
+    Broken {
+        returns_at: TimePoint,
+        returned: bool,
+    },
+    /// Taken up at a router that waits for the origin.
+    Waiting {
+        router: usize,
+        start: u64,
+        call: CallKey,
+        until: TimePoint,
+        returned: bool,
+    },
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -155,8 +185,9 @@
     /// Advances a stream; `None` once it is over.
     fn advance(&mut self, mut stream: Stream) -> Option<Stream> {
         let now = self.now;
-        let is_broken = matches!(stream.phase, StreamPhase::Broken { .. });
-        if !is_broken && stream.start != self.starts[stream.router] {
+        let is_begun =
+            matches!(stream.phase, StreamPhase::Begun { .. } | StreamPhase::Running { .. });
+        if is_begun && stream.start != self.starts[stream.router] {
             return None;
         }
         match stream.phase {
@@ -173,30 +204,55 @@
                 stream.phase = phase;
             }
             StreamPhase::Broken { returns_at, returned } if returns_at.passed(now) => {
-                stream.phase = self.take_up(&stream, returned)?;
+                stream.phase = self.take_up(&stream, returned);
+            }
+            StreamPhase::Waiting { router, start, .. } if start != self.starts[router] => {
+                return None;
+            }
+            StreamPhase::Waiting { router, call, until, returned, .. } => {
+                let is_awaited = self.routers[router].origin_deadline(now, call).is_some();
+                if until.passed(now) || !is_awaited {
+                    stream.phase = self.go_on(&stream, router, call, returned)?;
+                }
             }
             _ => {}
         }
         Some(stream)
     }
 
-    /// Takes a stream up at a random router; a refused caller returns once.
-    fn take_up(&mut self, stream: &Stream, returned: bool) -> Option<StreamPhase> {
+    /// Takes a stream up at a random router.
+    fn take_up(&mut self, stream: &Stream, returned: bool) -> StreamPhase {
         let (id, router) = (self.new_id(), self.random_router());
         if self.plan.restarts && !returned {
             self.restart(stream.router);
         }
-        let now = self.now;
         self.record.taken_up += u32::from(!returned);
-        match send(&mut self.routers[router], now, id, Some(stream.id)) {
-            Ok((call, target)) => {
+        let now = self.now;
+        let call = admit(&mut self.routers[router], now, id, Some(stream.id));
+        let until = self.routers[router].origin_deadline(now, call).unwrap_or(now);
+        let start = self.starts[router];
+        StreamPhase::Waiting { router, start, call, until, returned }
+    }
+
+    /// Dispatches a call that takes a stream up; a refused caller returns once.
+    fn go_on(
+        &mut self,
+        stream: &Stream,
+        router: usize,
+        call: CallKey,
+        returned: bool,
+    ) -> Option<StreamPhase> {
+        let (now, core) = (self.now, &mut self.routers[router]);
+        let sent = dispatch(core, now, call);
+        core.finish(call);
+        match sent {
+            Ok(target) => {
                 assert_eq!(
                     target % 2,
                     stream.target % 2,
                     "stream {} changed its version",
                     stream.id
                 );
-                self.routers[router].finish(call);
                 self.record.went_on += 1;
                 None
             }
@@ -284,6 +340,23 @@
     assert!(send(&mut core, seconds(11), 13, Some(12)).is_ok());
 }
 
+/// A caller may return before the report of its stream's origin has arrived.
+#[test]
+fn a_call_waits_for_the_origin_of_its_stream_only_while_it_may_arrive() {
+    let [mut first, mut second] = [0, 1].map(|index| new_listed_router(seconds(0), index, 1));
+    let alone = admit(&mut second, seconds(1), 1, Some(7));
+    assert_eq!(second.origin_deadline(seconds(1), alone), None, "no other router");
+    second.on_heartbeat(seconds(1), first.next_heartbeat(seconds(1)));
+    let target = begin_stream(&mut first, seconds(2), 2);
+    let call = admit(&mut second, seconds(2), 3, Some(2));
+    let deadline = second.origin_deadline(seconds(2), call).expect("a moment to wait");
+    assert!(deadline.since(seconds(2)) <= Duration::from_millis(100), "{deadline:?}");
+    second.on_heartbeat(seconds(2), first.next_heartbeat(seconds(2)));
+    assert_eq!(second.origin_deadline(seconds(2), call), None);
+    let sent_to = dispatch(&mut second, seconds(2), call).expect("sent");
+    assert_eq!(sent_to % 2, target % 2);
+}
+
 /// All targets of a version were replaced shortly before a caller returns.
 #[test]
 fn a_replaced_version_counts_while_its_streams_may_return() {
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -146,6 +146,7 @@
 
 impl ServedCall {
     async fn serve(mut self) -> Response<ResponseBody> {
+        self.await_origin().await;
         loop {
             match self.dispatch_until_response(None).await {
                 DispatchOutcome::Started(started) if self.admitted.is_stream => {
@@ -165,6 +166,27 @@
         }
     }
 
+    /// Waits a moment for another router to report the origin of the stream that the call takes up,
+    /// because a caller may return before the report has arrived.
+    async fn await_origin(&self) {
+        let origin_deadline = || {
+            let call = self.admitted.call;
+            self.state.with_core(|core, now| core.origin_deadline(now, call))
+        };
+        let Some(deadline) = origin_deadline() else { return };
+        let waiting = async {
+            loop {
+                let received = self.state.origins_received().notified();
+                if origin_deadline().is_none() {
+                    return;
+                }
+                received.await;
+            }
+        };
+        // Without a report in time, the dispatch decides.
+        let _ = tokio::time::timeout_at(self.state.clock().instant(deadline), waiting).await;
+    }
+
     /// Drops the request of a call that is not retried; the request head would keep the read
     /// buffer of the caller's connection alive.
     pub(crate) fn drop_request_data(&mut self) {
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -62,7 +62,13 @@
 
 fn receive_heartbeat(state: &ForwardState, datagram: &[u8]) {
     match postcard::from_bytes::<PeerHeartbeat>(datagram) {
-        Ok(heartbeat) => state.with_core(|core, now| core.on_heartbeat(now, heartbeat)),
+        Ok(heartbeat) => {
+            let has_origins = !heartbeat.stream_origins.is_empty();
+            state.with_core(|core, now| core.on_heartbeat(now, heartbeat));
+            if has_origins {
+                state.origins_received().notify_waiters();
+            }
+        }
         Err(error) => log::debug!(error = error.to_string().as_str(); "malformed heartbeat"),
     }
 }
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -25,6 +25,7 @@
     metrics: Rc<GatewayMetrics>,
     shutting_down: watch::Sender<bool>,
     heartbeat_wakeup: Notify,
+    origins_received: Notify,
 }
 
 impl ForwardState {
@@ -44,6 +45,7 @@
             metrics,
             shutting_down,
             heartbeat_wakeup: Notify::new(),
+            origins_received: Notify::new(),
         };
         Self { inner: Rc::new(shared) }
     }
@@ -106,6 +108,11 @@
         &self.inner.heartbeat_wakeup
     }
 
+    /// Notified when a peer reported the origins of streams.
+    pub(crate) fn origins_received(&self) -> &Notify {
+        &self.inner.origins_received
+    }
+
     pub(crate) fn shutting_down(&self) -> watch::Receiver<bool> {
         self.inner.shutting_down.subscribe()
     }
