Send no calls to a target that asks for a pause until the pause ends

A target that declined a call and asked for a pause got calls as before; callers lost their attempts to further refusals. Cause: no place read the pause. Class, as of: a statement that a peer makes about itself in an answer is forwarded or dropped, and not acted upon. While all targets of a pool pause, calls are refused at once; their callers may return when the first pause ends, each a little later than the one before. A call whose attempts are spent is told the same time, if that is later than now.

--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -51,6 +51,15 @@
 /// Number of attempts with outcome `Unsent` after which a call is refused.
 const UNSENT_ATTEMPTS_MAX: u32 = 4;
 
+/// Room for calls at several targets together.
+#[derive(Debug, Clone, Copy)]
+struct PoolRoom {
+    /// Time at which the first of them has room.
+    at: TimePoint,
+    /// Calls a second that they take.
+    calls_per_s: f64,
+}
+
 impl ForwardCore {
     /// Returns the next action for a call without an attempt in progress. A call that is not
     /// admitted is refused with an unknown outcome.
@@ -79,13 +88,13 @@
             return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
         }
         if state.attempts >= state.attempts_max || state.unsent_attempts >= UNSENT_ATTEMPTS_MAX {
-            return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
+            return self.refuse_spent(now, state);
         }
         let Some(choice) = self.choose_target(now, state) else {
             return self.refuse_without_target(now, state);
         };
         if state.attempts > 0 && !self.spend_retry(now, state) {
-            return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
+            return self.refuse_spent(now, state);
         }
         match self.start_attempt(now, state, choice) {
             Some(attempt) => {
@@ -148,30 +157,61 @@
         unit_hash(hash) * f64::from(routers) < contenders
     }
 
-    /// Refuses a call that no target takes. If that is because of limits that targets name, its caller
-    /// may return when one of them has room; callers are told different times.
+    /// Refuses a call that no target takes. If that is because targets name limits or pause, its caller
+    /// may return when one of them has room.
     fn refuse_without_target(&mut self, now: TimePoint, state: &CallState) -> DispatchStep {
-        let routers = self.router_count();
-        let turn = heartbeat_interval(routers);
-        let (mut room_at, mut rate) = (TimePoint::NEVER, 0.0);
-        for (target, record) in self.targets.responding(now, &state.pool) {
-            let is_candidate = record.accepts_calls(now) && state.software.allows(record.software);
-            if !is_candidate || state.attempted_targets.contains(&target) {
-                continue;
-            }
-            let turn_at = if self.is_contender(now, record) { now } else { now.after(turn) };
-            room_at = room_at.min(record.allowance.room_at(now).max(turn_at));
-            rate += record.allowance.rate().unwrap_or(0.0);
-        }
-        if room_at == TimePoint::NEVER {
+        let is_untried = |target: TargetKey| !state.attempted_targets.contains(&target);
+        let Some(room) = self.next_room(now, state, is_untried) else {
             return refuse(now, state, NotRunCode::NoTarget, UnknownCode::TargetLost);
-        }
-        let interval = Duration::from_secs_f64(f64::from(routers) / rate);
-        let queue = self.return_queues.entry(state.pool.clone()).or_default();
-        let return_at = queue.next_return(now, room_at, interval, state.deadline);
+        };
+        let return_at = self.queue_return(now, state, room);
         refuse_until(state, NotRunCode::TargetsFull, UnknownCode::TargetLost, return_at)
     }
 
+    /// Refuses a call whose attempts or retry budget are spent. Its caller may return soon, or when a
+    /// target has room if none has now.
+    fn refuse_spent(&mut self, now: TimePoint, state: &CallState) -> DispatchStep {
+        let room = self.next_room(now, state, |_| true).filter(|room| room.at > now);
+        let soonest = now.after(RETRY_AFTER);
+        let return_at = room.map_or(soonest, |room| self.queue_return(now, state, room));
+        let return_at = return_at.max(soonest);
+        refuse_until(state, NotRunCode::RetriesSpent, UnknownCode::TargetLost, return_at)
+    }
+
+    /// Room for a call at those of its pool's targets that are selected; `None` if there is no such
+    /// target.
+    fn next_room(
+        &self,
+        now: TimePoint,
+        state: &CallState,
+        selects: impl Fn(TargetKey) -> bool,
+    ) -> Option<PoolRoom> {
+        let turn = heartbeat_interval(self.router_count());
+        let responding = self.targets.responding(now, &state.pool);
+        let candidates = responding.filter(|(target, record)| {
+            record.accepts_calls(now) && state.software.allows(record.software) && selects(*target)
+        });
+        let rooms = candidates.map(|(_, record)| {
+            let turn_at = if self.is_contender(now, record) { now } else { now.after(turn) };
+            let at = record.allowance.room_at(now).max(turn_at).max(record.paused_until);
+            // Without a limit, a target takes about as many calls a second as it runs at once.
+            let rate = record.allowance.rate().unwrap_or(f64::from(record.entry.slots.max(1)));
+            PoolRoom { at, calls_per_s: rate }
+        });
+        rooms.reduce(|sum, room| PoolRoom {
+            at: sum.at.min(room.at),
+            calls_per_s: sum.calls_per_s + room.calls_per_s,
+        })
+    }
+
+    /// Returns when the caller of a refused call may return; callers are told different times.
+    fn queue_return(&mut self, now: TimePoint, state: &CallState, room: PoolRoom) -> TimePoint {
+        let routers = f64::from(self.router_count());
+        let interval = Duration::from_secs_f64(routers / room.calls_per_s);
+        let queue = self.return_queues.entry(state.pool.clone()).or_default();
+        queue.next_return(now, room.at, interval, state.deadline)
+    }
+
     fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
         let bounds = self.retry_bounds();
         let routers = self.router_count();
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -55,6 +55,13 @@
         is_changed
     }
 
+    /// Records that a target asked for no calls from this router until a time.
+    pub fn on_pause_asked(&mut self, target: TargetKey, until: TimePoint) {
+        if let Some(record) = self.targets.get_mut(target) {
+            record.paused_until = record.paused_until.max(until);
+        }
+    }
+
     /// Records that a target announced in an answer that it leaves: this start of it gets no further
     /// calls. Returns what the list says of the target if the announcement is new.
     pub fn on_leaving_announced(
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -112,6 +112,8 @@
     pub(crate) limit_report: LimitReport,
     /// Outcomes not yet reported to the other routers.
     pub(crate) unreported_outcomes: OutcomeCount,
+    /// Time until which the target wants no calls from this router.
+    pub(crate) paused_until: TimePoint,
     /// Time until which the target is assumed to accept no connections.
     unreachable_until: TimePoint,
     /// Earliest time of the next probe.
@@ -160,6 +162,7 @@
             allowance: RateAllowance::default(),
             limit_report: LimitReport::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
+            paused_until: TimePoint(0),
             unreachable_until: TimePoint(0),
             next_probe_at: TimePoint(0),
             next_crash_probe_at: TimePoint(0),
@@ -194,7 +197,7 @@
 
     /// Whether a call may be sent to the target now.
     pub(crate) fn can_be_sent_calls(&self, now: TimePoint) -> bool {
-        self.accepts_calls(now) && self.allowance.has_room(now)
+        self.accepts_calls(now) && self.paused_until.passed(now) && self.allowance.has_room(now)
     }
 
     /// Whether the target is ejected after a failure.
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -138,6 +138,7 @@
     early_close_count: u32,
     limit: Option<Box<str>>,
     leaving: Option<Box<str>>,
+    retry_after: Option<Box<str>>,
     software: Option<Box<str>>,
 }
 
@@ -235,6 +236,12 @@
         self.state.lock().expect("the state lock is poisoned").leaving = value.map(Into::into);
     }
 
+    /// Sets the time for which the runner asks for a pause when it declines a call.
+    pub fn ask_for_pause(&self, retry_after: Option<&str>) {
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        state.retry_after = retry_after.map(Into::into);
+    }
+
     /// Sets the software version in the runner's entry, and adds it to each event as a comment.
     pub fn run_software(&self, version: &str) {
         self.state.lock().expect("the state lock is poisoned").software = Some(version.into());
@@ -318,8 +325,8 @@
                 connection.send(self.signed_answer(500, &id, "failed").as_bytes()).await
             }
             Reply::Declined => {
-                let end = self.empty_body_head();
-                let answer = format!("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n{end}");
+                let (pause, end) = (self.retry_after_header(), self.empty_body_head());
+                let answer = format!("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n{pause}{end}");
                 connection.send(answer.as_bytes()).await;
             }
             Reply::Misdirected => {
@@ -462,6 +469,12 @@
         )
     }
 
+    fn retry_after_header(&self) -> String {
+        let state = self.state.lock().expect("the state lock is poisoned");
+        let value = state.retry_after.as_ref();
+        value.map(|value| format!("Retry-After: {value}\r\n")).unwrap_or_default()
+    }
+
     /// End of the head of an answer without a body.
     fn empty_body_head(&self) -> String {
         let state = self.state.lock().expect("the state lock is poisoned");
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -290,6 +290,7 @@
         if let ExecutionStatus::Executed | ExecutionStatus::Declined = started.head.execution {
             self.record_rate_limit(&started);
             self.record_leaving(&started);
+            self.record_pause(&started);
         }
         match started.head.execution {
             ExecutionStatus::Executed => return Some(started),
@@ -451,6 +452,16 @@
         }
     }
 
+    fn record_pause(&self, started: &StartedResponse) {
+        let Some(pause) = started.head.pause else { return };
+        let target = started.attempt.target;
+        log::info!(
+            target = &*started.attempt.name, pause_ms = pause.as_millis() as u64;
+            "target asked for a pause"
+        );
+        self.state.with_core(|core, now| core.on_pause_asked(target, now.after(pause)));
+    }
+
     /// Reports to the core that a target answered completely, if the response's framing shows so.
     pub(crate) fn record_complete_answer(&self, progress: &BodyProgress, status: u16) {
         let is_success = StatusCode::from_u16(status).is_ok_and(|status| status.is_success());
--- a/crates/io-forward/src/dialect.rs
+++ b/crates/io-forward/src/dialect.rs
@@ -30,6 +30,8 @@
         pub closes_connection: bool,
         /// Limit on the rate of calls that the target names, over all routers.
         pub rate_limit: Option<CallRate>,
+        /// Time for which the target asks for no further calls from this router.
+        pub pause: Option<Duration>,
         /// Whether the target announces that it leaves; it does so until it ends.
         pub announces_leaving: bool,
         /// How long the target keeps an idle connection open; absent if the response does not say.
