--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -3,6 +3,8 @@
 mod beats;
 mod dispatch;
 mod ends;
+mod refusals;
+mod resumption;
 mod snapshots;
 
 pub use self::beats::heartbeat_interval;
@@ -233,6 +235,7 @@
         self.next_call_key += 1;
         let deadline = head.deadline.min(now.after(route_match.rule.timeout));
         let retry_rule = route_match.rule.retry_rule;
+        let resumable = retry_rule.is_streaming() && retry_rule.is_retryable();
         let content_keys = shared_content_keys(content, head.prompt.as_ref());
         let state = CallState {
             route: route_match.rule.name.clone(),
@@ -263,7 +266,7 @@
             route: state.route.clone(),
             pool: state.pool.clone(),
             is_stream: retry_rule.is_streaming(),
-            resumable: retry_rule.is_streaming() && retry_rule.is_retryable(),
+            resumable,
             version: config.version,
             resumption: head.resumption,
             content_keys,
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -11,14 +11,12 @@
 use crate::{
     AttemptSpec, CallKey, ChoiceInputs, DispatchStep, ForwardCore, PromptHead,
     call::{CallState, CurrentAttempt},
+    core::refusals::{refuse, refuse_until},
     heartbeat_interval,
-    origins::{SoftwareKey, StreamSoftware},
+    origins::StreamSoftware,
     targets::TargetRecord,
 };
 
-/// Time after which a caller may retry a call that was refused without having run.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// Time after which a target is assumed to have prefilled the prompt of a call sent to it. The
 /// slowest engines take this long for 25,000 tokens.
 const PREFILL_TIME: Duration = Duration::from_millis(300);
@@ -44,22 +42,9 @@
 /// target takes in that time.
 const CONTENDERS_MIN: f64 = 1.0;
 
-/// Fraction of the heartbeat interval for which a call waits for the origin of its stream. A router
-/// that has an origin to report sends its next heartbeat early.
-const ORIGIN_WAIT_DIVISOR: u32 = 2;
-
 /// Number of attempts with outcome `Unsent` after which a call is refused.
 const UNSENT_ATTEMPTS_MAX: u32 = 4;
 
-/// Room for calls at several targets together.
-#[derive(Debug, Clone, Copy)]
-struct PoolRoom {
-    /// Time at which the first of them has room.
-    at: TimePoint,
-    /// Calls a second that they take.
-    calls_per_s: f64,
-}
-
 impl ForwardCore {
     /// Returns the next action for a call without an attempt in progress. A call that is not
     /// admitted is refused with an unknown outcome.
@@ -107,36 +92,6 @@
         }
     }
 
-    /// Time until which another router may still report the origin of the stream that a call takes up;
-    /// `None` if the call need not wait for it.
-    pub fn origin_deadline(&self, now: TimePoint, key: CallKey) -> Option<TimePoint> {
-        let state = self.calls.get(&key)?;
-        let routers = self.router_count();
-        let is_awaited = matches!(state.software, StreamSoftware::Unresolved(Some(_)))
-            && self.find_software(now, state).is_none()
-            && routers > 1;
-        is_awaited.then(|| now.after(heartbeat_interval(routers) / ORIGIN_WAIT_DIVISOR))
-    }
-
-    fn resolve_software(&self, now: TimePoint, state: &mut CallState) {
-        if let Some(software) = self.find_software(now, state) {
-            state.software = StreamSoftware::Only(software);
-        }
-    }
-
-    /// Finds the software that began the stream which a call takes up: the one that a router reported,
-    /// or the only one of the pool. A list that may be out of date counts only where the caller does not
-    /// name the call that began its stream, as no later report can tell its software.
-    fn find_software(&self, now: TimePoint, state: &CallState) -> Option<SoftwareKey> {
-        let StreamSoftware::Unresolved(origin) = state.software else { return None };
-        let reported = origin.and_then(|call_hash| self.origins.software(now, call_hash));
-        let history = &self.targets.software;
-        let is_list_enough = origin.is_none() || history.is_current(now);
-        let only_software =
-            is_list_enough.then(|| history.only_software(now, &state.pool)).flatten();
-        reported.or(only_software)
-    }
-
     /// How a call may be dispatched in view of its content. Trials of blocked content are assigned to
     /// one router, so that they are rare in a fleet of any size.
     fn content_verdict(&self, now: TimePoint, state: &CallState) -> ContentVerdict {
@@ -147,7 +102,7 @@
     /// Whether this router may use the allowance of a target that names a limit. While other routers do
     /// not know of each other's latest calls, only a few of them may use it, others after each
     /// heartbeat.
-    fn is_contender(&self, now: TimePoint, record: &TargetRecord) -> bool {
+    pub(super) fn is_contender(&self, now: TimePoint, record: &TargetRecord) -> bool {
         let Some(rate) = record.allowance.rate() else { return true };
         let routers = self.router_count();
         let interval = heartbeat_interval(routers);
@@ -157,61 +112,6 @@
         unit_hash(hash) * f64::from(routers) < contenders
     }
 
-    /// Refuses a call that no target takes. If that is because targets name limits or pause, its caller
-    /// may return when one of them has room.
-    fn refuse_without_target(&mut self, now: TimePoint, state: &CallState) -> DispatchStep {
-        let is_untried = |target: TargetKey| !state.attempted_targets.contains(&target);
-        let Some(room) = self.next_room(now, state, is_untried) else {
-            return refuse(now, state, NotRunCode::NoTarget, UnknownCode::TargetLost);
-        };
-        let return_at = self.queue_return(now, state, room);
-        refuse_until(state, NotRunCode::TargetsFull, UnknownCode::TargetLost, return_at)
-    }
-
-    /// Refuses a call whose attempts or retry budget are spent. Its caller may return soon, or when a
-    /// target has room if none has now.
-    fn refuse_spent(&mut self, now: TimePoint, state: &CallState) -> DispatchStep {
-        let room = self.next_room(now, state, |_| true).filter(|room| room.at > now);
-        let soonest = now.after(RETRY_AFTER);
-        let return_at = room.map_or(soonest, |room| self.queue_return(now, state, room));
-        let return_at = return_at.max(soonest);
-        refuse_until(state, NotRunCode::RetriesSpent, UnknownCode::TargetLost, return_at)
-    }
-
-    /// Room for a call at those of its pool's targets that are selected; `None` if there is no such
-    /// target.
-    fn next_room(
-        &self,
-        now: TimePoint,
-        state: &CallState,
-        selects: impl Fn(TargetKey) -> bool,
-    ) -> Option<PoolRoom> {
-        let turn = heartbeat_interval(self.router_count());
-        let responding = self.targets.responding(now, &state.pool);
-        let candidates = responding.filter(|(target, record)| {
-            record.accepts_calls(now) && state.software.allows(record.software) && selects(*target)
-        });
-        let rooms = candidates.map(|(_, record)| {
-            let turn_at = if self.is_contender(now, record) { now } else { now.after(turn) };
-            let at = record.allowance.room_at(now).max(turn_at).max(record.paused_until);
-            // Without a limit, a target takes about as many calls a second as it runs at once.
-            let rate = record.allowance.rate().unwrap_or(f64::from(record.entry.slots.max(1)));
-            PoolRoom { at, calls_per_s: rate }
-        });
-        rooms.reduce(|sum, room| PoolRoom {
-            at: sum.at.min(room.at),
-            calls_per_s: sum.calls_per_s + room.calls_per_s,
-        })
-    }
-
-    /// Returns when the caller of a refused call may return; callers are told different times.
-    fn queue_return(&mut self, now: TimePoint, state: &CallState, room: PoolRoom) -> TimePoint {
-        let routers = f64::from(self.router_count());
-        let interval = Duration::from_secs_f64(routers / room.calls_per_s);
-        let queue = self.return_queues.entry(state.pool.clone()).or_default();
-        queue.next_return(now, room.at, interval, state.deadline)
-    }
-
     fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
         let bounds = self.retry_bounds();
         let routers = self.router_count();
@@ -406,27 +306,3 @@
 fn longest_segment(prompt: &PromptHead) -> u64 {
     prompt.segments.iter().max_by_key(|segment| segment.tokens).map_or(0, |segment| segment.id)
 }
-
-fn refuse(
-    now: TimePoint,
-    state: &CallState,
-    not_run_code: NotRunCode,
-    unknown_code: UnknownCode,
-) -> DispatchStep {
-    refuse_until(state, not_run_code, unknown_code, now.after(RETRY_AFTER))
-}
-
-/// Refuses a call; its caller may return at `retry_at` if it did not run.
-fn refuse_until(
-    state: &CallState,
-    not_run_code: NotRunCode,
-    unknown_code: UnknownCode,
-    retry_at: TimePoint,
-) -> DispatchStep {
-    let refusal = if state.may_have_run {
-        Refusal::Unknown(unknown_code)
-    } else {
-        Refusal::NotRun(not_run_code, retry_at)
-    };
-    DispatchStep::Refuse(refusal)
-}
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -6,9 +6,7 @@
 use policy_retries::BlockChange;
 use policy_targets::{CallRate, NamedLimit};
 
-use crate::{
-    AttemptOutcome, CallKey, ForwardCore, LeavingNotice, call::CallState, origins::StreamSoftware,
-};
+use crate::{AttemptOutcome, CallKey, ForwardCore, LeavingNotice, call::CallState};
 
 /// Time after the start of a response after which its content is not the cause of a crash: content
 /// that crashes a target does so as the answer begins.
@@ -26,19 +24,6 @@
         attempt.response_started_at = Some(now);
     }
 
-    /// Records that the first event of a resumable stream is about to be forwarded: from now on only
-    /// targets of the same software continue it, in this call and in those that take it up.
-    pub fn on_first_event(&mut self, now: TimePoint, key: CallKey) {
-        let Some(state) = self.calls.get_mut(&key) else { return };
-        let Some(attempt) = &state.current_attempt else { return };
-        let Some(record) = self.targets.get(attempt.target) else { return };
-        if state.software == StreamSoftware::Any {
-            state.software = StreamSoftware::Only(record.software);
-            let deadline = state.caller_deadline;
-            self.origins.on_first_event(now, state.call_hash, record.software, deadline);
-        }
-    }
-
     /// Records the limit on the rate of calls that a target named in an answer, or that it named none;
     /// returns whether the limit changed.
     pub fn on_rate_limit(
