Refuse no call on a route whose streams cannot be taken up for its unknown origin

Change: only routes with resumable streams take streams up. The fixture of the fleets takes the retry rule of its route, as the one of streams that go on was not resumable.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -223,9 +223,8 @@
     ) -> Result<AdmittedCall, NotRunCode> {
         let config = self.config.as_ref().ok_or(NotRunCode::TablesMissing)?;
         let call_hash = stable_hash(head.id.as_bytes());
-        let origin = head.resumption.as_ref().map(|stream| {
-            stream.origin.as_ref().map(|origin_id| stable_hash(origin_id.as_bytes()))
-        });
+        let hash_id = |id: &str| stable_hash(id.as_bytes());
+        let origin = head.resumption.as_ref().map(|stream| stream.origin.as_deref().map(hash_id));
         // A stream stays in the pool in which it began, where the route has several.
         let pool_hash = origin.flatten().unwrap_or(call_hash);
         let route_match = config.match_route(&head.host, &head.path, pool_hash);
@@ -251,7 +250,7 @@
             call_hash,
             caller_deadline: head.deadline,
             software: match origin {
-                Some(origin) if retry_rule.is_streaming() => StreamSoftware::Unresolved(origin),
+                Some(origin) if resumable => StreamSoftware::Unresolved(origin),
                 _ => StreamSoftware::Any,
             },
             content_keys: content_keys.clone(),
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -5,6 +5,7 @@
 use base_types::{ContentDigest, NotRunCode, Refusal, TargetKey, TimePoint};
 use core_forward::{AttemptOutcome, CallKey, DispatchStep, ForwardCore, PromptHead, PromptSegment};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use state_config::RetryRule;
 
 use crate::fixture::{call_head, new_router, target_entry, target_index};
 
@@ -137,7 +138,7 @@
     }
 
     fn new_router(&self, index: u16, incarnation: u64) -> ForwardCore {
-        let mut core = new_router(self.now, index, incarnation);
+        let mut core = new_router(self.now, index, incarnation, RetryRule::AtMostOnceStream);
         let entries = self.targets.iter().enumerate();
         let entries = entries.map(|(target, (incarnation, _))| target_entry(target, *incarnation));
         core.list_targets(self.now, entries.collect());
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -8,7 +8,7 @@
 };
 use core_forward::{
     AttemptOutcome, AttemptSpec, CallHead, CallKey, CallRate, DispatchStep, ForwardBounds,
-    ForwardCore, PromptHead, PromptSegment, RouterEntry, TargetEntry,
+    ForwardCore, PromptHead, PromptSegment, RouterEntry, StreamResumption, TargetEntry,
 };
 use proptest::prelude::*;
 use state_config::{
@@ -81,16 +81,20 @@
     core
 }
 
-fn admit(core: &mut ForwardCore, now: TimePoint, prompt: Option<PromptHead>) -> CallKey {
-    let head = CallHead {
+fn call_head(now: TimePoint) -> CallHead {
+    CallHead {
         id: format!("{now:?}").into(),
         host: "h".into(),
         path: "/x".into(),
         account_key: None,
         deadline: now.after(Duration::from_secs(3)),
-        prompt,
+        prompt: None,
         resumption: None,
-    };
+    }
+}
+
+fn admit(core: &mut ForwardCore, now: TimePoint, prompt: Option<PromptHead>) -> CallKey {
+    let head = CallHead { prompt, ..call_head(now) };
     core.admit(now, head, ContentDigest(u128::from(now.0))).expect("admitted").call
 }
 
@@ -629,3 +633,51 @@
     small_fleet_uses_the_headroom_below_the_bound(6, true);
     large_fleet_leaves_headroom_below_the_bound(66, false);
 }
+
+/// The stream that a call takes up began in one of two pools of the route.
+#[test]
+fn a_stream_is_taken_up_in_the_pool_in_which_it_began() {
+    let now = TimePoint(1_000_000);
+    let mut core = core_of(RetryRule::ResumableStream, 2, 0);
+    let mut split = config(2, RetryRule::ResumableStream, 2).routes_for_host("h")[0].clone();
+    split.pools =
+        ["a", "b"].map(|pool| WeightedPool { pool: PoolName::new(pool), weight: 1 }).into();
+    let limits = core.limits().expect("a configuration");
+    let split_config = FleetConfig::new(ConfigVersion(2), Vec::new(), vec![split], None, limits);
+    assert!(core.adopt_config(now, split_config));
+    let mut pools = std::collections::BTreeSet::new();
+    for number in 0..20 {
+        let admit = |core: &mut ForwardCore, id: String, resumption| {
+            let head = CallHead { id: id.into(), resumption, ..call_head(now) };
+            core.admit(now, head, ContentDigest(number)).expect("admitted").pool
+        };
+        let first = format!("first-{number}");
+        let pool = admit(&mut core, first.clone(), None);
+        let resumption = StreamResumption { origin: Some(first.into()) };
+        assert_eq!(admit(&mut core, format!("second-{number}"), Some(resumption)), pool);
+        pools.insert(pool);
+    }
+    assert_eq!(pools.len(), 2);
+}
+
+/// A header that asks for a stream after an event has no meaning on other routes.
+fn check_other_route(retry_rule: RetryRule) {
+    let now = TimePoint(1_000_000);
+    let mut core = core_of(retry_rule, 2, 0);
+    let versions = ["v1", "v2"].map(Box::<str>::from);
+    let entries = versions
+        .into_iter()
+        .zip(0..)
+        .map(|(software_version, index)| TargetEntry { software_version, ..target(index) });
+    core.list_targets(now, entries.collect());
+    let resumption = Some(StreamResumption { origin: None });
+    let head = CallHead { resumption, ..call_head(now) };
+    let call = core.admit(now, head, ContentDigest(1)).expect("admitted").call;
+    assert!(send(&mut core, now, call).is_some());
+}
+
+test_cases! {
+    check_other_route:
+    a_call_on_a_route_without_streams_takes_up_nothing(RetryRule::Idempotent);
+    a_call_on_a_route_whose_streams_run_once_takes_up_nothing(RetryRule::AtMostOnceStream);
+}
--- a/crates/core-forward/tests/leaving.rs
+++ b/crates/core-forward/tests/leaving.rs
@@ -4,6 +4,7 @@
 
 use base_types::{ContentDigest, TargetKey, TimePoint, test_cases};
 use core_forward::{DispatchStep, ForwardCore};
+use state_config::RetryRule;
 
 use fixture::{call_head, new_router, target_entry, target_index};
 
@@ -17,7 +18,7 @@
 }
 
 fn new_listed_router(index: u16, incarnation: u64) -> ForwardCore {
-    let mut core = new_router(seconds(0), index, incarnation);
+    let mut core = new_router(seconds(0), index, incarnation, RetryRule::AtMostOnceStream);
     list_targets(&mut core, seconds(0), 1);
     core
 }
@@ -54,7 +55,7 @@
 /// with the incarnation `listed`, before or after them.
 fn check_shared(received_from: usize, listed_first: bool, listed: u64, gets_calls: bool) {
     let mut sender = announced_router();
-    let mut core = new_router(seconds(0), 1, 1);
+    let mut core = new_router(seconds(0), 1, 1, RetryRule::AtMostOnceStream);
     if listed_first {
         list_targets(&mut core, seconds(0), 1);
     }
@@ -80,7 +81,7 @@
 #[test]
 fn a_restarted_router_learns_of_a_leaving_target_from_a_snapshot() {
     let core = announced_router();
-    let mut restarted = new_router(seconds(4), 1, 2);
+    let mut restarted = new_router(seconds(4), 1, 2, RetryRule::AtMostOnceStream);
     restarted.restore(seconds(4), core.snapshot(seconds(4)));
     list_targets(&mut restarted, seconds(4), 1);
     assert!(send_calls(&mut restarted, seconds(4)).is_none());
--- a/crates/core-forward/tests/limits.rs
+++ b/crates/core-forward/tests/limits.rs
@@ -8,6 +8,7 @@
 use base_types::{ContentDigest, Refusal, TargetKey, TimePoint, test_cases};
 use core_forward::{AttemptOutcome, CallKey, CallRate, DispatchStep, ForwardCore};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use state_config::RetryRule;
 
 use fixture::{call_head, new_router, target_entry, target_index};
 
@@ -95,7 +96,7 @@
     }
 
     fn start_router(&self, index: u16, incarnation: u64) -> ForwardCore {
-        let mut core = new_router(self.now, index, incarnation);
+        let mut core = new_router(self.now, index, incarnation, RetryRule::AtMostOnceStream);
         let entries = (0..self.plan.targets).map(|target| target_entry(target, 1));
         core.list_targets(self.now, entries.collect());
         core
@@ -236,7 +237,8 @@
 #[test]
 fn calls_sent_without_a_limit_do_not_count_against_the_next_one() {
     let seconds = |count: u64| TimePoint(count * 1_000_000);
-    let [mut observer, mut sender] = [0, 1].map(|index| new_router(seconds(0), index, 1));
+    let [mut observer, mut sender] =
+        [0, 1].map(|index| new_router(seconds(0), index, 1, RetryRule::AtMostOnceStream));
     let limit = CallRate::from_per_second(5.0);
     let send = |core: &mut ForwardCore, now: TimePoint, id: u64| {
         let call = core.admit(now, call_head(now, id, None), ContentDigest(u128::from(id)));
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -7,6 +7,7 @@
 use base_types::{ContentDigest, NotRunCode, Refusal, TimePoint, test_cases};
 use core_forward::{CallKey, DispatchStep, ForwardCore, StreamResumption, TargetEntry};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use state_config::RetryRule;
 
 use fixture::{call_head, new_router, target_entry, target_index};
 
@@ -28,7 +29,7 @@
 }
 
 fn new_listed_router(now: TimePoint, index: u16, incarnation: u64) -> ForwardCore {
-    let mut core = new_router(now, index, incarnation);
+    let mut core = new_router(now, index, incarnation, RetryRule::ResumableStream);
     core.list_targets(now, (0..TARGETS).map(versioned_entry).collect());
     core.on_platform_responded(now);
     core
@@ -329,7 +330,7 @@
 /// A router that is cut off from the platform and the other routers may know of one version only.
 #[test]
 fn a_router_that_is_cut_off_does_not_guess_the_version_of_a_stream() {
-    let mut core = new_router(seconds(0), 0, 1);
+    let mut core = new_router(seconds(0), 0, 1, RetryRule::ResumableStream);
     core.list_targets(seconds(0), vec![versioned_entry(0), versioned_entry(2)]);
     core.on_platform_responded(seconds(1));
     assert!(send(&mut core, seconds(2), 10, Some(1)).is_ok());
