--- a/crates/core-forward/tests/limits.rs
+++ b/crates/core-forward/tests/limits.rs
@@ -2,6 +2,7 @@
 //! together, and calls that no target takes are refused at once.
 
 mod fixture;
+mod heartbeats;
 
 use std::{collections::BTreeMap, ops::Range, time::Duration};
 
@@ -11,6 +12,7 @@
 use state_config::RetryRule;
 
 use fixture::{call_head, new_router, target_entry, target_index};
+use heartbeats::HeartbeatPlan;
 
 const STEP: Duration = Duration::from_millis(10);
 const RUN_TIME: Duration = Duration::from_secs(30);
@@ -34,8 +36,7 @@
     limited: usize,
     calls_per_s: f64,
     limit: f64,
-    steps_per_heartbeat: u64,
-    lost_heartbeats: f64,
+    heartbeats: HeartbeatPlan,
     restart_at_s: Option<u64>,
 }
 
@@ -90,7 +91,7 @@
                 sim.call();
             }
             sim.progress_runs();
-            sim.exchange_heartbeats(step);
+            plan.heartbeats.exchange(sim.now, step, &mut sim.routers, &mut sim.random);
         }
         sim.record
     }
@@ -150,20 +151,6 @@
             core.finish(run.call);
         }
     }
-
-    fn exchange_heartbeats(&mut self, step: u64) {
-        for sender in 0..self.routers.len() {
-            if !(step + sender as u64).is_multiple_of(self.plan.steps_per_heartbeat) {
-                continue;
-            }
-            let heartbeat = self.routers[sender].next_heartbeat(self.now);
-            for receiver in (0..self.routers.len()).filter(|receiver| *receiver != sender) {
-                if !self.random.random_bool(self.plan.lost_heartbeats) {
-                    self.routers[receiver].on_heartbeat(self.now, heartbeat.clone());
-                }
-            }
-        }
-    }
 }
 
 /// A fleet keeps the limits while targets name them, and forgets them when they do no longer.
@@ -217,8 +204,7 @@
     limited: 6,
     calls_per_s: 96.0,
     limit: 5.5,
-    steps_per_heartbeat: 10,
-    lost_heartbeats: 0.02,
+    heartbeats: HeartbeatPlan { steps_per_heartbeat: 10, lost_share: 0.02 },
     restart_at_s: None,
 };
 
@@ -227,8 +213,8 @@
     targets_get_no_more_than_their_limit(PLAN);
     targets_get_no_more_than_a_small_limit(LimitPlan { limit: 0.2, ..PLAN });
     a_single_router_keeps_the_limit(LimitPlan { routers: 1, ..PLAN });
-    many_routers_keep_the_limit_together(LimitPlan { routers: 67, targets: 90, limited: 60, calls_per_s: 900.0, steps_per_heartbeat: 50, ..PLAN });
-    the_limit_is_kept_when_heartbeats_are_lost(LimitPlan { lost_heartbeats: 0.3, ..PLAN });
+    many_routers_keep_the_limit_together(LimitPlan { routers: 67, targets: 90, limited: 60, calls_per_s: 900.0, heartbeats: HeartbeatPlan { steps_per_heartbeat: 50, ..PLAN.heartbeats }, ..PLAN });
+    the_limit_is_kept_when_heartbeats_are_lost(LimitPlan { heartbeats: HeartbeatPlan { lost_share: 0.3, ..PLAN.heartbeats }, ..PLAN });
     the_limit_is_kept_when_a_router_restarts(LimitPlan { restart_at_s: Some(8), ..PLAN });
     calls_beyond_the_limits_of_all_targets_are_refused(LimitPlan { limited: 9, ..PLAN });
 }
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up at other routers go on at the software version that began them.
 
 mod fixture;
+mod heartbeats;
 
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use state_config::RetryRule;
 
 use fixture::{call_head, new_router, target_entry, target_index};
+use heartbeats::HeartbeatPlan;
 
 const STEP: Duration = Duration::from_millis(5);
 const RUN_TIME: Duration = Duration::from_secs(20);
@@ -70,8 +72,7 @@
 struct FleetPlan {
     routers: u16,
     streams_per_s: f64,
-    steps_per_heartbeat: u64,
-    lost_heartbeats: f64,
+    heartbeats: HeartbeatPlan,
     /// Whether the router of each stream restarts when the stream breaks off, and restores a snapshot.
     restarts: bool,
 }
@@ -153,7 +154,7 @@
                 sim.begin();
             }
             sim.progress();
-            sim.exchange_heartbeats(step);
+            plan.heartbeats.exchange(sim.now, step, &mut sim.routers, &mut sim.random);
         }
         sim.record
     }
@@ -272,20 +273,6 @@
         self.routers[router] = new_listed_router(now, router as u16, self.starts[router]);
         self.routers[router].restore(now, snapshot);
     }
-
-    fn exchange_heartbeats(&mut self, step: u64) {
-        for sender in 0..self.routers.len() {
-            if !(step + sender as u64).is_multiple_of(self.plan.steps_per_heartbeat) {
-                continue;
-            }
-            let heartbeat = self.routers[sender].next_heartbeat(self.now);
-            for receiver in (0..self.routers.len()).filter(|receiver| *receiver != sender) {
-                if !self.random.random_bool(self.plan.lost_heartbeats) {
-                    self.routers[receiver].on_heartbeat(self.now, heartbeat.clone());
-                }
-            }
-        }
-    }
 }
 
 /// No stream changes its version, and enough of those that callers take up go on.
@@ -302,16 +289,15 @@
 const PLAN: FleetPlan = FleetPlan {
     routers: 7,
     streams_per_s: 54.0,
-    steps_per_heartbeat: 5,
-    lost_heartbeats: 0.02,
+    heartbeats: HeartbeatPlan { steps_per_heartbeat: 5, lost_share: 0.02 },
     restarts: false,
 };
 
 test_cases! {
     check_fleet:
     streams_go_on_at_their_version_through_other_routers(PLAN);
-    streams_keep_their_version_when_heartbeats_are_lost(FleetPlan { lost_heartbeats: 0.3, ..PLAN });
-    streams_keep_their_version_in_a_large_fleet(FleetPlan { routers: 67, streams_per_s: 200.0, steps_per_heartbeat: 25, ..PLAN });
+    streams_keep_their_version_when_heartbeats_are_lost(FleetPlan { heartbeats: HeartbeatPlan { lost_share: 0.3, ..PLAN.heartbeats }, ..PLAN });
+    streams_keep_their_version_in_a_large_fleet(FleetPlan { routers: 67, streams_per_s: 200.0, heartbeats: HeartbeatPlan { steps_per_heartbeat: 25, ..PLAN.heartbeats }, ..PLAN });
     streams_keep_their_version_when_their_router_restarts(FleetPlan { restarts: true, streams_per_s: 10.0, ..PLAN });
 }
 
