Bound the tables of stream origins, software and leaving targets

Callers are not concerned; memory of a router was, by what peers and entries say. Cause: origins above 100,000 were dropped without a count, and reported all the same; software of entries and announcements of peers were kept without a bound until their time was over. Change: origins that do not fit are counted (knapweedport_dropped_stream_origins) and not reported; an expired one is replaced. With 1,000 pieces of software no pool counts as having a single version. 10,000 leaving targets are remembered; those listed longest ago are forgotten first. The constants say what is dropped. Evidence: three new tests.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -50,6 +50,10 @@
         pub segments: usize,
         /// Pieces of content that are refused because targets crashed while they ran them.
         pub blocked_content: usize,
+        /// Streams whose origins are known.
+        pub stream_origins: usize,
+        /// Origins of streams that were dropped because too many were known.
+        pub dropped_origins: u64,
         /// Whether the router is shutting down.
         pub shutting_down: bool,
         /// Retries left in this router's share of the retry budget, by pool.
@@ -298,6 +302,8 @@
             serving_peers: self.peers.serving(now).count(),
             segments: self.segments.len(),
             blocked_content: self.crashes.tracker.blocks().count(),
+            stream_origins: self.origins.len(),
+            dropped_origins: self.origins.dropped(),
             shutting_down: self.shutting_down,
             retries_left: retries_left.collect(),
             targets: targets.collect(),
--- a/crates/core-forward/src/origins.rs
+++ b/crates/core-forward/src/origins.rs
@@ -14,9 +14,13 @@
 /// Longest time for which the origin of a stream is kept; callers wait less.
 const ORIGIN_TTL_MAX: Duration = Duration::from_secs(60);
 
-/// Streams whose origins are kept; each takes about 40 bytes.
+/// Streams whose origins are kept; each takes about 40 bytes. Later ones are dropped, so that calls
+/// that resume them are refused if several versions serve.
 const ORIGINS_MAX: usize = 100_000;
 
+/// Software of all pools that is kept. When more was seen, no pool counts as having a single one.
+const SOFTWARE_MAX: usize = 1_000;
+
 /// Time after a response of the platform for which the list of targets counts as current.
 const LIST_CURRENT_TIME: Duration = Duration::from_secs(3);
 
@@ -75,6 +79,7 @@
     origins: BTreeMap<u64, StreamOrigin>,
     /// Calls of this router whose origins the others do not know yet.
     unreported: ReportQueue<u64>,
+    dropped: u64,
 }
 
 impl OriginTable {
@@ -86,11 +91,12 @@
         software: SoftwareKey,
         deadline: TimePoint,
     ) {
-        self.insert(now, call_hash, software, deadline);
-        self.unreported.push(call_hash);
+        if self.insert(now, call_hash, software, deadline) {
+            self.unreported.push(call_hash);
+        }
     }
 
-    /// Records what another router reported. The first statement about a call stays.
+    /// Records what another router reported. The first statement about a call stays until it ends.
     pub(crate) fn on_notice(&mut self, now: TimePoint, notice: OriginNotice) {
         let forget_at = now.after(Duration::from_millis(notice.left_ms.into()));
         self.insert(now, notice.call_hash, notice.software, forget_at);
@@ -119,17 +125,34 @@
         self.unreported.retain(|call_hash| origins.contains_key(call_hash));
     }
 
+    /// Number of streams whose origins are kept.
+    pub(crate) fn len(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Number of origins that were dropped because the table was full.
+    pub(crate) fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Returns whether the origin of the stream is kept.
     fn insert(
         &mut self,
         now: TimePoint,
         call_hash: u64,
         software: SoftwareKey,
         forget_at: TimePoint,
-    ) {
-        if self.origins.len() < ORIGINS_MAX {
-            let forget_at = forget_at.min(now.after(ORIGIN_TTL_MAX));
-            self.origins.entry(call_hash).or_insert(StreamOrigin { software, forget_at });
+    ) -> bool {
+        if self.live(now, call_hash).is_some() {
+            return true;
+        }
+        if self.origins.len() >= ORIGINS_MAX {
+            self.dropped += 1;
+            return false;
         }
+        let forget_at = forget_at.min(now.after(ORIGIN_TTL_MAX));
+        self.origins.insert(call_hash, StreamOrigin { software, forget_at });
+        true
     }
 
     fn notice(&self, now: TimePoint, call_hash: u64) -> Option<OriginNotice> {
@@ -160,7 +183,7 @@
 impl SoftwareHistory {
     /// Records that a target of the pool is listed with this software.
     pub(crate) fn on_listed(&mut self, now: TimePoint, pool: &PoolName, software: SoftwareKey) {
-        self.seen_until.insert((pool.clone(), software), now.after(ORIGIN_TTL_MAX));
+        self.insert(pool, software, now.after(ORIGIN_TTL_MAX));
     }
 
     /// Records that the platform responded.
@@ -175,6 +198,9 @@
 
     /// Returns the software of a pool if it is the only one that was seen.
     pub(crate) fn only_software(&self, now: TimePoint, pool: &PoolName) -> Option<SoftwareKey> {
+        if self.seen_until.len() >= SOFTWARE_MAX {
+            return None;
+        }
         let mut seen = self
             .seen_until
             .iter()
@@ -187,4 +213,12 @@
     pub(crate) fn sweep(&mut self, now: TimePoint) {
         self.seen_until.retain(|_, until| !until.passed(now));
     }
+
+    fn insert(&mut self, pool: &PoolName, software: SoftwareKey, until: TimePoint) {
+        let key = (pool.clone(), software);
+        if self.seen_until.len() < SOFTWARE_MAX || self.seen_until.contains_key(&key) {
+            let seen_until = self.seen_until.entry(key).or_insert(until);
+            *seen_until = until.max(*seen_until);
+        }
+    }
 }
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -44,6 +44,10 @@
 /// may be listed again, for example by a store restored from an older copy.
 const LEAVING_TTL: Duration = Duration::from_secs(600);
 
+/// Leaving targets that are remembered. When there are more, those that were listed longest ago are
+/// forgotten; they get calls again if they are listed once more.
+const LEAVING_MAX: usize = 10_000;
+
 value_types! {
     /// Entry of a target in the platform's list.
     #[derive(Eq)]
@@ -351,6 +355,9 @@
         target_hash: u64,
     ) -> Option<LeavingNotice> {
         self.leaving_until.insert(target_hash, now.after(LEAVING_TTL));
+        if self.leaving_until.len() > LEAVING_MAX {
+            self.forget_oldest_leaving();
+        }
         let record = self.find_by_hash_mut(target_hash)?;
         if record.announced_leaving {
             return None;
@@ -360,6 +367,13 @@
         Some(notice)
     }
 
+    fn forget_oldest_leaving(&mut self) {
+        let oldest = self.leaving_until.iter().min_by_key(|(_, until)| **until);
+        if let Some(target_hash) = oldest.map(|(target_hash, _)| *target_hash) {
+            self.leaving_until.remove(&target_hash);
+        }
+    }
+
     /// Hashes of the targets that announced that they leave.
     pub(crate) fn leaving_hashes(&self) -> impl Iterator<Item = u64> {
         self.leaving_until.keys().copied()
--- a/crates/core-forward/tests/leaving.rs
+++ b/crates/core-forward/tests/leaving.rs
@@ -101,3 +101,18 @@
         core.list_targets(seconds(listed_at), vec![target_entry(0, 1)]);
     }
 }
+
+/// A peer that announces more targets than are remembered; those listed longest ago are forgotten.
+#[test]
+fn the_leaving_targets_are_bounded() {
+    const REMEMBERED: usize = 10_000;
+    let mut core = announced_router();
+    let mut heartbeat = new_listed_router(1, 1).next_heartbeat(seconds(2));
+    heartbeat.leaving_targets = (0..REMEMBERED as u64).collect();
+    core.on_heartbeat(seconds(2), heartbeat);
+    assert_eq!(
+        core.snapshot(seconds(2)).leaving_targets,
+        (0..REMEMBERED as u64).collect::<Vec<_>>()
+    );
+    assert!(send_calls(&mut core, seconds(3)).is_none(), "a listed target keeps its announcement");
+}
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use base_types::{ContentDigest, NotRunCode, Refusal, TimePoint, test_cases};
-use core_forward::{CallKey, DispatchStep, ForwardCore, StreamResumption, TargetEntry};
+use core_forward::{
+    CallKey, DispatchStep, ForwardCore, OriginNotice, SoftwareKey, StreamResumption, TargetEntry,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::RetryRule;
 
@@ -369,3 +371,36 @@
         assert!(sent.is_err() || sent.is_ok_and(|(_, other)| other % 2 == target % 2));
     }
 }
+
+/// A peer that reports more streams than are kept; the others are dropped and counted, and forgotten in
+/// time.
+#[test]
+fn the_origins_of_streams_are_bounded() {
+    const KEPT: u64 = 100_000;
+    let [mut first, mut second] = [0, 1].map(|index| new_listed_router(seconds(0), index, 1));
+    let notice = |call_hash| OriginNotice { call_hash, software: SoftwareKey(1), left_ms: 5_000 };
+    let mut heartbeat = first.next_heartbeat(seconds(1));
+    heartbeat.stream_origins = (0..KEPT + 7).map(notice).collect();
+    second.on_heartbeat(seconds(1), heartbeat);
+    let counts = |core: &ForwardCore, now| {
+        let status = core.status(now);
+        (status.stream_origins as u64, status.dropped_origins)
+    };
+    assert_eq!(counts(&second, seconds(1)), (KEPT, 7));
+    second.sweep(seconds(7));
+    assert_eq!(counts(&second, seconds(7)), (0, 7));
+    begin_stream(&mut second, seconds(7), 1);
+    assert_eq!(counts(&second, seconds(7)), (1, 7));
+}
+
+/// An id that is used again after its caller stopped waiting names another stream.
+#[test]
+fn an_expired_origin_does_not_decide_a_later_stream() {
+    for round in 0..8 {
+        let mut core = new_listed_router(seconds(0), 0, 1);
+        begin_stream(&mut core, seconds(1), 1);
+        let target = begin_stream(&mut core, seconds(20 + round), 1);
+        let (_, sent_to) = send(&mut core, seconds(21 + round), 2, Some(1)).expect("sent");
+        assert_eq!(sent_to % 2, target % 2);
+    }
+}
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -51,6 +51,10 @@
     PromptSegments,
     /// Pieces of content that are refused because targets crashed while they ran them.
     BlockedContent,
+    /// Resumable streams whose origins are known.
+    StreamOrigins,
+    /// Origins of streams that were dropped because too many were known.
+    DroppedOrigins,
     /// Calls of this router in flight at a target.
     TargetOwnCalls,
     /// Calls of other routers in flight at a target, from their latest heartbeats.
@@ -74,7 +78,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 18] = [
+    const ALL: [Self; 20] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -83,6 +87,8 @@
         Self::ConfigAge,
         Self::PromptSegments,
         Self::BlockedContent,
+        Self::StreamOrigins,
+        Self::DroppedOrigins,
         Self::TargetOwnCalls,
         Self::TargetOtherCalls,
         Self::TargetFailureRate,
@@ -105,6 +111,8 @@
             Self::ConfigAge => "knapweedport_config_age_seconds",
             Self::PromptSegments => "knapweedport_prompt_parts",
             Self::BlockedContent => "knapweedport_blocked_content",
+            Self::StreamOrigins => "knapweedport_stream_origins",
+            Self::DroppedOrigins => "knapweedport_dropped_stream_origins",
             Self::TargetOwnCalls => "knapweedport_target_own_calls",
             Self::TargetOtherCalls => "knapweedport_target_other_calls",
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
