Tell a starting router which software versions served shortly before

A router that started after a version had been replaced knew the remaining one only, took it for the single version of the pool, and let a stream of unknown origin go on there, although the replaced version may have begun it. When all routers start at once nobody can tell; that remains.

--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -27,7 +27,7 @@
     },
     crashes::{BlockNotice, ContentReport, CrashNotice},
     limits::LimitNotice,
-    origins::{OriginNotice, SoftwareKey},
+    origins::{OriginNotice, SoftwareKey, SoftwareNotice},
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
     targets::{LeavingNotice, TargetEntry, TargetStatus},
 };
--- a/crates/core-forward/src/origins.rs
+++ b/crates/core-forward/src/origins.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base_types::{PoolName, TimePoint, key_types};
+use base_types::{PoolName, TimePoint, key_types, value_types};
 use policy_routing::stable_hash;
 
 use crate::reports::ReportQueue;
@@ -50,6 +50,19 @@
     }
 }
 
+value_types! {
+    /// Report of a router on software that targets of a pool ran.
+    #[derive(Eq)]
+    pub struct SoftwareNotice {
+        /// Name of the pool.
+        pub pool: PoolName,
+        /// The software.
+        pub software: SoftwareKey,
+        /// Milliseconds until streams that it began are over.
+        pub left_ms: u32,
+    }
+}
+
 impl SoftwareKey {
     pub(crate) fn new(pool: &PoolName, version: &str) -> Self {
         Self(stable_hash(format!("{pool}/{version}").as_bytes()))
@@ -196,6 +209,21 @@
         !self.current_until.passed(now)
     }
 
+    /// Records what another router saw.
+    pub(crate) fn on_notice(&mut self, now: TimePoint, notice: &SoftwareNotice) {
+        let seen_until = now.after(Duration::from_millis(notice.left_ms.into()));
+        self.insert(&notice.pool, notice.software, seen_until.min(now.after(ORIGIN_TTL_MAX)));
+    }
+
+    /// Returns all software that was seen, for a starting router.
+    pub(crate) fn notices(&self, now: TimePoint) -> impl Iterator<Item = SoftwareNotice> {
+        self.seen_until.iter().map(move |((pool, software), until)| SoftwareNotice {
+            pool: pool.clone(),
+            software: *software,
+            left_ms: until.since(now).as_millis() as u32,
+        })
+    }
+
     /// Returns the software of a pool if it is the only one that was seen.
     pub(crate) fn only_software(&self, now: TimePoint, pool: &PoolName) -> Option<SoftwareKey> {
         if self.seen_until.len() >= SOFTWARE_MAX {
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -404,3 +404,19 @@
         assert_eq!(sent_to % 2, target % 2);
     }
 }
+
+/// A router that started after a version was replaced hears of it from its peer.
+#[test]
+fn a_restarted_router_does_not_guess_a_version_that_was_replaced() {
+    let remaining = || (1..TARGETS).step_by(2).map(versioned_entry).collect::<Vec<_>>();
+    let mut peer = new_listed_router(seconds(0), 0, 1);
+    peer.list_targets(seconds(5), remaining());
+    let mut restarted = new_router(seconds(20), 1, 2, RetryRule::ResumableStream);
+    restarted.restore(seconds(20), peer.snapshot(seconds(20)));
+    for (second, is_sent) in [(21, false), (90, true)] {
+        restarted.list_targets(seconds(second), remaining());
+        restarted.sweep(seconds(second));
+        restarted.on_platform_responded(seconds(second));
+        assert_eq!(send(&mut restarted, seconds(second), second, Some(1)).is_ok(), is_sent);
+    }
+}
--- a/crates/io-forward/tests/snapshots.rs
+++ b/crates/io-forward/tests/snapshots.rs
@@ -1,7 +1,9 @@
 //! A snapshot that a peer did not send to its end is never decoded.
 
 use base_types::{HostName, PoolName};
-use core_forward::{OriginNotice, PeerSnapshot, SegmentHolders, SoftwareKey, TargetEntry};
+use core_forward::{
+    OriginNotice, PeerSnapshot, SegmentHolders, SoftwareKey, SoftwareNotice, TargetEntry,
+};
 
 fn snapshot() -> PeerSnapshot {
     let target = |name: &str| TargetEntry {
@@ -20,6 +22,11 @@
         targets: vec![target("t-a"), target("t-b")],
         leaving_targets: vec![4],
         stream_origins: vec![OriginNotice { call_hash: 5, software: SoftwareKey(6), left_ms: 7 }],
+        software: vec![SoftwareNotice {
+            pool: PoolName::new("pool"),
+            software: SoftwareKey(6),
+            left_ms: 8,
+        }],
         segment_holders: vec![
             SegmentHolders { segment: 300, target_hashes: vec![1, 2] },
             SegmentHolders { segment: 7, target_hashes: Vec::new() },
