Log what a router hears of leaving targets, and streams of unknown origin

Operators could not tell why a target got no calls from a router that had heard from another one that it leaves, nor which stream a call with code 1023 wanted to go on with. Cause: only the router that received the announcement logged it; the line of a refusal has no origin. Change: two lines, with tests of what the first one names.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -106,6 +106,8 @@
     unreported_holders: Vec<(u64, u64)>,
     /// Hashes of targets that announced to this router that they leave.
     unreported_leaving: ReportQueue<u64>,
+    /// Names of targets that announced to other routers that they leave, since they were last taken.
+    leaving_heard: Vec<HostName>,
     origins: OriginTable,
     calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
@@ -132,6 +134,7 @@
             return_queues: BTreeMap::new(),
             unreported_holders: Vec::new(),
             unreported_leaving: ReportQueue::default(),
+            leaving_heard: Vec::new(),
             origins: OriginTable::default(),
             calls: BTreeMap::new(),
             next_call_key: 0,
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -144,7 +144,10 @@
         self.crashes.on_report(now, &heartbeat.content);
         self.on_limit_notices(now, &heartbeat);
         for target_hash in &heartbeat.leaving_targets {
-            self.targets.on_leaving_announced(now, *target_hash);
+            if self.targets.on_leaving_announced(now, *target_hash).is_some() {
+                let record = self.targets.find_by_hash_mut(*target_hash);
+                self.leaving_heard.extend(record.map(|record| record.entry.name.clone()));
+            }
         }
         for notice in &heartbeat.stream_origins {
             self.origins.on_notice(now, *notice);
@@ -152,6 +155,12 @@
         self.peer_loads.record_share(now, heartbeat.load_share);
     }
 
+    /// Returns the known targets that announced to other routers that they leave, since the last call,
+    /// for logs.
+    pub fn take_leaving_heard(&mut self) -> Vec<HostName> {
+        std::mem::take(&mut self.leaving_heard)
+    }
+
     /// Returns the addresses that heartbeats are sent to.
     pub fn heartbeat_addresses(&self) -> Vec<SocketAddr> {
         self.peers.entries().map(|entry| entry.peer_address).collect()
--- a/crates/core-forward/tests/leaving.rs
+++ b/crates/core-forward/tests/leaving.rs
@@ -65,6 +65,8 @@
             core.on_heartbeat(seconds(2), heartbeat);
         }
     }
+    let heard: Vec<_> = core.take_leaving_heard().iter().map(ToString::to_string).collect();
+    assert_eq!(heard, if listed_first { vec!["t1"] } else { Vec::new() });
     list_targets(&mut core, seconds(3), listed);
     assert_eq!(send_calls(&mut core, seconds(3)).is_some(), gets_calls);
 }
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -183,8 +183,10 @@
                 received.await;
             }
         };
-        // Without a report in time, the dispatch decides.
-        let _ = tokio::time::timeout_at(self.state.clock().instant(deadline), waiting).await;
+        let reported = tokio::time::timeout_at(self.state.clock().instant(deadline), waiting).await;
+        if reported.is_err() {
+            self.log.origin_unknown(self.state.now(), &self.admitted);
+        }
     }
 
     /// Drops the request of a call that is not retried; the request head would keep the read
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -67,6 +67,17 @@
         );
     }
 
+    /// Logs a call whose stream began in a call that no router reported.
+    pub(crate) fn origin_unknown(&self, now: TimePoint, call: &AdmittedCall) {
+        log::info!(
+            call = &*self.id,
+            age_ms = self.age_ms(now),
+            pool = call.pool.as_str(),
+            resumes = call.resumption.as_ref().and_then(|stream| stream.origin.as_deref());
+            "origin of the stream not reported"
+        );
+    }
+
     /// Logs an attempt that ended without a response to forward.
     pub(crate) fn attempt_failed(
         &self,
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -64,7 +64,13 @@
     match postcard::from_bytes::<PeerHeartbeat>(datagram) {
         Ok(heartbeat) => {
             let has_origins = !heartbeat.stream_origins.is_empty();
-            state.with_core(|core, now| core.on_heartbeat(now, heartbeat));
+            let leaving = state.with_core(|core, now| {
+                core.on_heartbeat(now, heartbeat);
+                core.take_leaving_heard()
+            });
+            for target in leaving {
+                log::info!(target = target.as_str(); "target announced to another router that it leaves");
+            }
             if has_origins {
                 state.origins_received().notify_waiters();
             }
