Say that callers resume streams, and keep the wire's names in the stand-ins

No change of behaviour. Header names of the platform that the soak used are in the stand-ins now. The modules that tests of core-forward share are in tests/support, so that no mod.rs is needed. Tests are renamed, none is changed.

--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -57,9 +57,9 @@
         pub segments: Vec<PromptSegment>,
     }
 
-    /// A caller's request to take up a stream after its connection broke.
+    /// A caller's request to resume a stream after its connection broke.
     pub struct StreamResumption {
-        /// Id of the call that brought the first event of the stream; `None` if the caller does not
+        /// Id of the call that delivered the first event of the stream; `None` if the caller does not
         /// name it.
         pub origin: Option<Box<str>>,
     }
@@ -78,7 +78,7 @@
         pub deadline: TimePoint,
         /// Prompt metadata; `None` when the caller sent none.
         pub prompt: Option<PromptHead>,
-        /// The stream that the call takes up; `None` when it begins anew.
+        /// The stream that the call resumes; `None` when it begins anew.
         pub resumption: Option<StreamResumption>,
     }
 
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -76,7 +76,7 @@
         pub resumable: bool,
         /// Version of the configuration that the call was admitted under.
         pub version: ConfigVersion,
-        /// The stream that the call takes up; `None` when it begins anew.
+        /// The stream that the call resumes; `None` when it begins anew.
         pub resumption: Option<StreamResumption>,
         /// Keys of the call's content that other calls may contain too.
         pub content_keys: Box<[ContentKey]>,
--- a/crates/core-forward/src/core/resumption.rs
+++ b/crates/core-forward/src/core/resumption.rs
@@ -1,4 +1,4 @@
-//! Streams that callers take up: which software may serve them.
+//! Streams that callers resume: which software may serve them.
 
 use base_types::TimePoint;
 
@@ -15,7 +15,7 @@
 
 impl ForwardCore {
     /// Records that the first event of a resumable stream is about to be forwarded: from now on only
-    /// targets of the same software continue it, in this call and in those that take it up.
+    /// targets of the same software continue it, in this call and in those that resume it.
     pub fn on_first_event(&mut self, now: TimePoint, key: CallKey) {
         let Some(state) = self.calls.get_mut(&key) else { return };
         let Some(attempt) = &state.current_attempt else { return };
@@ -27,7 +27,7 @@
         }
     }
 
-    /// Time until which another router may still report the origin of the stream that a call takes up;
+    /// Time until which another router may still report the origin of the stream that a call resumes;
     /// `None` if the call need not wait for it.
     pub fn origin_deadline(&self, now: TimePoint, key: CallKey) -> Option<TimePoint> {
         let state = self.calls.get(&key)?;
@@ -38,14 +38,14 @@
         is_awaited.then(|| now.after(heartbeat_interval(routers) / ORIGIN_WAIT_DIVISOR))
     }
 
-    /// Determines the software that may serve a call which takes a stream up, if that is known.
+    /// Determines the software that may serve a call which resumes a stream, if that is known.
     pub(super) fn resolve_software(&self, now: TimePoint, state: &mut CallState) {
         if let Some(software) = self.find_software(now, state) {
             state.software = StreamSoftware::Only(software);
         }
     }
 
-    /// Finds the software that began the stream which a call takes up: the one that a router reported,
+    /// Finds the software that began the stream which a call resumes: the one that a router reported,
     /// or the only one of the pool. A list that may be out of date counts only where the caller does not
     /// name the call that began its stream, as no later report can tell its software.
     fn find_software(&self, now: TimePoint, state: &CallState) -> Option<SoftwareKey> {
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -51,7 +51,7 @@
         pub targets: Vec<TargetEntry>,
         /// Hashes of targets that announced that they leave; the platform may still list them.
         pub leaving_targets: Vec<u64>,
-        /// Origins of streams that callers may take up.
+        /// Origins of streams that callers may resume.
         pub stream_origins: Vec<OriginNotice>,
         /// Software that targets ran in the time in which a stream may last.
         pub software: Vec<SoftwareNotice>,
--- a/crates/core-forward/src/origins.rs
+++ b/crates/core-forward/src/origins.rs
@@ -1,4 +1,4 @@
-//! Which software began each stream that a caller may take up again.
+//! Which software began each stream that a caller may resume.
 //!
 //! What two software versions write does not fit together, so a stream goes on only at targets of the
 //! software that sent its first event. A caller may return to any router, so each router reports the
@@ -30,7 +30,7 @@
 
     /// Report of a router on the origin of a stream.
     pub struct OriginNotice {
-        /// Hash of the id of the call that brought the first event.
+        /// Hash of the id of the call that delivered the first event.
         pub call_hash: u64,
         /// Software of the target that sent it.
         pub software: SoftwareKey,
@@ -86,7 +86,7 @@
     forget_at: TimePoint,
 }
 
-/// The origins of streams, by the hash of the call that brought the first event.
+/// The origins of streams, by the hash of the call that delivered the first event.
 #[derive(Debug, Default)]
 pub(crate) struct OriginTable {
     origins: BTreeMap<u64, StreamOrigin>,
--- a/crates/core-forward/tests/crashes.rs
+++ b/crates/core-forward/tests/crashes.rs
@@ -1,5 +1,6 @@
 //! Routers of a fleet find out together which content crashes targets, and refuse nothing else.
 
+#[path = "support/fixture.rs"]
 mod fixture;
 
 mod crashes {
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -634,9 +634,9 @@
     large_fleet_leaves_headroom_below_the_bound(66, false);
 }
 
-/// The stream that a call takes up began in one of two pools of the route.
+/// The stream that a call resumes began in one of two pools of the route.
 #[test]
-fn a_stream_is_taken_up_in_the_pool_in_which_it_began() {
+fn a_stream_is_resumed_in_the_pool_in_which_it_began() {
     let now = TimePoint(1_000_000);
     let mut core = core_of(RetryRule::ResumableStream, 2, 0);
     let mut split = config(2, RetryRule::ResumableStream, 2).routes_for_host("h")[0].clone();
@@ -647,14 +647,14 @@
     assert!(core.adopt_config(now, split_config));
     let mut pools = std::collections::BTreeSet::new();
     for number in 0..20 {
-        let admit = |core: &mut ForwardCore, id: String, resumption| {
+        let admit = |core: &mut ForwardCore, id: &str, resumption| {
             let head = CallHead { id: id.into(), resumption, ..call_head(now) };
             core.admit(now, head, ContentDigest(number)).expect("admitted").pool
         };
         let first = format!("first-{number}");
-        let pool = admit(&mut core, first.clone(), None);
+        let pool = admit(&mut core, &first, None);
         let resumption = StreamResumption { origin: Some(first.into()) };
-        assert_eq!(admit(&mut core, format!("second-{number}"), Some(resumption)), pool);
+        assert_eq!(admit(&mut core, &format!("second-{number}"), Some(resumption)), pool);
         pools.insert(pool);
     }
     assert_eq!(pools.len(), 2);
@@ -678,6 +678,6 @@
 
 test_cases! {
     check_other_route:
-    a_call_on_a_route_without_streams_takes_up_nothing(RetryRule::Idempotent);
-    a_call_on_a_route_whose_streams_run_once_takes_up_nothing(RetryRule::AtMostOnceStream);
+    a_call_on_a_route_without_streams_resumes_nothing(RetryRule::Idempotent);
+    a_call_on_a_route_whose_streams_run_once_resumes_nothing(RetryRule::AtMostOnceStream);
 }
--- a/crates/core-forward/tests/leaving.rs
+++ b/crates/core-forward/tests/leaving.rs
@@ -1,5 +1,6 @@
 //! An announcement of a target that it leaves counts on all routers.
 
+#[path = "support/fixture.rs"]
 mod fixture;
 
 use base_types::{ContentDigest, TargetKey, TimePoint, test_cases};
--- a/crates/core-forward/tests/limits.rs
+++ b/crates/core-forward/tests/limits.rs
@@ -1,7 +1,9 @@
 //! Targets that name a limit on the rate of their calls get no more than that from all routers
 //! together, and calls that no target takes are refused at once.
 
+#[path = "support/fixture.rs"]
 mod fixture;
+#[path = "support/heartbeats.rs"]
 mod heartbeats;
 
 use std::{collections::BTreeMap, ops::Range, time::Duration};
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -1,6 +1,8 @@
-//! Streams that callers take up at other routers go on at the software version that began them.
+//! Streams that callers resume at other routers continue at the software version that began them.
 
+#[path = "support/fixture.rs"]
 mod fixture;
+#[path = "support/heartbeats.rs"]
 mod heartbeats;
 
 use std::time::Duration;
@@ -23,7 +25,7 @@
 const BREAK_DELAY_MS_MAX: u64 = 1_500;
 /// Time after which a caller whose stream broke off returns.
 const RETURN_DELAY: Duration = Duration::from_millis(10);
-/// Share of the streams that are taken up which must go on, as required by the users.
+/// Share of the resumed streams that must continue, as required by the users.
 const SHARE_MIN: f64 = 0.5;
 
 /// Even targets run one version, odd ones another.
@@ -39,7 +41,7 @@
     core
 }
 
-/// Admits a call that begins a stream, or takes up the one that the call `origin` began.
+/// Admits a call that begins a stream, or resumes the one that the call `origin` began.
 fn admit(core: &mut ForwardCore, now: TimePoint, id: u64, origin: Option<u64>) -> CallKey {
     let mut head = call_head(now, id, None);
     let named = |origin: u64| StreamResumption { origin: Some(origin.to_string().into()) };
@@ -115,8 +117,8 @@
 
 #[derive(Debug, Default)]
 struct FleetRecord {
-    taken_up: u32,
-    went_on: u32,
+    resumed: u32,
+    continued: u32,
 }
 
 #[derive(Debug)]
@@ -208,7 +210,7 @@
                 stream.phase = phase;
             }
             StreamPhase::Broken { returns_at, returned } if returns_at.passed(now) => {
-                stream.phase = self.take_up(&stream, returned);
+                stream.phase = self.resume(&stream, returned);
             }
             StreamPhase::Waiting { router, start, .. } if start != self.starts[router] => {
                 return None;
@@ -216,7 +218,7 @@
             StreamPhase::Waiting { router, call, until, returned, .. } => {
                 let is_awaited = self.routers[router].origin_deadline(now, call).is_some();
                 if until.passed(now) || !is_awaited {
-                    stream.phase = self.go_on(&stream, router, call, returned)?;
+                    stream.phase = self.continue_stream(&stream, router, call, returned)?;
                 }
             }
             _ => {}
@@ -224,13 +226,13 @@
         Some(stream)
     }
 
-    /// Takes a stream up at a random router.
-    fn take_up(&mut self, stream: &Stream, returned: bool) -> StreamPhase {
+    /// Resumes a stream at a random router.
+    fn resume(&mut self, stream: &Stream, returned: bool) -> StreamPhase {
         let (id, router) = (self.new_id(), self.random_router());
         if self.plan.restarts && !returned {
             self.restart(stream.router);
         }
-        self.record.taken_up += u32::from(!returned);
+        self.record.resumed += u32::from(!returned);
         let now = self.now;
         let call = admit(&mut self.routers[router], now, id, Some(stream.id));
         let until = self.routers[router].origin_deadline(now, call).unwrap_or(now);
@@ -238,8 +240,8 @@
         StreamPhase::Waiting { router, start, call, until, returned }
     }
 
-    /// Dispatches a call that takes a stream up; a refused caller returns once.
-    fn go_on(
+    /// Dispatches a call that resumes a stream; a refused caller returns once.
+    fn continue_stream(
         &mut self,
         stream: &Stream,
         router: usize,
@@ -257,7 +259,7 @@
                     "stream {} changed its version",
                     stream.id
                 );
-                self.record.went_on += 1;
+                self.record.continued += 1;
                 None
             }
             Err((code, retry_at)) => {
@@ -277,13 +279,13 @@
     }
 }
 
-/// No stream changes its version, and enough of those that callers take up go on.
+/// No stream changes its version, and enough of the resumed ones continue.
 fn check_fleet(plan: FleetPlan) {
     for seed in 0..4 {
         let record = FleetSim::play(plan, seed);
-        let share = f64::from(record.went_on) / f64::from(record.taken_up);
-        println!("seed {seed}: {share:.3} of {} streams went on", record.taken_up);
-        assert!(record.taken_up >= 12, "seed {seed}: {record:?}");
+        let share = f64::from(record.continued) / f64::from(record.resumed);
+        println!("seed {seed}: {share:.3} of {} streams continued", record.resumed);
+        assert!(record.resumed >= 12, "seed {seed}: {record:?}");
         assert!(share >= SHARE_MIN, "seed {seed}: {share} of {record:?}");
     }
 }
@@ -297,7 +299,7 @@
 
 test_cases! {
     check_fleet:
-    streams_go_on_at_their_version_through_other_routers(PLAN);
+    streams_continue_at_their_version_through_other_routers(PLAN);
     streams_keep_their_version_when_heartbeats_are_lost(FleetPlan { heartbeats: HeartbeatPlan { lost_share: 0.3, ..PLAN.heartbeats }, ..PLAN });
     streams_keep_their_version_in_a_large_fleet(FleetPlan { routers: 67, streams_per_s: 200.0, heartbeats: HeartbeatPlan { steps_per_heartbeat: 25, ..PLAN.heartbeats }, ..PLAN });
     streams_keep_their_version_when_their_router_restarts(FleetPlan { restarts: true, streams_per_s: 10.0, ..PLAN });
--- a/crates/fakes/src/gateway.rs
+++ b/crates/fakes/src/gateway.rs
@@ -11,7 +11,7 @@
     ports::free_address,
     runner::{
         EndlessPart, ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn, StreamFraming,
-        event_text,
+        event_text, resume_headers,
     },
     store::{StoreMode, StoreStandIn},
 };
--- a/crates/fakes/src/gateway/http.rs
+++ b/crates/fakes/src/gateway/http.rs
@@ -37,6 +37,12 @@
         self.start.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
     }
 
+    /// Id of the runner that sent an answer, if the answer announces that it leaves.
+    pub fn leaving_runner(&self) -> Option<&str> {
+        self.header("server-leaving")?;
+        self.header("runner-signature")?.strip_prefix("sig.")
+    }
+
     /// The body as text.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -486,6 +486,12 @@
     }
 }
 
+/// Headers of a call that resumes a stream after an event; `origin` is the call that delivered the first
+/// one.
+pub fn resume_headers(last_event: u64, origin: &str) -> String {
+    format!("Last-Event-Id: {last_event}\r\nResumes: {origin}\r\n")
+}
+
 /// Text of an event, with the empty line that ends it.
 pub fn event_text(number: u64) -> String {
     format!("id: {number}\ndata: event {number}\n\n")
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -22,6 +22,7 @@
     gateway::{
         EndlessPart, HttpConnection, HttpMessage, ReceivedCall, Reply, ReplyRule, ReplyScript,
         RunnerStandIn, StoreMode, StoreStandIn, StreamFraming, event_text, free_address,
+        resume_headers,
     },
     platform::run_platform,
     serve::StandInError,
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Waits a moment for another router to report the origin of the stream that the call takes up,
+    /// Waits a moment for another router to report the origin of the stream that the call resumes,
     /// because a caller may return before the report has arrived.
     async fn await_origin(&self) {
         let origin_deadline = || {
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -189,7 +189,7 @@
     }
 
     /// Reports the first event of a resumable stream to the core, and soon to the other routers, where
-    /// the caller may take the stream up.
+    /// the caller may resume the stream.
     fn record_first_event(&mut self) {
         if self.has_first_event || !self.content.is_resumable() {
             return;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -78,19 +78,13 @@
     let is_reusable = answer.as_ref().is_some_and(|answer| {
         answer.whole && answer.header("connection").is_none_or(|value| value != "close")
     });
-    let leaving_runner = answer.as_ref().and_then(leaving_runner);
+    let leaving_runner = answer.as_ref().and_then(HttpMessage::leaving_runner).map(Box::from);
     let end = outcome_of(answer);
     let ended = Instant::now();
     cluster.record(CallRecord { id: id.into(), kind, gateway, sent, ended, end, leaving_runner });
     is_reusable.then_some((gateway, connection))
 }
 
-/// Id of the runner that answered, if its answer announces that it leaves.
-fn leaving_runner(answer: &HttpMessage) -> Option<Box<str>> {
-    answer.header("server-leaving")?;
-    Some(answer.header("runner-signature")?.strip_prefix("sig.")?.into())
-}
-
 fn outcome_of(answer: Option<HttpMessage>) -> Outcome {
     let Some(answer) = answer else { return Outcome::Closed };
     if !answer.whole {
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -20,7 +20,7 @@
 /// Time that an attempt may be in transit before a runner reads it.
 const IN_TRANSIT_SLACK: Duration = Duration::from_millis(100);
 
-/// Number of streams taken up from which their share that goes on is judged.
+/// Number of calls that resume a stream from which the share of those that continue it is judged.
 const RESUMPTIONS_MIN: usize = 12;
 
 /// A guarantee that was violated in a soak.
@@ -243,7 +243,7 @@
 }
 
 /// Checks that each stream holds its events in order and from one software version, and that enough of
-/// the streams that callers take up at undisturbed gateways go on.
+/// the streams that callers resume at undisturbed gateways continue.
 fn check_streams(cluster: &SoakCluster, violations: &mut Vec<Violation>) {
     let streams = cluster.streams.borrow();
     for stream in streams.iter() {
@@ -257,10 +257,10 @@
         .flat_map(|stream| &stream.resumptions)
         .filter(|call| !cluster.disturbed(call.gateway, call.sent - FAULT_FREE_TIME, call.ended))
         .collect();
-    let went_on = resumptions.iter().filter(|call| call.went_on).count();
-    if resumptions.len() >= RESUMPTIONS_MIN && went_on * 2 < resumptions.len() {
+    let continued = resumptions.iter().filter(|call| call.continued).count();
+    if resumptions.len() >= RESUMPTIONS_MIN && continued * 2 < resumptions.len() {
         let statuses: Vec<u16> = resumptions.iter().map(|call| call.status).collect();
-        let detail = format!("{went_on} streams that were taken up went on, statuses {statuses:?}");
+        let detail = format!("{continued} resumed streams continued, statuses {statuses:?}");
         violations.push(Violation::new("LOST", detail));
     }
 }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -22,20 +22,20 @@
     pub(crate) leaving_runner: Option<Box<str>>,
 }
 
-/// A stream that its caller broke off and took up, as it received it.
+/// A stream that its caller broke off and resumed, as it received it.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct StreamRecord {
-    /// Id of the call that brought the first event.
+    /// Id of the call that delivered the first event.
     pub(crate) origin: Box<str>,
     /// Numbers of the events, in the order of arrival.
     pub(crate) events: Vec<u64>,
     /// Software versions of the runners that sent them.
     pub(crate) software: BTreeSet<Box<str>>,
-    /// Calls that took the stream up.
+    /// Calls that resumed the stream.
     pub(crate) resumptions: Vec<ResumptionRecord>,
 }
 
-/// A call that took a stream up.
+/// A call that resumed a stream.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ResumptionRecord {
     /// Index of the gateway that received the call.
@@ -45,7 +45,7 @@
     /// Status of the answer; zero when there was none.
     pub(crate) status: u16,
     /// Whether at least one event arrived.
-    pub(crate) went_on: bool,
+    pub(crate) continued: bool,
 }
 
 /// How a call ended for its caller.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -29,7 +29,7 @@
     proxy::FaultProxy,
     record::{CallRecord, FaultId, FaultLog, FaultScope, StreamRecord},
     run::probes::{VersionProbe, is_serving, probe_versions},
-    streams::take_up_streams,
+    streams::resume_streams,
 };
 
 pub(crate) use self::probes::ProbeOutcome;
@@ -38,7 +38,7 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time beyond [`FAULT_FREE_TIME`] between the last fault of a round and the planned changes.
 const SETTLE_SLACK: Duration = Duration::from_millis(300);
-/// Callers that break streams off and take them up.
+/// Callers that break streams off and resume them.
 const STREAM_CALLERS: u64 = 4;
 /// Time for calls in flight to finish at the end of the soak.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_secs(6);
@@ -62,10 +62,10 @@
     pub calls: usize,
     /// Calls whose callers received the complete answer.
     pub served: usize,
-    /// Calls that took a stream up.
-    pub taken_up: usize,
-    /// Those of them whose stream went on.
-    pub went_on: usize,
+    /// Calls that resumed a stream.
+    pub resumed: usize,
+    /// Those of them whose stream continued.
+    pub continued: usize,
     /// Faults that were injected.
     pub faults: usize,
     /// Guarantees that were violated.
@@ -124,7 +124,7 @@
     tasks.push(tokio::task::spawn_local(probe_versions(cluster.clone())));
     if cluster.plan.software_versions {
         let stream_callers = (0..STREAM_CALLERS).map(|caller_index| {
-            tokio::task::spawn_local(take_up_streams(cluster.clone(), caller_index))
+            tokio::task::spawn_local(resume_streams(cluster.clone(), caller_index))
         });
         tasks.extend(stream_callers);
     }
@@ -157,9 +157,9 @@
     let (calls, faults) = (cluster.calls.borrow().len(), cluster.fault_log.borrow().len());
     let streams = cluster.streams.borrow();
     let resumptions = || streams.iter().flat_map(|stream| &stream.resumptions);
-    let taken_up = resumptions().count();
-    let went_on = resumptions().filter(|call| call.went_on).count();
-    Ok(SoakReport { calls, served, taken_up, went_on, faults, violations })
+    let resumed = resumptions().count();
+    let continued = resumptions().filter(|call| call.continued).count();
+    Ok(SoakReport { calls, served, resumed, continued, faults, violations })
 }
 
 impl SoakCluster {
--- a/crates/soak/src/streams.rs
+++ b/crates/soak/src/streams.rs
@@ -1,8 +1,8 @@
-//! Callers that break resumable streams off and take them up, mostly at another gateway.
+//! Callers that break resumable streams off and resume them, mostly at another gateway.
 
 use std::{rc::Rc, time::Duration};
 
-use fakes::{HttpConnection, HttpMessage};
+use fakes::{HttpConnection, HttpMessage, resume_headers};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
@@ -13,7 +13,7 @@
     run::SoakCluster,
 };
 
-/// Calls that take up one stream at most.
+/// Calls that resume one stream at most.
 const RESUMPTIONS_MAX: usize = 2;
 /// Upper bound of the random time after which a caller breaks a stream off; a stream takes 50 ms.
 const BREAK_MS_MAX: u64 = 60;
@@ -23,7 +23,7 @@
 const CALLER_OFFSET: u64 = 0x8000;
 
 /// Sends streams until the soak stops.
-pub(crate) async fn take_up_streams(cluster: Rc<SoakCluster>, caller_index: u64) {
+pub(crate) async fn resume_streams(cluster: Rc<SoakCluster>, caller_index: u64) {
     let caller_index = CALLER_OFFSET + caller_index;
     let mut caller = StreamCaller {
         rng: SmallRng::seed_from_u64(cluster.plan.seed ^ (caller_index << 32)),
@@ -49,8 +49,8 @@
 }
 
 impl StreamCaller {
-    /// Begins a stream, breaks it off, and takes it up until it is complete or was taken up often
-    /// enough. A stream without an event is not taken up.
+    /// Begins a stream, breaks it off, and resumes it until it is complete or was resumed often
+    /// enough. A stream without an event is not resumed.
     async fn run_stream(&mut self) -> StreamRecord {
         let mut stream = StreamRecord::default();
         for attempt in 0..=RESUMPTIONS_MAX {
@@ -61,13 +61,19 @@
             let (id, answer) = self.send_call(connection, &stream).await;
             let count_before = stream.events.len();
             read_events(&answer, &mut stream);
-            let went_on = stream.events.len() > count_before || answer.whole;
+            let continued = stream.events.len() > count_before || answer.whole;
             if attempt == 0 {
                 stream.origin = id;
             } else {
                 let (ended, status) = (Instant::now(), answer.status());
-                let went_on = went_on && status == 200;
-                stream.resumptions.push(ResumptionRecord { gateway, sent, ended, status, went_on });
+                let continued = continued && status == 200;
+                stream.resumptions.push(ResumptionRecord {
+                    gateway,
+                    sent,
+                    ended,
+                    status,
+                    continued,
+                });
             }
             if stream.events.is_empty() || stream.events.len() as u64 >= EVENTS {
                 break;
@@ -76,7 +82,7 @@
         stream
     }
 
-    /// Sends one call, which takes up the stream if it has events, and reads for a random time.
+    /// Sends one call, which resumes the stream if it has events, and reads for a random time.
     async fn send_call(
         &mut self,
         mut connection: HttpConnection,
@@ -86,10 +92,7 @@
         let (seed, caller_index, sent) =
             (self.cluster.plan.seed & 0xff_ffff, self.caller_index, self.sent);
         let id = format!("{seed:06x}{caller_index:04x}{sent:06x}");
-        let headers = stream
-            .events
-            .last()
-            .map(|event| format!("Last-Event-Id: {event}\r\nResumes: {}\r\n", stream.origin));
+        let headers = stream.events.last().map(|event| resume_headers(*event, &stream.origin));
         let text = request_with(CallKind::Resume.path(), &id, &headers.unwrap_or_default());
         let answer = if stream.events.is_empty() {
             connection.send(text.as_bytes()).await;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -65,7 +65,7 @@
         rounds: u32,
         /// Has a runner announce in its answers in each round that it leaves.
         announcements: bool,
-        /// Runs two software versions, whose streams callers break off and take up.
+        /// Runs two software versions, whose streams callers break off and resume.
         software_versions: bool,
         /// Binary to run instead of the release build.
         #[bpaf(argument("PATH"), optional)]
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -73,11 +73,11 @@
     };
     let report = run_soak(&plan).change_context(TaskError)?;
     println!(
-        "seed {seed}: {} calls, {} served, {} of {} streams went on, {} faults, {} violations",
+        "seed {seed}: {} calls, {} served, {} of {} streams continued, {} faults, {} violations",
         report.calls,
         report.served,
-        report.went_on,
-        report.taken_up,
+        report.continued,
+        report.resumed,
         report.faults,
         report.violations.len()
     );
