Join no streams of targets whose entries state no software version

Targets whose entries lack a version counted as running the same one, so that their streams could be joined. Cause: a missing version was read as an empty one, and compared as such: a default where nothing is known. Change: such a target counts as software of its own. It gets calls as before; streams that begin there continue only there, and streams of unknown origin are refused. Evidence: the new test fails when empty versions are equal.

--- a/crates/core-forward/src/origins.rs
+++ b/crates/core-forward/src/origins.rs
@@ -9,7 +9,7 @@
 use base_types::{PoolName, TimePoint, key_types, value_types};
 use policy_routing::stable_hash;
 
-use crate::reports::ReportQueue;
+use crate::{TargetEntry, reports::ReportQueue};
 
 /// Longest time for which the origin of a stream is kept; callers wait less.
 const ORIGIN_TTL_MAX: Duration = Duration::from_secs(60);
@@ -64,8 +64,15 @@
 }
 
 impl SoftwareKey {
-    pub(crate) fn new(pool: &PoolName, version: &str) -> Self {
-        Self(stable_hash(format!("{pool}/{version}").as_bytes()))
+    /// Identifies the software of a listed target. A target whose entry states no version counts as
+    /// software of its own, as it may run any.
+    pub(crate) fn of_target(entry: &TargetEntry) -> Self {
+        let TargetEntry { name, pool, software_version, incarnation, .. } = entry;
+        let identity = match &**software_version {
+            "" => format!("{pool}//{name}/{incarnation}"),
+            version => format!("{pool}/{version}"),
+        };
+        Self(stable_hash(identity.as_bytes()))
     }
 }
 
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -157,7 +157,7 @@
         let identity = format!("{}/{}", entry.name, entry.incarnation);
         Self {
             target_hash: stable_hash(identity.as_bytes()),
-            software: SoftwareKey::new(&entry.pool, &entry.software_version),
+            software: SoftwareKey::of_target(&entry),
             entry,
             lifecycle: TargetLifecycle::serving(),
             own_in_flight: 0,
@@ -297,7 +297,7 @@
     /// Adds or updates an entry. A changed incarnation, address, pool or software version makes it a
     /// new target.
     pub(crate) fn upsert(&mut self, now: TimePoint, entry: TargetEntry) {
-        let software = SoftwareKey::new(&entry.pool, &entry.software_version);
+        let software = SoftwareKey::of_target(&entry);
         self.software.on_listed(now, &entry.pool, software);
         if let Some(key) = self.keys_by_name.get(&entry.name).copied()
             && let Some(record) = self.records.get_mut(&key)
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -422,3 +422,19 @@
         assert_eq!(send(&mut restarted, seconds(second), second, Some(1)).is_ok(), is_sent);
     }
 }
+
+/// Targets whose entries state no version may run different ones.
+#[test]
+fn a_stream_of_a_target_without_a_version_continues_only_there() {
+    let entry = |index| TargetEntry { software_version: "".into(), ..target_entry(index, 1) };
+    let mut core = new_router(seconds(0), 0, 1, RetryRule::ResumableStream);
+    core.list_targets(seconds(0), (0..TARGETS).map(entry).collect());
+    core.on_platform_responded(seconds(1));
+    for id in 1..10 {
+        let target = begin_stream(&mut core, seconds(1), id);
+        let (_, sent_to) = send(&mut core, seconds(2), 100 + id, Some(id)).expect("sent");
+        assert_eq!(sent_to, target);
+    }
+    let (code, _) = send(&mut core, seconds(2), 200, Some(50)).expect_err("a guess");
+    assert_eq!(code, NotRunCode::OriginUnknown);
+}
