--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -289,6 +289,7 @@
     /// Returns the response if it is the call's own; otherwise reports the failed attempt.
     async fn accept_response(&mut self, started: StartedResponse) -> Option<StartedResponse> {
         let status = started.response.status().as_u16();
+        // An answer of another target, or to another call, says nothing about this target.
         if let ExecutionStatus::Executed | ExecutionStatus::Declined = started.head.execution {
             self.record_rate_limit(&started);
             self.record_leaving(&started);
