Log content that was in flight at several crashes

A router that sent a crashing call on did not say how many crashes it had counted for the content, so that a late report could not be told from a count that is too low. Log line `content in flight at several crashes`, with the number, for content that was in flight at a second or later crash without a complete answer in between.

--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -82,6 +82,12 @@
 fn log_block_changes(state: &ForwardState) {
     for change in state.with_core(|core, _| core.take_block_changes()) {
         match change {
+            BlockChange::Suspected(key, crashes) => {
+                log::info!(
+                    content = format!("{:016x}", key.0).as_str(), crashes;
+                    "content in flight at several crashes"
+                )
+            }
             BlockChange::Blocked(key) => {
                 log::warn!(content = format!("{:016x}", key.0).as_str(); "content blocked")
             }
--- a/crates/policy-retries/src/crashes.rs
+++ b/crates/policy-retries/src/crashes.rs
@@ -77,8 +77,11 @@
         pub trials: u8,
     }
 
-    /// Change of a block, for logs.
+    /// Change of what is known of content, for logs.
     pub enum BlockChange {
+        /// The content was in flight at this number of crashes, at least two, since its last complete
+        /// answer.
+        Suspected(ContentKey, usize),
         /// The content was blocked.
         Blocked(ContentKey),
         /// A trial was allowed.
@@ -186,8 +189,11 @@
         }
         if let Some(known) = &mut crash.suspects {
             let room = SUSPECTS_PER_CRASH_MAX.saturating_sub(known.len());
-            known.extend(suspects.iter().take(room));
+            let added: Vec<ContentKey> =
+                suspects.into_iter().filter(|key| !known.contains(key)).take(room).collect();
+            known.extend(&added);
             self.has_open_wave = true;
+            self.note_repeated_suspects(&added);
         }
         sound
     }
@@ -276,6 +282,17 @@
         self.blocks.retain(|_, block| !block.is_expired(now));
     }
 
+    /// Notes the content that was in flight at an earlier crash, too.
+    fn note_repeated_suspects(&mut self, added: &[ContentKey]) {
+        for key in added {
+            let suspects = self.crashes.iter().filter_map(|crash| crash.suspects.as_ref());
+            let crash_count = suspects.filter(|suspects| suspects.contains(key)).count();
+            if crash_count > 1 {
+                self.changes.push(BlockChange::Suspected(*key, crash_count));
+            }
+        }
+    }
+
     fn is_sound(&self, crashed_at: TimePoint, key: ContentKey) -> bool {
         let answered_at = self.proofs.get(&key);
         answered_at.is_some_and(|answered_at| !answered_at.after(PROOF_TTL).passed(crashed_at))
