Add failing tests of a call that crashes all targets of a pool

A call without a prompt that crashes each target comes back again and again, at any router, and each time at two targets of each.

--- a/crates/core-forward/tests/crashes.rs
+++ b/crates/core-forward/tests/crashes.rs
@@ -8,7 +8,7 @@
 }
 
 use base_types::{TimePoint, test_cases};
-use crashes::fleet::{FleetPlan, FleetRecord, play};
+use crashes::fleet::{CrashingContent, FleetPlan, FleetRecord, play};
 
 /// Time after the fifth crash from which calls with the content count as late.
 const STABLE_WINDOW_S: u64 = 3;
@@ -28,6 +28,19 @@
     }
 }
 
+/// A call that comes back again and again crashes each target; few of its attempts are sent once three
+/// targets crashed, and sound calls are still sent.
+fn check_crashing_call(plan: FleetPlan) {
+    for seed in 0..10 {
+        let record = play(plan, seed);
+        let third_crash_at = record.crashes.get(2).copied().unwrap_or(TimePoint::NEVER);
+        let late_from = third_crash_at.after(std::time::Duration::from_secs(STABLE_WINDOW_S));
+        let late = record.crashing_sends.iter().filter(|at| **at > late_from).count();
+        assert!(late <= LATE_SENDS_MAX, "seed {seed}: {late} late calls: {record:?}");
+        check_sound_calls(seed, &record);
+    }
+}
+
 /// Targets crash for reasons of their own; no sound content stays blocked.
 fn check_other_crashes(plan: FleetPlan) {
     for seed in 0..10 {
@@ -43,6 +56,7 @@
 }
 
 const PLAN: FleetPlan = FleetPlan {
+    content: CrashingContent::Segment,
     routers: 7,
     targets: 9,
     calls_per_s: 60,
@@ -64,8 +78,28 @@
     a_crashing_segment_is_refused_amid_other_crashes(FleetPlan { random_crashes_per_s: 0.2, ..PLAN });
 }
 
+const CALL_PLAN: FleetPlan = FleetPlan {
+    content: CrashingContent::EntireCall,
+    targets: 4,
+    calls_per_s: 30,
+    crashing_per_s: 2.0,
+    ..PLAN
+};
+
+test_cases! {
+    check_crashing_call:
+    a_crashing_call_is_refused(CALL_PLAN);
+    a_rare_crashing_call_is_refused(FleetPlan { crashing_per_s: 0.4, ..CALL_PLAN });
+    a_frequent_crashing_call_is_refused(FleetPlan { crashing_per_s: 10.0, ..CALL_PLAN });
+    a_crashing_call_is_refused_by_a_single_router(FleetPlan { routers: 1, ..CALL_PLAN });
+    a_crashing_call_is_refused_before_many_targets(FleetPlan { targets: 12, ..CALL_PLAN });
+    a_restarted_router_learns_of_a_crashing_call(FleetPlan { restart_at_s: Some(8), ..CALL_PLAN });
+    a_crashing_call_is_refused_when_heartbeats_are_lost(FleetPlan { lost_heartbeats: 0.3, ..CALL_PLAN });
+}
+
 test_cases! {
     check_other_crashes:
+    crashes_of_all_targets_at_once_block_no_sound_call(FleetPlan { crashing_per_s: 0.0, random_crashes_per_s: 0.4, crashes_at_once: 4, ..CALL_PLAN });
     single_crashes_block_no_sound_content(FleetPlan { crashing_per_s: 0.0, random_crashes_per_s: 0.5, ..PLAN });
     crashes_of_many_targets_at_once_block_no_sound_content(FleetPlan { crashing_per_s: 0.0, random_crashes_per_s: 0.2, crashes_at_once: 6, ..PLAN });
     crashes_of_all_targets_at_once_block_no_sound_content(FleetPlan { crashing_per_s: 0.0, random_crashes_per_s: 0.15, crashes_at_once: 9, ..PLAN });
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -1,4 +1,4 @@
-//! Routers, targets and callers in virtual time. Some calls contain a segment that crashes targets.
+//! Routers, targets and callers in virtual time. Some calls crash the targets that begin to run them.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::RetryRule;
 
-use crate::fixture::{call_head, new_router, target_entry, target_index};
+use crate::fixture::{call_head, new_router, new_router_with_attempts, target_entry, target_index};
 
 const STEP: Duration = Duration::from_millis(10);
 const STEPS_PER_HEARTBEAT: u64 = 10;
@@ -20,10 +20,25 @@
 /// Crashes begin after this time, as callers have used the fleet before.
 const QUIET_TIME: Duration = Duration::from_secs(3);
 const CRASHING_SEGMENT: u64 = 666;
+/// Digest of the call that crashes targets.
+const CRASHING_DIGEST: ContentDigest = ContentDigest(u128::MAX);
+/// Time after which a caller comes back with a call that failed.
+const RETURN_DELAY: Duration = Duration::from_millis(15);
+
+/// By what calls that crash targets are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CrashingContent {
+    /// By a segment of their prompts; calls are streams that are sent once.
+    Segment,
+    /// By their digest alone: they have no prompt. Calls are sent to two targets, and their callers come
+    /// back once.
+    EntireCall,
+}
 
 /// What happens in a run.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct FleetPlan {
+    pub(crate) content: CrashingContent,
     pub(crate) routers: u16,
     pub(crate) targets: u16,
     pub(crate) calls_per_s: u32,
@@ -59,7 +74,15 @@
     starts_at: TimePoint,
     ends_at: TimePoint,
     started: bool,
+    caller: Caller,
+}
+
+/// Who sent a call.
+#[derive(Debug, Clone, Copy)]
+struct Caller {
     is_crashing: bool,
+    /// How often the caller comes back with a call that fails.
+    returns_left: u8,
 }
 
 #[derive(Debug)]
@@ -73,6 +96,8 @@
     runs: Vec<Run>,
     /// Routers, targets and times of probes that will find a target down.
     probes: Vec<(usize, TargetKey, TimePoint)>,
+    /// Callers that come back, and when.
+    returns: Vec<(Caller, TimePoint)>,
     record: FleetRecord,
     next_number: u64,
 }
@@ -87,6 +112,7 @@
         targets: vec![(1, TimePoint(0)); usize::from(plan.targets)],
         runs: Vec::new(),
         probes: Vec::new(),
+        returns: Vec::new(),
         record: FleetRecord::default(),
         next_number: 0,
     };
@@ -110,10 +136,16 @@
             self.probes.retain(|(router, ..)| *router != 0);
         }
         if has_begun && self.occurs(self.plan.crashing_per_s) {
-            self.call(true);
+            self.call(self.new_caller(true));
         }
         if self.occurs(f64::from(self.plan.calls_per_s)) {
-            self.call(false);
+            self.call(self.new_caller(false));
+        }
+        let now = self.now;
+        let returning: Vec<(Caller, TimePoint)> =
+            self.returns.extract_if(.., |(_, at)| at.passed(now)).collect();
+        for (caller, _) in returning {
+            self.call(caller);
         }
         self.progress_runs();
         if has_begun && self.occurs(self.plan.random_crashes_per_s) {
@@ -138,7 +170,14 @@
     }
 
     fn new_router(&self, index: u16, incarnation: u64) -> ForwardCore {
-        let mut core = new_router(self.now, index, incarnation, RetryRule::AtMostOnceStream);
+        let mut core = match self.plan.content {
+            CrashingContent::Segment => {
+                new_router(self.now, index, incarnation, RetryRule::AtMostOnceStream)
+            }
+            CrashingContent::EntireCall => {
+                new_router_with_attempts(self.now, index, incarnation, RetryRule::Idempotent, 2)
+            }
+        };
         let entries = self.targets.iter().enumerate();
         let entries = entries.map(|(target, (incarnation, _))| target_entry(target, *incarnation));
         core.list_targets(self.now, entries.collect());
@@ -158,18 +197,29 @@
         }
     }
 
+    fn new_caller(&self, is_crashing: bool) -> Caller {
+        let returns_left = u8::from(self.plan.content == CrashingContent::EntireCall);
+        Caller { is_crashing, returns_left }
+    }
+
     /// A caller sends a call to a random router.
-    fn call(&mut self, is_crashing: bool) {
+    fn call(&mut self, caller: Caller) {
         let router = self.random.random_range(0..self.routers.len());
         self.next_number += 1;
-        let prompt = self.prompt(is_crashing);
-        let head = call_head(self.now, self.next_number, Some(prompt));
-        let digest = ContentDigest(u128::from(self.next_number));
+        let prompt = match self.plan.content {
+            CrashingContent::Segment => Some(self.prompt(caller.is_crashing)),
+            CrashingContent::EntireCall => None,
+        };
+        let digest = match self.plan.content {
+            CrashingContent::EntireCall if caller.is_crashing => CRASHING_DIGEST,
+            _ => ContentDigest(u128::from(self.next_number)),
+        };
+        let head = call_head(self.now, self.next_number, prompt);
         let admitted = self.routers[router].admit(self.now, head, digest).expect("admitted");
-        if !is_crashing {
+        if !caller.is_crashing {
             self.record.sound_calls += 1;
         }
-        self.dispatch(router, admitted.call, is_crashing);
+        self.dispatch(router, admitted.call, caller);
     }
 
     /// Sound calls have one of 40 first and one of 64 second segments; crashing ones share the first.
@@ -184,13 +234,17 @@
         }
     }
 
-    fn dispatch(&mut self, router: usize, call: CallKey, is_crashing: bool) {
+    fn dispatch(&mut self, router: usize, call: CallKey, caller: Caller) {
         loop {
             match self.routers[router].dispatch(self.now, call) {
                 DispatchStep::Refuse(refusal) => {
                     let is_blocked =
                         matches!(refusal, Refusal::NotRun(NotRunCode::ContentSuspect, _));
-                    self.record.sound_refused += u64::from(is_blocked && !is_crashing);
+                    self.record.sound_refused += u64::from(is_blocked && !caller.is_crashing);
+                    if let Some(returns_left) = caller.returns_left.checked_sub(1) {
+                        let caller = Caller { returns_left, ..caller };
+                        self.returns.push((caller, self.now.after(RETURN_DELAY)));
+                    }
                     return self.routers[router].finish(call);
                 }
                 DispatchStep::Send(attempt) => {
@@ -200,7 +254,7 @@
                         core.on_attempt_finished(self.now, call, AttemptOutcome::Unsent);
                         continue;
                     }
-                    if is_crashing {
+                    if caller.is_crashing {
                         self.record.crashing_sends.push(self.now);
                     }
                     let starts_at = self.now.after(self.milliseconds(20, 80));
@@ -213,7 +267,7 @@
                         starts_at,
                         ends_at,
                         started: false,
-                        is_crashing,
+                        caller,
                     });
                 }
             }
@@ -232,7 +286,8 @@
                 self.routers[run.router].on_response_started(now, run.call);
             }
         }
-        let is_crash = |run: &Run| run.is_crashing && run.starts_at.after(CRASH_DELAY).passed(now);
+        let is_crash =
+            |run: &Run| run.caller.is_crashing && run.starts_at.after(CRASH_DELAY).passed(now);
         let crashing: Vec<usize> =
             self.runs.iter().filter(|run| is_crash(run)).map(|run| run.target).collect();
         for target in crashing {
@@ -256,10 +311,10 @@
         for run in lost {
             let core = &mut self.routers[run.router];
             core.on_attempt_finished(self.now, run.call, AttemptOutcome::Lost);
-            core.finish(run.call);
             if core.take_crash_probe(self.now, run.key) {
                 self.probes.push((run.router, run.key, self.now.after(PROBE_DELAY)));
             }
+            self.dispatch(run.router, run.call, run.caller);
         }
     }
 
