Block content after three crashes one after the other

Cause: crashes within 300 ms counted as one wave, and content was blocked after three waves. A call that is retried at once ends all targets of a small pool within 300 ms, so each return of the pool was spent on one more wave.

Change: a crash counts for content that was sent to the target after the previous crash of the chain. Two such crashes hold the content, that is one call with it is sent at a time, of all routers; three block it. Targets that crash together are one link. Reports state when the content was sent; a target that answers another router within 1 s of its reported crash refutes the report. A target that lost a call is probed at once, too.

Ruled out: waves with a lower count (sound content of targets that crash together). The keys of sound calls in the simulation collided with the crashing segment (call 666); they are above all segments now. Tests that state a time of sending or a longer proof follow the new rule; no bound changed.

The test of a full heartbeat fills the lists of held content and of targets that answer after a reported crash, too, and the list of blocks with content of several crashes; its bound is unchanged.

--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -18,6 +18,8 @@
     pub enum AttemptOutcome {
         /// No byte of the call was sent, for example because the connection failed.
         Unsent,
+        /// The router withdrew the call before it was sent.
+        Withdrawn,
         /// The target answered that it did not run the call.
         Declined,
         /// Another target answered at the address and did not run the call.
@@ -145,6 +147,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
+            Self::Withdrawn => "withdrawn",
             Self::Declined => "declined",
             Self::Misdirected => "misdirected",
             Self::Silent => "silent",
@@ -190,6 +193,10 @@
     pub(crate) target: TargetKey,
     /// Prompt tokens that the target has yet to prefill; zero once the response started.
     pub(crate) prefill_tokens: u32,
+    /// Time at which the call was dispatched to the target.
+    pub(crate) sent_at: TimePoint,
+    /// Whether the call is a trial of blocked content.
+    pub(crate) is_trial: bool,
     /// Time at which the response started; `None` before.
     pub(crate) response_started_at: Option<TimePoint>,
 }
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -188,6 +188,7 @@
             self.segments.remove_target(target_hash);
         }
         self.peer_loads.expire(now);
+        self.clear_content_of_long_answers(now);
         self.crashes.tracker.sweep(now);
         self.origins.sweep(now);
     }
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -81,14 +81,17 @@
         };
         let count = self.unreported_holders.len().min(SEGMENT_HOLDERS_MAX);
         let segment_holders = self.unreported_holders.drain(..count).collect();
+        let outcomes = self.take_unreported_outcomes();
+        let running = self.calls.values().filter(|call| call.current_attempt.is_some());
+        let in_flight = running.flat_map(|call| call.content_keys.iter());
         PeerHeartbeat {
             entry: self.entry.clone(),
             shutting_down: self.shutting_down,
             ready: self.ready(),
             load_share,
             segment_holders,
-            outcomes: self.take_unreported_outcomes(),
-            content: self.crashes.next_report(now),
+            outcomes,
+            content: self.crashes.next_report(now, in_flight),
             limits: self.take_limit_notices(now),
             leaving_targets: self.unreported_leaving.next_report(LEAVING_TARGETS_MAX),
             stream_origins: self.origins.next_report(now, STREAM_ORIGINS_MAX),
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -84,6 +84,7 @@
         match self.start_attempt(now, state, choice) {
             Some(attempt) => {
                 if content_verdict == ContentVerdict::Trial {
+                    state.current_attempt.iter_mut().for_each(|attempt| attempt.is_trial = true);
                     self.crashes.tracker.start_trial(now, &state.content_keys);
                 }
                 DispatchStep::Send(attempt)
@@ -92,11 +93,23 @@
         }
     }
 
+    /// Whether a call that was dispatched, but not sent yet, may not be sent any more.
+    pub fn is_withheld(&self, now: TimePoint, key: CallKey) -> bool {
+        let Some(state) = self.calls.get(&key) else { return false };
+        let is_blocked = |key: &ContentKey| self.crashes.tracker.is_blocked(now, *key);
+        state.current_attempt.is_some_and(|attempt| !attempt.is_trial)
+            && state.content_keys.iter().any(is_blocked)
+    }
+
     /// How a call may be dispatched in view of its content. Trials of blocked content are assigned to
     /// one router, so that they are rare in a fleet of any size.
     fn content_verdict(&self, now: TimePoint, state: &CallState) -> ContentVerdict {
         let may_try = |key: ContentKey| self.is_assigned_here(key.0);
-        self.crashes.tracker.verdict(now, &state.content_keys, may_try)
+        let is_in_flight = |key: ContentKey| {
+            let mut running = self.calls.values().filter(|call| call.current_attempt.is_some());
+            running.any(|call| call.content_keys.contains(&key))
+        };
+        self.crashes.tracker.verdict(now, &state.content_keys, may_try, is_in_flight)
     }
 
     /// Whether this router may use the allowance of a target that names a limit. While other routers do
@@ -259,7 +272,9 @@
         state.current_attempt = Some(CurrentAttempt {
             target: choice.target,
             prefill_tokens: choice.prefill_tokens,
+            sent_at: now,
             response_started_at: None,
+            is_trial: false,
         });
         state.attempted_targets.push(choice.target);
         self.record_expected_segments(now, state, target_hash);
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base_types::{TargetKey, TimePoint};
-use policy_retries::BlockChange;
+use policy_retries::{BlockChange, CrashRecord};
 use policy_targets::{CallRate, NamedLimit};
 
 use crate::{AttemptOutcome, CallKey, ForwardCore, LeavingNotice, call::CallState};
@@ -24,6 +24,13 @@
         attempt.response_started_at = Some(now);
     }
 
+    /// Records that a target answered a call, whatever the answer.
+    pub fn on_target_answered(&mut self, now: TimePoint, target: TargetKey) {
+        if let Some(record) = self.targets.get(target) {
+            self.crashes.on_target_answered(now, record.target_hash);
+        }
+    }
+
     /// Records the limit on the rate of calls that a target named in an answer, or that it named none;
     /// returns whether the limit changed.
     pub fn on_rate_limit(
@@ -60,6 +67,16 @@
         Some(notice)
     }
 
+    /// Clears the content of answers that have run for so long that they show it to be sound.
+    pub(super) fn clear_content_of_long_answers(&mut self, now: TimePoint) {
+        for call in self.calls.values() {
+            let started_at = call.current_attempt.and_then(|attempt| attempt.response_started_at);
+            if started_at.is_some_and(|at| at.after(SAFE_RESPONSE_TIME).passed(now)) {
+                self.crashes.on_answer(now, &call.content_keys);
+            }
+        }
+    }
+
     /// Records that the answer of the attempt in progress is complete, and known to be: it has a
     /// length or chunks, and so did not end because the target crashed.
     pub fn on_answer_complete(&mut self, now: TimePoint, key: CallKey) {
@@ -89,8 +106,9 @@
     pub(super) fn confirm_crash(&mut self, now: TimePoint, target: TargetKey) {
         let Some(record) = self.targets.get_mut(target) else { return };
         let target_hash = record.target_hash;
-        if let Some((crashed_at, content)) = record.take_crash(now) {
-            self.crashes.on_own_crash(now, crashed_at, target_hash, content);
+        if let Some((crashed_at, suspects)) = record.take_crash(now) {
+            let crash = CrashRecord { target_hash, at: crashed_at, suspects };
+            self.crashes.on_own_crash(now, crash);
         }
     }
 
@@ -120,6 +138,7 @@
     fn apply_outcome(&mut self, now: TimePoint, state: &mut CallState, outcome: AttemptOutcome) {
         let response_started_at =
             state.current_attempt.and_then(|attempt| attempt.response_started_at);
+        let sent_at = state.current_attempt.map_or(now, |attempt| attempt.sent_at);
         let Some(target) = self.end_attempt(state) else { return };
         if response_started_at.is_none() {
             self.forget_last_segment(state, target);
@@ -140,6 +159,7 @@
                 record.record_outcome(now, true);
                 self.confirm_crash(now, target);
             }
+            AttemptOutcome::Withdrawn => state.attempts -= 1,
             AttemptOutcome::Misdirected => record.lifecycle.on_failure(now),
             AttemptOutcome::Declined => {}
             AttemptOutcome::Lost => {
@@ -147,7 +167,7 @@
                 record.lifecycle.on_failure(now);
                 record.record_outcome(now, true);
                 if !is_content_safe {
-                    record.on_content_lost(now, &state.content_keys);
+                    record.on_content_lost(now, sent_at, &state.content_keys);
                 }
             }
             AttemptOutcome::Failed | AttemptOutcome::Silent => {
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -6,7 +6,7 @@
 use policy_routing::{rendezvous_score, stable_hash};
 use state_config::FleetConfig;
 
-use crate::{ForwardCore, OriginNotice, PromptSegment, SoftwareNotice, TargetEntry};
+use crate::{ContentReport, ForwardCore, OriginNotice, PromptSegment, SoftwareNotice, TargetEntry};
 
 /// Largest number of prompt segments in a snapshot; the most recently used are included.
 const SNAPSHOT_SEGMENTS_MAX: usize = 2_048;
@@ -53,6 +53,8 @@
         pub leaving_targets: Vec<u64>,
         /// Origins of streams that callers may resume.
         pub stream_origins: Vec<OriginNotice>,
+        /// Crashes of targets, and content that is blocked because of them.
+        pub content: ContentReport,
         /// Software that targets ran in the time in which a stream may last.
         pub software: Vec<SoftwareNotice>,
         /// Holders of prompt segments, the most recently used segment first; empty until the router
@@ -75,6 +77,7 @@
             targets: targets.map(|(_, record)| record.entry.clone()).collect(),
             leaving_targets: self.targets.leaving_hashes().collect(),
             stream_origins: self.origins.notices(now).take(SNAPSHOT_ORIGINS_MAX).collect(),
+            content: self.crashes.full_report(now),
             software: self.targets.software.notices(now).collect(),
             segment_holders: segments
                 .map(|(segment, target_hashes)| SegmentHolders { segment, target_hashes })
@@ -94,6 +97,7 @@
         for notice in snapshot.stream_origins {
             self.origins.on_notice(now, notice);
         }
+        self.crashes.on_report(now, &snapshot.content);
         for notice in &snapshot.software {
             self.targets.software.on_notice(now, notice);
         }
--- a/crates/core-forward/src/crashes.rs
+++ b/crates/core-forward/src/crashes.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base_types::{ContentKey, TimePoint, key_types, value_types};
-use policy_retries::{ContentBlock, CrashTracker};
+use policy_retries::{ContentBlock, CrashRecord, CrashTracker, SuspectContent};
 
 /// Number of heartbeats in which a crash or a complete answer is reported, as some are lost.
 const REPORTS_PER_NOTICE: u8 = 3;
@@ -14,6 +14,12 @@
 /// Largest number of pieces of sound content in one heartbeat.
 const REPORTED_SOUND_MAX: usize = 32;
 
+/// Largest number of pieces of held content in one heartbeat.
+const REPORTED_HELD_MAX: usize = 32;
+
+/// Largest number of targets that were wrongly reported as crashed in one heartbeat.
+const REPORTED_RESPONDING_MAX: usize = 32;
+
 /// Largest number of blocks in one heartbeat.
 const REPORTED_BLOCKS_MAX: usize = 32;
 
@@ -26,7 +32,17 @@
         /// Milliseconds since the crash.
         pub age_ms: u32,
         /// Content that was in flight and may be the cause.
-        pub content: Vec<ContentKey>,
+        pub content: Vec<SuspectNotice>,
+    }
+}
+
+key_types! {
+    /// Content that was in flight at a crash.
+    pub struct SuspectNotice {
+        /// The content.
+        pub key: ContentKey,
+        /// Milliseconds since it was sent to the target.
+        pub sent_age_ms: u32,
     }
 }
 
@@ -52,9 +68,48 @@
         pub sound: Vec<ContentKey>,
         /// Blocks in force, in every heartbeat.
         pub blocks: Vec<BlockNotice>,
+        /// Content that the router has in flight and that is sent one call at a time, in every heartbeat.
+        pub held: Vec<ContentKey>,
+        /// Hashes of targets that answered the router after another one reported their crash.
+        pub responding: Vec<u64>,
     }
 }
 
+impl CrashNotice {
+    fn new(now: TimePoint, record: &CrashRecord) -> Self {
+        let content = record.suspects.iter().map(|suspect| SuspectNotice {
+            key: suspect.key,
+            sent_age_ms: age_ms(now, suspect.sent_at),
+        });
+        Self {
+            target_hash: record.target_hash,
+            age_ms: age_ms(now, record.at),
+            content: content.collect(),
+        }
+    }
+
+    /// The crash on the clock of the router that received the notice.
+    fn record(&self, now: TimePoint) -> CrashRecord {
+        let suspects = self.content.iter().map(|suspect| SuspectContent {
+            key: suspect.key,
+            sent_at: time_of_age(now, suspect.sent_age_ms),
+        });
+        CrashRecord {
+            target_hash: self.target_hash,
+            at: time_of_age(now, self.age_ms),
+            suspects: suspects.collect(),
+        }
+    }
+}
+
+fn age_ms(now: TimePoint, at: TimePoint) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+fn time_of_age(now: TimePoint, age_ms: u32) -> TimePoint {
+    TimePoint(now.0.saturating_sub(u64::from(age_ms) * 1_000))
+}
+
 /// Tracker of crashes with the reports that are due.
 #[derive(Debug, Default)]
 pub(crate) struct CrashReporter {
@@ -62,36 +117,36 @@
     unreported_crashes: Vec<UnreportedCrash>,
     /// Number of reports left, by content.
     unreported_sound: BTreeMap<ContentKey, u8>,
+    /// Number of reports left, by hash of a target that answered after its reported crash.
+    unreported_responding: BTreeMap<u64, u8>,
 }
 
 #[derive(Debug)]
 struct UnreportedCrash {
-    target_hash: u64,
-    crashed_at: TimePoint,
-    content: Vec<ContentKey>,
+    record: CrashRecord,
     reports_left: u8,
 }
 
 impl CrashReporter {
     /// Records the crash of a target that ran calls of this router.
-    pub(crate) fn on_own_crash(
-        &mut self,
-        now: TimePoint,
-        crashed_at: TimePoint,
-        target_hash: u64,
-        mut content: Vec<ContentKey>,
-    ) {
-        let sound = self.tracker.record_crash(now, crashed_at, target_hash, &content);
-        content.retain(|key| !sound.contains(key));
-        let pieces = content.chunks(REPORTED_CONTENT_MAX).map(|piece| UnreportedCrash {
-            target_hash,
-            crashed_at,
-            content: piece.to_vec(),
+    pub(crate) fn on_own_crash(&mut self, now: TimePoint, mut record: CrashRecord) {
+        let sound = self.tracker.record_crash(now, record.clone());
+        record.suspects.retain(|suspect| !sound.contains(&suspect.key));
+        let pieces = record.suspects.chunks(REPORTED_CONTENT_MAX).map(|piece| UnreportedCrash {
+            record: CrashRecord { suspects: piece.to_vec(), ..record },
             reports_left: REPORTS_PER_NOTICE,
         });
         self.unreported_crashes.extend(pieces);
     }
 
+    /// Records that a target answered a call of this router. If another router reported its crash, that
+    /// router has lost its connections to the target.
+    pub(crate) fn on_target_answered(&mut self, now: TimePoint, target_hash: u64) {
+        if self.tracker.refute_crash(now, target_hash) {
+            self.unreported_responding.insert(target_hash, REPORTS_PER_NOTICE);
+        }
+    }
+
     /// Records that a call was answered completely.
     pub(crate) fn on_answer(&mut self, now: TimePoint, content: &[ContentKey]) {
         for key in content {
@@ -107,14 +162,16 @@
             self.tracker.clear(*key);
         }
         for notice in &report.crashes {
-            let age = Duration::from_millis(u64::from(notice.age_ms));
-            let crashed_at = TimePoint(now.0.saturating_sub(age.as_micros() as u64));
-            let sound =
-                self.tracker.record_crash(now, crashed_at, notice.target_hash, &notice.content);
-            for key in sound {
+            for key in self.tracker.record_crash(now, notice.record(now)) {
                 self.report_sound(key);
             }
         }
+        for target_hash in &report.responding {
+            self.tracker.refute_crash(now, *target_hash);
+        }
+        for key in &report.held {
+            self.tracker.on_peer_call(now, *key);
+        }
         for notice in &report.blocks {
             let trial_in = Duration::from_millis(u64::from(notice.trial_in_ms));
             let block = ContentBlock { trial_at: now.after(trial_in), trials: notice.trials };
@@ -124,50 +181,70 @@
         }
     }
 
-    /// Returns the report for the next heartbeat, which counts as sent.
-    pub(crate) fn next_report(&mut self, now: TimePoint) -> ContentReport {
+    /// Returns the report for the next heartbeat, which counts as sent; `in_flight` is the content of
+    /// this router's calls.
+    pub(crate) fn next_report<'calls>(
+        &mut self,
+        now: TimePoint,
+        in_flight: impl Iterator<Item = &'calls ContentKey>,
+    ) -> ContentReport {
         self.tracker.judge(now);
-        let blocks = self.tracker.blocks().take(REPORTED_BLOCKS_MAX);
-        let blocks = blocks.map(|(key, block)| BlockNotice {
+        let held = in_flight.filter(|key| self.tracker.is_held(**key));
+        let held = held.take(REPORTED_HELD_MAX).copied().collect();
+        ContentReport {
+            blocks: self.block_notices(now).take(REPORTED_BLOCKS_MAX).collect(),
+            held,
+            crashes: self.next_crash_notices(now),
+            sound: take_reports(&mut self.unreported_sound, REPORTED_SOUND_MAX),
+            responding: take_reports(&mut self.unreported_responding, REPORTED_RESPONDING_MAX),
+        }
+    }
+
+    /// Returns all that a router which starts must know.
+    pub(crate) fn full_report(&self, now: TimePoint) -> ContentReport {
+        ContentReport {
+            crashes: self.tracker.crashes().map(|record| CrashNotice::new(now, &record)).collect(),
+            blocks: self.block_notices(now).collect(),
+            ..ContentReport::default()
+        }
+    }
+
+    fn block_notices(&self, now: TimePoint) -> impl Iterator<Item = BlockNotice> {
+        self.tracker.blocks().map(move |(key, block)| BlockNotice {
             key,
             trial_in_ms: block.trial_at.since(now).as_millis() as u32,
             trials: block.trials,
-        });
-        let blocks = blocks.collect();
-        ContentReport { crashes: self.next_crash_notices(now), sound: self.next_sound(), blocks }
+        })
     }
 
     fn next_crash_notices(&mut self, now: TimePoint) -> Vec<CrashNotice> {
         let mut notices = Vec::new();
         let mut room = REPORTED_CONTENT_MAX;
         for crash in &mut self.unreported_crashes {
-            if crash.content.len() > room {
+            if crash.record.suspects.len() > room {
                 break;
             }
-            room -= crash.content.len();
+            room -= crash.record.suspects.len();
             crash.reports_left -= 1;
-            notices.push(CrashNotice {
-                target_hash: crash.target_hash,
-                age_ms: now.since(crash.crashed_at).as_millis() as u32,
-                content: crash.content.clone(),
-            });
+            notices.push(CrashNotice::new(now, &crash.record));
         }
         self.unreported_crashes.retain(|crash| crash.reports_left > 0);
         notices
     }
 
-    fn next_sound(&mut self) -> Vec<ContentKey> {
-        let due = self.unreported_sound.iter_mut().take(REPORTED_SOUND_MAX);
-        let reported = due.map(|(key, reports_left)| {
-            *reports_left -= 1;
-            *key
-        });
-        let reported = reported.collect();
-        self.unreported_sound.retain(|_, reports_left| *reports_left > 0);
-        reported
-    }
-
     fn report_sound(&mut self, key: ContentKey) {
         self.unreported_sound.entry(key).or_insert(REPORTS_PER_NOTICE);
     }
 }
+
+/// Takes keys that are due for a report, and forgets those that were reported often enough.
+fn take_reports<K: Copy + Ord>(reports_left: &mut BTreeMap<K, u8>, count_max: usize) -> Vec<K> {
+    let due = reports_left.iter_mut().take(count_max);
+    let reported = due.map(|(key, reports_left)| {
+        *reports_left -= 1;
+        *key
+    });
+    let reported = reported.collect();
+    reports_left.retain(|_, reports_left| *reports_left > 0);
+    reported
+}
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -9,6 +9,7 @@
 use base_types::{
     ContentKey, HostName, PoolName, TargetKey, TimePoint, key_types, message_types, value_types,
 };
+use policy_retries::SuspectContent;
 use policy_routing::stable_hash;
 use policy_targets::{
     CallRate, FailureRate, OutcomeCount, RateAllowance, TargetLifecycle, TargetPhase,
@@ -124,8 +125,8 @@
     next_probe_at: TimePoint,
     /// Earliest time of the next probe of whether the target crashed.
     next_crash_probe_at: TimePoint,
-    /// Content of the calls that the target lost, since `content_lost_at`.
-    pub(crate) lost_content: BTreeSet<ContentKey>,
+    /// Content of the calls that the target lost since `content_lost_at`, and when it was sent.
+    pub(crate) lost_content: BTreeMap<ContentKey, TimePoint>,
     content_lost_at: TimePoint,
     /// Whether the target announced in an answer that it leaves; true until it ends.
     announced_leaving: bool,
@@ -170,7 +171,7 @@
             unreachable_until: TimePoint(0),
             next_probe_at: TimePoint(0),
             next_crash_probe_at: TimePoint(0),
-            lost_content: BTreeSet::new(),
+            lost_content: BTreeMap::new(),
             content_lost_at: TimePoint(0),
             announced_leaving: false,
             listed: true,
@@ -231,14 +232,22 @@
     }
 
     /// Records the content of a call that the target lost.
-    pub(crate) fn on_content_lost(&mut self, now: TimePoint, content: &[ContentKey]) {
+    pub(crate) fn on_content_lost(
+        &mut self,
+        now: TimePoint,
+        sent_at: TimePoint,
+        content: &[ContentKey],
+    ) {
         if self.content_lost_at.after(CRASH_CONFIRM_WINDOW).passed(now) {
             self.lost_content.clear();
         }
         if self.lost_content.is_empty() {
             self.content_lost_at = now;
         }
-        self.lost_content.extend(content);
+        for key in content {
+            let latest = self.lost_content.entry(*key).or_insert(sent_at);
+            *latest = sent_at.max(*latest);
+        }
     }
 
     /// Returns whether a target that lost content is to be probed; if so, schedules the next probe.
@@ -252,11 +261,15 @@
 
     /// Takes the content that the target lost shortly before it stopped accepting connections, with
     /// the time of the first loss.
-    pub(crate) fn take_crash(&mut self, now: TimePoint) -> Option<(TimePoint, Vec<ContentKey>)> {
+    pub(crate) fn take_crash(
+        &mut self,
+        now: TimePoint,
+    ) -> Option<(TimePoint, Vec<SuspectContent>)> {
         let content = std::mem::take(&mut self.lost_content);
         let is_recent = !self.content_lost_at.after(CRASH_CONFIRM_WINDOW).passed(now);
-        (is_recent && !content.is_empty())
-            .then(|| (self.content_lost_at, content.into_iter().collect()))
+        let suspects = content.into_iter().map(|(key, sent_at)| SuspectContent { key, sent_at });
+        let suspects: Vec<SuspectContent> = suspects.collect();
+        (is_recent && !suspects.is_empty()).then_some((self.content_lost_at, suspects))
     }
 
     /// Whether a connection to the target failed within the last [`UNREACHABLE_TTL`].
--- a/crates/core-forward/tests/crashes.rs
+++ b/crates/core-forward/tests/crashes.rs
@@ -7,8 +7,10 @@
     pub(crate) mod fleet;
 }
 
-use base_types::{TimePoint, test_cases};
+use base_types::{ContentDigest, ContentKey, NotRunCode, Refusal, TimePoint, test_cases};
+use core_forward::{BlockNotice, DispatchStep};
 use crashes::fleet::{CrashingContent, FleetPlan, FleetRecord, play};
+use state_config::RetryRule;
 
 /// Time after the fifth crash from which calls with the content count as late.
 const STABLE_WINDOW_S: u64 = 3;
@@ -41,6 +43,28 @@
     }
 }
 
+/// A router that starts from the snapshot of another one, which has just learned of blocked content,
+/// refuses this content before its first heartbeat.
+#[test]
+fn a_starting_router_refuses_blocked_content() {
+    let now = TimePoint(0);
+    let router = |index| fixture::new_router(now, index, 1, RetryRule::AtMostOnceStream);
+    let [mut reporter, mut running, mut starting] = [0, 1, 2].map(router);
+    starting.list_targets(now, vec![fixture::target_entry(0, 1)]);
+    let mut heartbeat = reporter.next_heartbeat(now);
+    let digest = ContentDigest(7);
+    let key = ContentKey::of_request(digest);
+    heartbeat.content.blocks.push(BlockNotice { key, trial_in_ms: 60_000, trials: 0 });
+    running.on_heartbeat(now, heartbeat);
+    starting.restore(now, running.snapshot(now));
+    let call =
+        starting.admit(now, fixture::call_head(now, 1, None), digest).expect("admitted").call;
+    let step = starting.dispatch(now, call);
+    let is_refused =
+        matches!(step, DispatchStep::Refuse(Refusal::NotRun(NotRunCode::ContentSuspect, _)));
+    assert!(is_refused, "{step:?}");
+}
+
 /// Targets crash for reasons of their own; no sound content stays blocked.
 fn check_other_crashes(plan: FleetPlan) {
     for seed in 0..10 {
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -212,7 +212,8 @@
         };
         let digest = match self.plan.content {
             CrashingContent::EntireCall if caller.is_crashing => CRASHING_DIGEST,
-            _ => ContentDigest(u128::from(self.next_number)),
+            // Above all segments, so that no key of a call is that of a segment.
+            _ => ContentDigest(1_000_000_000 + u128::from(self.next_number)),
         };
         let head = call_head(self.now, self.next_number, prompt);
         let admitted = self.routers[router].admit(self.now, head, digest).expect("admitted");
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -564,43 +564,90 @@
     assert_eq!(reported.len(), 1 + 3 * 60);
 }
 
-/// All lists of a heartbeat are full: loads, segments, outcomes, crashes, blocks, limits, origins of
-/// streams, and at last the targets that leave.
+/// Another router, which has lost its links, reports crashes of many targets.
+fn report_crashes_of_a_peer(core: &mut ForwardCore, now: TimePoint) {
+    let mut peer = core_of(RetryRule::AtMostOnceStream, 1, 90);
+    let sent = (0..40).map(|_| {
+        let call = admit(&mut peer, now, None);
+        (call, send(&mut peer, now, call).expect("sent").target)
+    });
+    for (call, target) in sent.collect::<Vec<_>>() {
+        peer.on_attempt_finished(now, call, Lost);
+        peer.on_target_unreachable(now, target);
+    }
+    for _ in 0..10 {
+        let mut heartbeat = peer.next_heartbeat(now);
+        heartbeat.entry.name = HostName::new("peer");
+        core.on_heartbeat(now, heartbeat);
+    }
+}
+
+/// All lists of a heartbeat are full: loads, segments, outcomes, crashes, held content, blocks, limits,
+/// origins of streams, and at last the targets that answer after a reported crash or that leave.
 #[test]
 fn a_full_heartbeat_fits_into_a_datagram() {
     const DATAGRAM_BYTES_MAX: usize = 8_192;
-    const LAST_SECOND: u64 = 39;
+    /// Seconds after which content crashed targets often enough to be blocked, and other content follows.
+    const SECONDS_PER_CONTENT: u64 = 3;
+    const LAST_SECOND: u64 = 40;
     let mut targets = std::collections::BTreeSet::new();
     let mut core = core_of(RetryRule::AtMostOnceStream, 1, 90);
     let limit = CallRate::from_per_second(4_000_000.0);
     let segment = |id: u64| PromptSegment { id: u64::MAX - id, tokens: 100 };
     for second in 1..=LAST_SECOND {
         let now = TimePoint(second * 1_000_000);
+        let is_last = second == LAST_SECOND;
+        let mut crashed = Vec::new();
         for number in 0..90u64 {
-            let segments = (0..40).chain([1_000 + number]).map(segment).collect();
+            // The content before the last one is held, but not blocked, and a call with it is in flight.
+            let is_crashing = number % 2 == 0 && second + 1 != LAST_SECOND;
+            let content = (second - 1) / SECONDS_PER_CONTENT;
+            let first_segment = match number {
+                _ if is_crashing && !is_last => 100_000 + content * 100,
+                1 if is_last => 100_000 + (content - 1) * 100,
+                _ => 200_000 + number * 100,
+            };
+            let segments = (first_segment..first_segment + 40).chain([1_000 + number]);
+            let segments = segments.map(segment).collect();
             let prompt = PromptHead { input_tokens: 500, output_tokens: 1, segments };
             let call = admit(&mut core, now, Some(prompt));
             let Some(attempt) = send(&mut core, now, call) else { continue };
             core.on_rate_limit(now, attempt.target, limit);
             targets.insert(attempt.target);
             core.on_first_event(now, call);
-            if number % 6 == 0 {
-                core.on_attempt_finished(now, call, Lost);
-                core.on_target_unreachable(now, attempt.target);
+            if is_crashing {
+                crashed.push((call, attempt.target));
             }
         }
+        let crashed_at = now.after(Duration::from_millis(100));
+        for (call, target) in &crashed {
+            core.on_attempt_finished(crashed_at, *call, Lost);
+            core.on_target_unreachable(crashed_at, *target);
+        }
         let later = now.after(Duration::from_millis(700));
-        if second == LAST_SECOND {
+        if is_last {
             for target in &targets {
                 assert!(core.on_leaving_announced(later, *target).is_some());
             }
+            report_crashes_of_a_peer(&mut core, crashed_at);
+            for target in &targets {
+                core.on_target_answered(later, *target);
+            }
         }
         let heartbeat = core.next_heartbeat(later);
         let bytes = postcard::to_stdvec(&heartbeat).expect("encoded").len();
         assert!(bytes <= DATAGRAM_BYTES_MAX, "{bytes} bytes at {second} s");
-        assert_eq!(heartbeat.leaving_targets.len(), if second == LAST_SECOND { 32 } else { 0 });
+        let full_at_last = [
+            heartbeat.leaving_targets.len(),
+            heartbeat.content.responding.len(),
+            heartbeat.content.held.len(),
+        ];
+        assert!(!is_last || full_at_last == [32; 3], "{full_at_last:?}");
     }
-    assert!(core.status(TimePoint(40_000_000)).blocked_content > 32, "the list of blocks is full");
+    assert!(
+        core.status(TimePoint(LAST_SECOND * 1_000_000)).blocked_content > 32,
+        "the list of blocks is full"
+    );
 }
 
 /// A holder of the prompt has two calls in flight, two other targets have none. Checks whether a
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -238,6 +238,13 @@
             Ok(connection) => connection,
             Err(error) => return self.record_send_error(&attempt, error),
         };
+        let call = self.admitted.call;
+        if self.state.with_core(|core, now| core.is_withheld(now, call)) {
+            self.release_unused(&attempt, connection);
+            let outcome = AttemptOutcome::Withdrawn;
+            self.record_failed_attempt(&attempt, outcome, "its content was blocked meanwhile");
+            return None;
+        }
         let response = match self.await_response(&attempt, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return self.record_send_error(&attempt, error),
@@ -291,6 +298,8 @@
         let status = started.response.status().as_u16();
         // An answer of another target, or to another call, says nothing about this target.
         if let ExecutionStatus::Executed | ExecutionStatus::Declined = started.head.execution {
+            let target = started.attempt.target;
+            self.state.with_core(|core, now| core.on_target_answered(now, target));
             self.record_rate_limit(&started);
             self.record_leaving(&started);
             self.record_pause(&started);
@@ -386,6 +395,11 @@
         }
     }
 
+    /// Returns a connection that carried no call to the pool.
+    fn release_unused(&self, attempt: &AttemptSpec, connection: TargetConnection) {
+        self.state.with_upstream(|pool, now| pool.put(now, attempt.target, connection, None));
+    }
+
     async fn acquire_connection(
         &self,
         attempt: &AttemptSpec,
--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -168,33 +168,61 @@
 /// Probes a silent target with a new connection: pools the connection, or reports the target as
 /// unreachable.
 pub(crate) fn probe_target(state: &ForwardState, attempt: &AttemptSpec) {
-    spawn_probe(state, attempt, Duration::ZERO);
+    let (state, probe) = (state.clone(), TargetProbe::new(attempt));
+    tokio::task::spawn_local(async move {
+        if probe.connect(&state).await {
+            state.with_core(|core, _| core.on_target_reachable(probe.target));
+        }
+    });
 }
 
-/// Probes a target that lost a call, once a crashed process has had time to close its port.
+/// Probes a target that lost a call, at once and again when a crashed process has had time to close its
+/// port.
 pub(crate) fn probe_for_crash(state: &ForwardState, attempt: &AttemptSpec) {
-    spawn_probe(state, attempt, CRASH_PROBE_DELAY);
+    let (state, probe) = (state.clone(), TargetProbe::new(attempt));
+    tokio::task::spawn_local(async move {
+        if !probe.connect(&state).await {
+            return;
+        }
+        tokio::time::sleep(CRASH_PROBE_DELAY).await;
+        if probe.connect(&state).await {
+            state.with_core(|core, _| core.on_target_reachable(probe.target));
+        }
+    });
 }
 
-fn spawn_probe(state: &ForwardState, attempt: &AttemptSpec, delay: Duration) {
-    let (state, target, address) = (state.clone(), attempt.target, attempt.address);
-    let name = attempt.name.clone();
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(delay).await;
+/// The target of a probe.
+#[derive(Debug)]
+struct TargetProbe {
+    target: TargetKey,
+    name: Box<str>,
+    address: SocketAddr,
+}
+
+impl TargetProbe {
+    fn new(attempt: &AttemptSpec) -> Self {
+        Self { target: attempt.target, name: attempt.name.clone(), address: attempt.address }
+    }
+
+    /// Returns whether the target accepts a connection, which is pooled; reports it as unreachable if it
+    /// does not.
+    async fn connect(&self, state: &ForwardState) -> bool {
         state.with_upstream(|pool, _| pool.count_opened());
-        match TargetConnection::connect(address).await {
+        let target = self.target;
+        match TargetConnection::connect(self.address).await {
             Ok(connection) => {
                 state.with_upstream(|pool, now| pool.put(now, target, connection, None));
-                state.with_core(|core, _| core.on_target_reachable(target));
+                true
             }
             Err(error) => {
                 let error = error.to_string();
-                log::info!(target = &*name, error = error.as_str(); "target unreachable");
+                log::info!(target = &*self.name, error = error.as_str(); "target unreachable");
                 state.with_core(|core, now| core.on_target_unreachable(now, target));
                 state.heartbeat_wakeup().notify_one();
+                false
             }
         }
-    });
+    }
 }
 
 /// Formats an error and its sources on one line.
--- a/crates/io-forward/tests/snapshots.rs
+++ b/crates/io-forward/tests/snapshots.rs
@@ -2,7 +2,8 @@
 
 use base_types::{HostName, PoolName};
 use core_forward::{
-    OriginNotice, PeerSnapshot, SegmentHolders, SoftwareKey, SoftwareNotice, TargetEntry,
+    ContentReport, OriginNotice, PeerSnapshot, SegmentHolders, SoftwareKey, SoftwareNotice,
+    TargetEntry,
 };
 
 fn snapshot() -> PeerSnapshot {
@@ -27,6 +28,7 @@
             software: SoftwareKey(6),
             left_ms: 8,
         }],
+        content: ContentReport { responding: vec![9], ..ContentReport::default() },
         segment_holders: vec![
             SegmentHolders { segment: 300, target_hashes: vec![1, 2] },
             SegmentHolders { segment: 7, target_hashes: Vec::new() },
--- a/crates/policy-retries/src/crashes.rs
+++ b/crates/policy-retries/src/crashes.rs
@@ -1,47 +1,55 @@
 //! Recognition of content that crashes the targets that run it.
 //!
 //! Content in flight on a target when it crashes becomes suspect, although most of it is sound. A
-//! complete answer clears what the call contained. Targets that crash together form a wave, whose
-//! cause may be something else than content. Content that accounts for several waves without a
-//! complete answer in between is blocked, and whatever else was in flight then is no longer suspect
-//! because of them.
+//! complete answer clears what the call contained.
 //!
-//! A block may be wrong, for example after targets crashed for a reason of their own. From time to
-//! time one call is therefore allowed as a trial; a complete answer lifts the block.
+//! Content that was in flight at several crashes since its last complete answer is held: one call with
+//! it is sent at a time, and others are refused at once. Content that was sent to several targets, to
+//! each after the one before had crashed, is blocked, and whatever else was in flight then is no longer
+//! suspect because of these crashes. Targets that crash together, for a reason that is not content, are
+//! one link of such a chain.
+//!
+//! A block may be wrong. From time to time one call is therefore allowed as a trial; a complete answer
+//! lifts the block.
+
+mod evidence;
+
+pub use self::evidence::{CrashRecord, SuspectContent};
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use base_types::{ContentKey, TimePoint, key_types};
 
-/// Waves of crashes that content must account for before it is blocked.
-const BLOCKING_WAVES: usize = 3;
+use self::evidence::CrashEvidence;
 
-/// Crashes within this time of the first one of a wave belong to it.
-const WAVE_DURATION: Duration = Duration::from_millis(300);
+/// Crashes at which content must have been in flight before it is held.
+const HOLDING_CRASHES: usize = 2;
 
-/// Time from the start of a wave until it is judged, so that other routers have reported it.
-const WAVE_REPORT_TIME: Duration = Duration::from_millis(500);
+/// Crashes in a chain that content must account for before it is blocked.
+const BLOCKING_CRASHES: usize = 3;
 
-/// Content accounts for a wave if it was in flight at this percentage of its crashes.
-const WAVE_PERCENT_MIN: usize = 50;
+/// Time after the latest crash until content may be blocked, or a held call is sent: by then other
+/// routers have reported what they know.
+const REPORT_TIME: Duration = Duration::from_millis(500);
 
-/// Reports on a target within this time of its crash belong to the same crash.
-const CRASH_MERGE_WINDOW: Duration = Duration::from_secs(2);
+/// Time after which a caller may return when another call with the same held content is in flight.
+const HELD_RETURN_TIME: Duration = Duration::from_millis(300);
 
-/// Time after a complete answer in which its content does not become suspect.
-const PROOF_TTL: Duration = Duration::from_secs(2);
+/// Time for which another router's call with held content counts as in flight after its report.
+const PEER_CALL_TTL: Duration = Duration::from_secs(1);
 
-/// Time for which a crash is remembered.
-const CRASH_TTL: Duration = Duration::from_secs(600);
+/// Calls of other routers with held content that are remembered; further ones are ignored.
+const PEER_CALLS_MAX: usize = 256;
 
-/// Number of crashes that are remembered; the oldest are forgotten first.
-const CRASHES_MAX: usize = 64;
+/// Time after a complete answer in which its content does not become suspect.
+const PROOF_TTL: Duration = Duration::from_secs(10);
 
-/// Suspect pieces of content that are remembered for one crash.
-const SUSPECTS_PER_CRASH_MAX: usize = 256;
+/// Time after a complete answer in which a block that another router reports is out of date.
+const LIFTED_TTL: Duration = Duration::from_secs(2);
+
+/// Pieces of content whose complete answers are remembered; answers to further ones are not, until
+/// older ones are forgotten.
+const PROOFS_MAX: usize = 16_384;
 
 /// Number of blocked pieces of content; further ones are not blocked.
 const BLOCKS_MAX: usize = 256;
@@ -61,7 +69,7 @@
 key_types! {
     /// How a call may be dispatched in view of its content.
     pub enum ContentVerdict {
-        /// Nothing in the call is blocked.
+        /// Nothing in the call is held or blocked.
         Allowed,
         /// A trial of blocked content is due: one call may be sent.
         Trial,
@@ -96,43 +104,15 @@
 pub struct CrashTracker {
     /// Latest complete answers, by content.
     proofs: BTreeMap<ContentKey, TimePoint>,
-    /// In the order in which this router learned of them.
-    crashes: VecDeque<TargetCrash>,
+    evidence: CrashEvidence,
     blocks: BTreeMap<ContentKey, ContentBlock>,
-    /// Whether a crash was recorded that is not judged yet.
-    has_open_wave: bool,
+    /// Until when calls of other routers with held content count as in flight.
+    peer_calls: BTreeMap<ContentKey, TimePoint>,
+    /// Whether suspect content was recorded that is not judged yet.
+    has_unjudged: bool,
     changes: Vec<BlockChange>,
 }
 
-#[derive(Debug)]
-struct TargetCrash {
-    target_hash: u64,
-    at: TimePoint,
-    /// Content in flight at the crash that may be its cause; `None` once blocked content accounts
-    /// for the crash.
-    suspects: Option<BTreeSet<ContentKey>>,
-}
-
-/// Crashes of targets at about the same time.
-#[derive(Debug)]
-struct CrashWave<'tracker> {
-    started_at: TimePoint,
-    /// Suspect content of each crash.
-    suspects: Vec<&'tracker BTreeSet<ContentKey>>,
-}
-
-impl CrashWave<'_> {
-    /// Content that accounts for the wave.
-    fn causes(&self) -> Vec<ContentKey> {
-        let mut crash_counts: BTreeMap<ContentKey, usize> = BTreeMap::new();
-        for key in self.suspects.iter().copied().flatten() {
-            *crash_counts.entry(*key).or_default() += 1;
-        }
-        crash_counts.retain(|_, count| *count * 100 >= self.suspects.len() * WAVE_PERCENT_MIN);
-        crash_counts.into_keys().collect()
-    }
-}
-
 impl ContentBlock {
     fn new(now: TimePoint) -> Self {
         Self { trial_at: now.after(TRIAL_WAIT_MIN), trials: 0 }
@@ -153,17 +133,17 @@
     /// Records that a call with this content was answered completely; returns whether the content
     /// was suspect or blocked, so that other routers must learn of the answer.
     pub fn record_answer(&mut self, now: TimePoint, key: ContentKey) -> bool {
-        self.proofs.insert(key, now);
+        if self.proofs.len() < PROOFS_MAX || self.proofs.contains_key(&key) {
+            self.proofs.insert(key, now);
+        }
         self.clear(key)
     }
 
     /// Clears content that was answered completely through another router; returns whether it was
     /// suspect or blocked here.
     pub fn clear(&mut self, key: ContentKey) -> bool {
-        let mut is_suspect = false;
-        for suspects in self.crashes.iter_mut().filter_map(|crash| crash.suspects.as_mut()) {
-            is_suspect |= suspects.remove(&key);
-        }
+        let is_suspect = self.evidence.clear(key);
+        self.peer_calls.remove(&key);
         let is_blocked = self.blocks.remove(&key).is_some();
         if is_blocked {
             self.changes.push(BlockChange::Lifted(key));
@@ -173,54 +153,69 @@
 
     /// Records a crash of a target, or further content that was in flight then. Content that was
     /// answered shortly before is returned: it is sound.
-    pub fn record_crash(
-        &mut self,
-        now: TimePoint,
-        crashed_at: TimePoint,
-        target_hash: u64,
-        content: &[ContentKey],
-    ) -> Vec<ContentKey> {
-        let (sound, suspects): (Vec<ContentKey>, Vec<ContentKey>) =
-            content.iter().partition(|key| self.is_sound(crashed_at, **key));
-        let is_explained = suspects.iter().any(|key| self.is_blocked(now, *key));
-        let crash = self.crash_mut(crashed_at, target_hash);
-        if is_explained {
-            crash.suspects = None;
-        }
-        if let Some(known) = &mut crash.suspects {
-            let room = SUSPECTS_PER_CRASH_MAX.saturating_sub(known.len());
-            let added: Vec<ContentKey> =
-                suspects.into_iter().filter(|key| !known.contains(key)).take(room).collect();
-            known.extend(&added);
-            self.has_open_wave = true;
-            self.note_repeated_suspects(&added);
+    pub fn record_crash(&mut self, now: TimePoint, mut crash: CrashRecord) -> Vec<ContentKey> {
+        let is_sound =
+            |suspect: &SuspectContent| self.is_answered(crash.at, suspect.key, PROOF_TTL);
+        let sound: Vec<ContentKey> = crash
+            .suspects
+            .iter()
+            .filter(|suspect| is_sound(suspect))
+            .map(|sound| sound.key)
+            .collect();
+        crash.suspects.retain(|suspect| !sound.contains(&suspect.key));
+        let is_explained = crash.suspects.iter().any(|suspect| self.is_blocked(now, suspect.key));
+        let added = self.evidence.record(&crash, is_explained);
+        self.has_unjudged |= !added.is_empty();
+        for key in added {
+            if let Some(record) = self.evidence.repeated(key) {
+                self.changes.push(BlockChange::Suspected(key, record.crashes));
+            }
         }
         sound
     }
 
-    /// Blocks the content that accounts for enough waves of crashes; to be called several times a
-    /// second.
+    /// Records that a target answered; returns whether a crash of it was recorded shortly before, which
+    /// other routers must forget, too.
+    pub fn refute_crash(&mut self, now: TimePoint, target_hash: u64) -> bool {
+        self.evidence.refute(now, target_hash)
+    }
+
+    /// Records that another router has a call with held content in flight.
+    pub fn on_peer_call(&mut self, now: TimePoint, key: ContentKey) {
+        if self.peer_calls.len() < PEER_CALLS_MAX || self.peer_calls.contains_key(&key) {
+            self.peer_calls.insert(key, now.after(PEER_CALL_TTL));
+        }
+    }
+
+    /// Blocks the content that accounts for a chain of crashes; to be called several times a second.
     pub fn judge(&mut self, now: TimePoint) {
-        if !self.has_open_wave {
+        if !self.has_unjudged {
             return;
         }
-        let waves = self.waves();
-        let is_over = |wave: &CrashWave<'_>| wave.started_at.after(WAVE_REPORT_TIME).passed(now);
-        let has_open_wave = !waves.iter().all(is_over);
-        let mut wave_counts: BTreeMap<ContentKey, usize> = BTreeMap::new();
-        for key in waves.iter().filter(|wave| is_over(wave)).flat_map(CrashWave::causes) {
-            *wave_counts.entry(key).or_default() += 1;
+        let mut chains: BTreeMap<ContentKey, usize> = BTreeMap::new();
+        let mut has_unjudged = false;
+        for (key, record) in self.evidence.all_repeated() {
+            let is_reported = record.last_at.after(REPORT_TIME).passed(now);
+            has_unjudged |= !is_reported;
+            if is_reported && record.chain >= BLOCKING_CRASHES {
+                chains.insert(key, record.chain);
+            }
         }
-        wave_counts.retain(|_, count| *count >= BLOCKING_WAVES);
-        self.has_open_wave = has_open_wave;
-        for cause in wave_counts.into_keys() {
-            self.block_cause(now, cause);
+        self.has_unjudged = has_unjudged;
+        // Content that was in flight at fewer crashes than the cause may be sound: it is judged by the
+        // crashes that remain.
+        let longest = chains.values().copied().max();
+        chains.retain(|_, chain| Some(*chain) == longest);
+        for cause in chains.into_keys() {
+            self.insert_block(cause, ContentBlock::new(now));
+            self.evidence.explain(cause);
+            self.has_unjudged = true;
         }
     }
 
     /// Takes over another router's block; returns false if the content was answered shortly before.
     pub fn adopt_block(&mut self, now: TimePoint, key: ContentKey, block: ContentBlock) -> bool {
-        if self.is_sound(now, key) {
+        if self.is_answered(now, key, LIFTED_TTL) {
             return false;
         }
         match self.blocks.get_mut(&key) {
@@ -233,28 +228,67 @@
         true
     }
 
-    /// Whether a call may be dispatched; `may_try` says which content this router may try.
+    /// Whether a call may be dispatched; `may_try` says which blocked content this router may try, and
+    /// `is_in_flight` which content it has in flight.
     pub fn verdict(
         &self,
         now: TimePoint,
         content: &[ContentKey],
         may_try: impl Fn(ContentKey) -> bool,
+        is_in_flight: impl Fn(ContentKey) -> bool,
     ) -> ContentVerdict {
         let mut verdict = ContentVerdict::Allowed;
         for key in content {
-            let Some(block) = self.blocks.get(key).filter(|block| !block.is_expired(now)) else {
-                continue;
-            };
-            let key_verdict = match block.trial_at {
-                trial_at if !trial_at.passed(now) => ContentVerdict::Blocked(trial_at),
-                _ if may_try(*key) => ContentVerdict::Trial,
-                _ => ContentVerdict::Blocked(now.after(TRIAL_ELSEWHERE_WAIT)),
+            let block = self.blocks.get(key).filter(|block| !block.is_expired(now));
+            let key_verdict = match block.map(|block| block.trial_at) {
+                None => self.suspect_verdict(now, *key, &is_in_flight),
+                Some(trial_at) if !trial_at.passed(now) => ContentVerdict::Blocked(trial_at),
+                Some(_) if may_try(*key) => ContentVerdict::Trial,
+                Some(_) => ContentVerdict::Blocked(now.after(TRIAL_ELSEWHERE_WAIT)),
             };
             verdict = verdict.max(key_verdict);
         }
         verdict
     }
 
+    /// Whether a call with content that is not blocked may be dispatched.
+    fn suspect_verdict(
+        &self,
+        now: TimePoint,
+        key: ContentKey,
+        is_in_flight: impl Fn(ContentKey) -> bool,
+    ) -> ContentVerdict {
+        let record = self.evidence.repeated(key);
+        let Some(record) = record.filter(|record| record.chain >= HOLDING_CRASHES) else {
+            return ContentVerdict::Allowed;
+        };
+        let reported_at = record.last_at.after(REPORT_TIME);
+        if !reported_at.passed(now) {
+            return ContentVerdict::Blocked(reported_at);
+        }
+        let peer_until = self.peer_calls.get(&key).copied().unwrap_or(TimePoint(0));
+        let is_awaited = record.chain >= BLOCKING_CRASHES || !peer_until.passed(now);
+        if is_awaited || is_in_flight(key) {
+            return ContentVerdict::Blocked(now.after(HELD_RETURN_TIME));
+        }
+        ContentVerdict::Allowed
+    }
+
+    /// Whether the content is blocked.
+    pub fn is_blocked(&self, now: TimePoint, key: ContentKey) -> bool {
+        self.blocks.get(&key).is_some_and(|block| !block.is_expired(now))
+    }
+
+    /// Whether calls with the content are sent one at a time, of all routers.
+    pub fn is_held(&self, key: ContentKey) -> bool {
+        self.evidence.repeated(key).is_some_and(|record| record.chain >= HOLDING_CRASHES)
+    }
+
+    /// The crashes that are not explained, for a router that starts.
+    pub fn crashes(&self) -> impl Iterator<Item = CrashRecord> {
+        self.evidence.records()
+    }
+
     /// Records that a call with blocked content is sent as a trial; the next one waits longer.
     pub fn start_trial(&mut self, now: TimePoint, content: &[ContentKey]) {
         for key in content {
@@ -278,74 +312,15 @@
     /// Forgets what is too old to matter; to be called about once a second.
     pub fn sweep(&mut self, now: TimePoint) {
         self.proofs.retain(|_, answered_at| !answered_at.after(PROOF_TTL).passed(now));
-        self.crashes.retain(|crash| !crash.at.after(CRASH_TTL).passed(now));
+        self.evidence.sweep(now);
+        self.peer_calls.retain(|_, until| !until.passed(now));
         self.blocks.retain(|_, block| !block.is_expired(now));
     }
 
-    /// Notes the content that was in flight at an earlier crash, too.
-    fn note_repeated_suspects(&mut self, added: &[ContentKey]) {
-        for key in added {
-            let suspects = self.crashes.iter().filter_map(|crash| crash.suspects.as_ref());
-            let crash_count = suspects.filter(|suspects| suspects.contains(key)).count();
-            if crash_count > 1 {
-                self.changes.push(BlockChange::Suspected(*key, crash_count));
-            }
-        }
-    }
-
-    fn is_sound(&self, crashed_at: TimePoint, key: ContentKey) -> bool {
+    /// Whether the content was answered completely within `ttl` before a time.
+    fn is_answered(&self, at: TimePoint, key: ContentKey, ttl: Duration) -> bool {
         let answered_at = self.proofs.get(&key);
-        answered_at.is_some_and(|answered_at| !answered_at.after(PROOF_TTL).passed(crashed_at))
-    }
-
-    fn is_blocked(&self, now: TimePoint, key: ContentKey) -> bool {
-        self.blocks.get(&key).is_some_and(|block| !block.is_expired(now))
-    }
-
-    /// The record of a crash, which is created if this is the first report on it.
-    fn crash_mut(&mut self, crashed_at: TimePoint, target_hash: u64) -> &mut TargetCrash {
-        let is_same = |crash: &TargetCrash| {
-            crash.target_hash == target_hash && distance(crash.at, crashed_at) < CRASH_MERGE_WINDOW
-        };
-        let index = self.crashes.iter().position(is_same).unwrap_or_else(|| {
-            if self.crashes.len() >= CRASHES_MAX {
-                self.crashes.pop_front();
-            }
-            let suspects = Some(BTreeSet::new());
-            self.crashes.push_back(TargetCrash { target_hash, at: crashed_at, suspects });
-            self.crashes.len() - 1
-        });
-        &mut self.crashes[index]
-    }
-
-    /// The crashes that are not accounted for, in waves.
-    fn waves(&self) -> Vec<CrashWave<'_>> {
-        let mut crashes: Vec<(TimePoint, &BTreeSet<ContentKey>)> = self
-            .crashes
-            .iter()
-            .filter_map(|crash| Some((crash.at, crash.suspects.as_ref()?)))
-            .collect();
-        crashes.sort_by_key(|(crashed_at, _)| *crashed_at);
-        let mut waves: Vec<CrashWave<'_>> = Vec::new();
-        for (crashed_at, suspects) in crashes {
-            match waves.last_mut() {
-                Some(wave) if !wave.started_at.after(WAVE_DURATION).passed(crashed_at) => {
-                    wave.suspects.push(suspects);
-                }
-                _ => waves.push(CrashWave { started_at: crashed_at, suspects: vec![suspects] }),
-            }
-        }
-        waves
-    }
-
-    /// Blocks content, which accounts for the crashes at which it was in flight.
-    fn block_cause(&mut self, now: TimePoint, cause: ContentKey) {
-        self.insert_block(cause, ContentBlock::new(now));
-        for crash in &mut self.crashes {
-            if crash.suspects.as_ref().is_some_and(|suspects| suspects.contains(&cause)) {
-                crash.suspects = None;
-            }
-        }
+        answered_at.is_some_and(|answered_at| !answered_at.after(ttl).passed(at))
     }
 
     fn insert_block(&mut self, key: ContentKey, block: ContentBlock) {
@@ -355,7 +330,3 @@
         }
     }
 }
-
-fn distance(one: TimePoint, other: TimePoint) -> Duration {
-    one.since(other).max(other.since(one))
-}
--- a/crates/policy-retries/src/lib.rs
+++ b/crates/policy-retries/src/lib.rs
@@ -10,7 +10,9 @@
 
 pub use crate::{
     budget::{BudgetKey, RetryBudgets},
-    crashes::{BlockChange, ContentBlock, ContentVerdict, CrashTracker},
+    crashes::{
+        BlockChange, ContentBlock, ContentVerdict, CrashRecord, CrashTracker, SuspectContent,
+    },
     suspects::{SuspectKey, SuspectTracker, SuspectTrial, SuspectVerdict},
     window::{WindowBounds, WindowBudget},
 };
