Log and measure pools that a router cannot reach

Routers that lost their links to all targets refused nearly all calls, and no line told this from a pool whose targets are all down: each attempt states its own failure only. Lines `no target of the pool accepts connections` and `pool reachable again`, gauge `knapweedport_unreachable_pools`. Calls are routed as before; a failed probe of a link that is known to be down no longer lengthens the ejection of its target.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -10,7 +10,7 @@
 pub use self::beats::heartbeat_interval;
 pub use self::snapshots::{EngineAddress, PeerSnapshot, SegmentHolders};
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base_types::{
     AccountName, ContentDigest, ContentKey, HostName, NotRunCode, PoolName, RouteName, TimePoint,
@@ -26,6 +26,7 @@
     call::CallState,
     crashes::CrashReporter,
     limits::ReturnQueue,
+    links::LinkChange,
     origins::{OriginTable, StreamSoftware},
     peers::PeerRegistry,
     reports::ReportQueue,
@@ -50,6 +51,8 @@
         pub segments: usize,
         /// Pieces of content that are refused because targets crashed while they ran them.
         pub blocked_content: usize,
+        /// Pools none of whose targets accepts connections of this router.
+        pub unreachable_pools: usize,
         /// Streams whose origins are known.
         pub stream_origins: usize,
         /// Origins of streams that were dropped because too many were known.
@@ -93,7 +96,7 @@
     first_config_at: TimePoint,
     config_adopted_at: TimePoint,
     shutting_down: bool,
-    targets: TargetTable,
+    pub(crate) targets: TargetTable,
     /// Whether a list of targets was received, from the platform or in a snapshot.
     targets_listed: bool,
     peers: PeerRegistry,
@@ -104,6 +107,10 @@
     return_queues: BTreeMap<PoolName, ReturnQueue>,
     /// Pairs of a prompt segment and a target hash that the other routers do not know yet.
     unreported_holders: Vec<(u64, u64)>,
+    /// Pools none of whose targets accepts connections of this router.
+    pub(crate) unreachable_pools: BTreeSet<PoolName>,
+    /// Changes of `unreachable_pools` since they were last taken.
+    pub(crate) link_changes: Vec<LinkChange>,
     /// Hashes of targets that announced to this router that they leave.
     unreported_leaving: ReportQueue<u64>,
     /// Names of targets that announced to other routers that they leave, since they were last taken.
@@ -133,6 +140,8 @@
             crashes: CrashReporter::default(),
             return_queues: BTreeMap::new(),
             unreported_holders: Vec::new(),
+            unreachable_pools: BTreeSet::new(),
+            link_changes: Vec::new(),
             unreported_leaving: ReportQueue::default(),
             leaving_heard: Vec::new(),
             origins: OriginTable::default(),
@@ -306,6 +315,7 @@
             serving_peers: self.peers.serving(now).count(),
             segments: self.segments.len(),
             blocked_content: self.crashes.tracker.blocks().count(),
+            unreachable_pools: self.unreachable_pools.len(),
             stream_origins: self.origins.len(),
             dropped_origins: self.origins.dropped(),
             shutting_down: self.shutting_down,
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -101,7 +101,8 @@
     fn take_unreported_outcomes(&mut self) -> Vec<TargetOutcomes> {
         let is_due =
             |counts: OutcomeCount| counts.failed > 0 || counts.finished >= SUCCESSES_PER_REPORT;
-        let records = self.targets.iter_mut().filter(|record| is_due(record.unreported_outcomes));
+        let records = self.targets.iter_mut().map(|(_, record)| record);
+        let records = records.filter(|record| is_due(record.unreported_outcomes));
         let reported = records.take(REPORTED_TARGETS_MAX).map(|record| TargetOutcomes {
             target_hash: record.target_hash,
             counts: std::mem::take(&mut record.unreported_outcomes),
@@ -110,7 +111,8 @@
     }
 
     fn take_limit_notices(&mut self, now: TimePoint) -> Vec<LimitNotice> {
-        let due = self.targets.iter_mut().filter(|record| record.limit_report.is_due());
+        let records = self.targets.iter_mut().map(|(_, record)| record);
+        let due = records.filter(|record| record.limit_report.is_due());
         let notices = due.take(LIMIT_NOTICES_MAX).map(|record| {
             record.limit_report.next_notice(now, record.target_hash, record.allowance.limit())
         });
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -142,9 +142,12 @@
     /// Records that a target accepted no connection when it was probed.
     pub fn on_target_unreachable(&mut self, now: TimePoint, target: TargetKey) {
         if let Some(record) = self.targets.get_mut(target) {
-            record.lifecycle.on_failure(now);
+            if record.link.is_up() {
+                record.lifecycle.on_failure(now);
+            }
             record.on_unreachable(now);
         }
+        self.on_link_failed(now, target);
         self.confirm_crash(now, target);
     }
 
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -29,6 +29,7 @@
         if let Some(record) = self.targets.get(target) {
             self.crashes.on_target_answered(now, record.target_hash);
         }
+        self.on_link_answered(now, target);
     }
 
     /// Records the limit on the rate of calls that a target named in an answer, or that it named none;
@@ -91,7 +92,8 @@
     }
 
     /// Records that a target accepted a connection after it lost calls: it did not crash.
-    pub fn on_target_reachable(&mut self, target: TargetKey) {
+    pub fn on_target_reachable(&mut self, now: TimePoint, target: TargetKey) {
+        self.on_link_answered(now, target);
         if let Some(record) = self.targets.get_mut(target) {
             record.lost_content.clear();
         }
@@ -157,6 +159,7 @@
                 record.lifecycle.on_failure(now);
                 record.on_unreachable(now);
                 record.record_outcome(now, true);
+                self.on_link_failed(now, target);
                 self.confirm_crash(now, target);
             }
             AttemptOutcome::Withdrawn => state.attempts -= 1,
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -10,6 +10,7 @@
 mod core;
 mod crashes;
 mod limits;
+mod links;
 mod origins;
 mod peers;
 mod reports;
@@ -27,6 +28,7 @@
     },
     crashes::{BlockNotice, ContentReport, CrashNotice},
     limits::LimitNotice,
+    links::{LinkChange, LinkProbe},
     origins::{OriginNotice, SoftwareKey, SoftwareNotice},
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
     targets::{LeavingNotice, TargetEntry, TargetStatus},
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     limits::LimitReport,
+    links::TargetLink,
     origins::{SoftwareHistory, SoftwareKey},
 };
 
@@ -119,6 +120,7 @@
     pub(crate) unreported_outcomes: OutcomeCount,
     /// Time until which the target wants no calls from this router.
     pub(crate) paused_until: TimePoint,
+    pub(crate) link: TargetLink,
     /// Time until which the target is assumed to accept no connections.
     unreachable_until: TimePoint,
     /// Earliest time of the next probe.
@@ -168,6 +170,7 @@
             limit_report: LimitReport::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             paused_until: TimePoint(0),
+            link: TargetLink::default(),
             unreachable_until: TimePoint(0),
             next_probe_at: TimePoint(0),
             next_crash_probe_at: TimePoint(0),
@@ -443,8 +446,8 @@
         self.records.get_mut(&key)
     }
 
-    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut TargetRecord> {
-        self.records.values_mut()
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (TargetKey, &mut TargetRecord)> {
+        self.records.iter_mut().map(|(key, record)| (*key, record))
     }
 
     pub(crate) fn find_by_hash_mut(&mut self, target_hash: u64) -> Option<&mut TargetRecord> {
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -28,4 +28,5 @@
     peers::exchange_heartbeats,
     snapshots::{bootstrap_from_peers, serve_snapshots},
     state::ForwardState,
+    upstream::watch_links,
 };
--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -30,6 +30,9 @@
 /// Time from the loss of a call until its target is probed.
 const CRASH_PROBE_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval at which targets are checked for links in doubt.
+const LINK_WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Size of the read buffer, which also limits the response head. Every idle connection keeps its
 /// buffer, so hyper's default of 8 KiB would double the memory of each.
 const READ_BUFFER_BYTES: usize = 4_096;
@@ -168,10 +171,14 @@
 /// Probes a silent target with a new connection: pools the connection, or reports the target as
 /// unreachable.
 pub(crate) fn probe_target(state: &ForwardState, attempt: &AttemptSpec) {
-    let (state, probe) = (state.clone(), TargetProbe::new(attempt));
+    spawn_probe(state, TargetProbe::new(attempt));
+}
+
+fn spawn_probe(state: &ForwardState, probe: TargetProbe) {
+    let state = state.clone();
     tokio::task::spawn_local(async move {
         if probe.connect(&state).await {
-            state.with_core(|core, _| core.on_target_reachable(probe.target));
+            state.with_core(|core, now| core.on_target_reachable(now, probe.target));
         }
     });
 }
@@ -186,11 +193,30 @@
         }
         tokio::time::sleep(CRASH_PROBE_DELAY).await;
         if probe.connect(&state).await {
-            state.with_core(|core, _| core.on_target_reachable(probe.target));
+            state.with_core(|core, now| core.on_target_reachable(now, probe.target));
         }
     });
 }
 
+/// Probes targets whose links are in doubt, until the process ends.
+pub async fn watch_links(state: ForwardState) {
+    loop {
+        tokio::time::sleep(LINK_WATCH_INTERVAL).await;
+        for probe in state.with_core(|core, now| core.take_link_probes(now)) {
+            let probe =
+                TargetProbe { target: probe.target, name: probe.name, address: probe.address };
+            spawn_probe(&state, probe);
+        }
+        for change in state.with_core(|core, _| core.take_link_changes()) {
+            let (pool, targets) = (change.pool.as_str(), change.targets);
+            match change.reachable {
+                true => log::info!(pool, targets; "pool reachable again"),
+                false => log::warn!(pool, targets; "no target of the pool accepts connections"),
+            }
+        }
+    }
+}
+
 /// The target of a probe.
 #[derive(Debug)]
 struct TargetProbe {
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -51,6 +51,8 @@
     PromptSegments,
     /// Pieces of content that are refused because targets crashed while they ran them.
     BlockedContent,
+    /// Pools none of whose targets accepts connections of this router.
+    UnreachablePools,
     /// Resumable streams whose origins are known.
     StreamOrigins,
     /// Origins of streams that were dropped because too many were known.
@@ -78,7 +80,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 20] = [
+    const ALL: [Self; 21] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -87,6 +89,7 @@
         Self::ConfigAge,
         Self::PromptSegments,
         Self::BlockedContent,
+        Self::UnreachablePools,
         Self::StreamOrigins,
         Self::DroppedOrigins,
         Self::TargetOwnCalls,
@@ -111,6 +114,7 @@
             Self::ConfigAge => "knapweedport_config_age_seconds",
             Self::PromptSegments => "knapweedport_prompt_parts",
             Self::BlockedContent => "knapweedport_blocked_content",
+            Self::UnreachablePools => "knapweedport_unreachable_pools",
             Self::StreamOrigins => "knapweedport_stream_origins",
             Self::DroppedOrigins => "knapweedport_dropped_stream_origins",
             Self::TargetOwnCalls => "knapweedport_target_own_calls",
