Add failing tests of routers that are cut off from all targets

Three routers in front of three runners, each router with links of its own, which refuse connections, hang or keep old connections only.

--- a/crates/fakes/src/gateway.rs
+++ b/crates/fakes/src/gateway.rs
@@ -2,12 +2,14 @@
 //! whose answers are scripted byte by byte.
 
 mod http;
+mod link;
 mod ports;
 mod runner;
 mod store;
 
 pub use self::{
     http::{HttpConnection, HttpMessage},
+    link::{LinkMode, RunnerLink},
     ports::free_address,
     runner::{
         EndlessPart, ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn, StreamFraming,
--- a/crates/fakes/src/gateway/store.rs
+++ b/crates/fakes/src/gateway/store.rs
@@ -108,6 +108,13 @@
         names.map(|(_, name)| name.clone()).collect()
     }
 
+    /// The objects of a kind, by name.
+    pub fn objects(&self, kind: &str) -> Vec<(String, Value)> {
+        let state = self.state.lock().expect("the state lock is poisoned");
+        let objects = state.objects.iter().filter(|((object_kind, _), _)| object_kind == kind);
+        objects.map(|((_, name), (_, spec))| (name.clone(), spec.clone())).collect()
+    }
+
     /// Sets how the store treats calls from now on; only `Silent` also affects watches that already
     /// wait.
     pub fn set_mode(&self, mode: StoreMode) {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -20,9 +20,9 @@
     engine::run_engine,
     faults::{FaultSet, FaultState},
     gateway::{
-        EndlessPart, HttpConnection, HttpMessage, ReceivedCall, Reply, ReplyRule, ReplyScript,
-        RunnerStandIn, StoreMode, StoreStandIn, StreamFraming, event_text, free_address,
-        resume_headers,
+        EndlessPart, HttpConnection, HttpMessage, LinkMode, ReceivedCall, Reply, ReplyRule,
+        ReplyScript, RunnerLink, RunnerStandIn, StoreMode, StoreStandIn, StreamFraming, event_text,
+        free_address, resume_headers,
     },
     platform::run_platform,
     serve::StandInError,
