Send calls through another router while no target can be reached

Cause: a router took the failure of its own links for the failure of the targets. It tried four of them for 300 ms each and gave up; other routers reached the same targets all the while, and nothing sent a call through them. The router also stayed in the list for callers.

Change: a call to a pool that this router cannot reach, or that two targets did not accept, is sent to the router with the fewest calls in flight among those that reach the pool. It takes the caller's identity, remaining time, attempts and stream position along, and makes one detour at most; the receiver's key from the store tells it from a caller's call. Calls that no router can serve are refused at once; routers that are cut off are listed for callers only while no other serves. When one target accepts a connection again, all links of the pool count as up.

Decisions are tested at 7 and 67 routers. In the simulation of crashing calls, calls make detours too; its bounds are unchanged. Ruled out: leaving the list for callers alone, as callers use old lists.

--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -8,7 +8,10 @@
 };
 use state_config::{KeyDigest, RetryRule};
 
-use crate::origins::StreamSoftware;
+use crate::{
+    detours::{CallDetour, DetourClaim, DetourSpec},
+    origins::StreamSoftware,
+};
 
 key_types! {
     /// Key of a call, unique within one process.
@@ -82,6 +85,8 @@
         pub prompt: Option<PromptHead>,
         /// The stream that the call resumes; `None` when it begins anew.
         pub resumption: Option<StreamResumption>,
+        /// What the head says of another router that sent the call; `None` if it says nothing.
+        pub detour: Option<DetourClaim>,
     }
 
     /// Instructions for one attempt of a call at a target.
@@ -137,6 +142,8 @@
     pub enum DispatchStep {
         /// Attempt the call at a target.
         Send(AttemptSpec),
+        /// Send the call through another router.
+        Detour(DetourSpec),
         /// Refuse the call; it is not attempted again.
         Refuse(Refusal),
     }
@@ -183,6 +190,7 @@
     pub(crate) attempts: u32,
     pub(crate) unsent_attempts: u32,
     pub(crate) current_attempt: Option<CurrentAttempt>,
+    pub(crate) detour: CallDetour,
     /// Set once an attempt may have run the call.
     pub(crate) may_have_run: bool,
 }
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -3,7 +3,7 @@
 mod beats;
 mod dispatch;
 mod ends;
-mod refusals;
+pub(crate) mod refusals;
 mod resumption;
 mod snapshots;
 
@@ -25,6 +25,7 @@
     TargetStatus,
     call::CallState,
     crashes::CrashReporter,
+    detours::CallDetour,
     limits::ReturnQueue,
     links::LinkChange,
     origins::{OriginTable, StreamSoftware},
@@ -81,6 +82,8 @@
         pub version: ConfigVersion,
         /// The stream that the call resumes; `None` when it begins anew.
         pub resumption: Option<StreamResumption>,
+        /// Whether another router sent the call.
+        pub from_router: bool,
         /// Keys of the call's content that other calls may contain too.
         pub content_keys: Box<[ContentKey]>,
     }
@@ -99,7 +102,7 @@
     pub(crate) targets: TargetTable,
     /// Whether a list of targets was received, from the platform or in a snapshot.
     targets_listed: bool,
-    peers: PeerRegistry,
+    pub(crate) peers: PeerRegistry,
     peer_loads: PeerLoads,
     retry_budgets: BTreeMap<PoolName, WindowBudget>,
     segments: SegmentDirectory,
@@ -116,7 +119,7 @@
     /// Names of targets that announced to other routers that they leave, since they were last taken.
     leaving_heard: Vec<HostName>,
     origins: OriginTable,
-    calls: BTreeMap<CallKey, CallState>,
+    pub(crate) calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
     heartbeat_sequence: u64,
 }
@@ -253,6 +256,8 @@
         let retry_rule = route_match.rule.retry_rule;
         let resumable = retry_rule.is_streaming() && retry_rule.is_retryable();
         let content_keys = shared_content_keys(content, head.prompt.as_ref());
+        let own_key = &self.entry.detour_key;
+        let detour = head.detour.filter(|claim| !own_key.is_empty() && claim.key == *own_key);
         let state = CallState {
             route: route_match.rule.name.clone(),
             pool: route_match.pool.clone(),
@@ -272,9 +277,10 @@
             },
             content_keys: content_keys.clone(),
             attempted_targets: Vec::new(),
-            attempts: 0,
+            attempts: detour.as_ref().map_or(0, |claim| claim.attempts),
             unsent_attempts: 0,
             current_attempt: None,
+            detour: CallDetour::new(detour.is_some()),
             may_have_run: false,
         };
         let admitted = AdmittedCall {
@@ -284,11 +290,15 @@
             is_stream: retry_rule.is_streaming(),
             resumable,
             version: config.version,
+            from_router: detour.is_some(),
             resumption: head.resumption,
             content_keys,
         };
-        let bounds = self.retry_bounds();
-        self.retry_budgets.entry(state.pool.clone()).or_default().on_call(now, &bounds);
+        // The router that sent the call has counted it.
+        if !admitted.from_router {
+            let bounds = self.retry_bounds();
+            self.retry_budgets.entry(state.pool.clone()).or_default().on_call(now, &bounds);
+        }
         self.calls.insert(call, state);
         Ok(admitted)
     }
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -7,7 +7,9 @@
 use policy_routing::stable_hash;
 use policy_targets::OutcomeCount;
 
-use crate::{ForwardCore, LimitNotice, PeerHeartbeat, RouterEntry, TargetOutcomes};
+use crate::{
+    ForwardCore, LimitNotice, PeerHeartbeat, RouterEntry, TargetOutcomes, detours::pool_hash,
+};
 
 /// Largest number of segment holders in one heartbeat, so that it fits into a datagram.
 const SEGMENT_HOLDERS_MAX: usize = 200;
@@ -25,6 +27,9 @@
 /// Largest number of stream origins in one heartbeat; the others follow in the next one.
 const STREAM_ORIGINS_MAX: usize = 64;
 
+/// Largest number of unreachable pools in one heartbeat.
+const UNREACHABLE_POOLS_MAX: usize = 16;
+
 /// Number of finished calls without a failure after which they are reported; a failure is reported
 /// in the next heartbeat.
 const SUCCESSES_PER_REPORT: u32 = 6;
@@ -81,6 +86,8 @@
         };
         let count = self.unreported_holders.len().min(SEGMENT_HOLDERS_MAX);
         let segment_holders = self.unreported_holders.drain(..count).collect();
+        let unreachable_pools = self.unreachable_pools.iter().map(pool_hash);
+        let unreachable_pools = unreachable_pools.take(UNREACHABLE_POOLS_MAX).collect();
         let outcomes = self.take_unreported_outcomes();
         let running = self.calls.values().filter(|call| call.current_attempt.is_some());
         let in_flight = running.flat_map(|call| call.content_keys.iter());
@@ -95,6 +102,8 @@
             limits: self.take_limit_notices(now),
             leaving_targets: self.unreported_leaving.next_report(LEAVING_TARGETS_MAX),
             stream_origins: self.origins.next_report(now, STREAM_ORIGINS_MAX),
+            unreachable_pools,
+            cut_off: self.is_cut_off(now),
         }
     }
 
@@ -182,8 +191,17 @@
     }
 
     /// Returns the addresses that callers may use, with this router's own while it serves. Unless
-    /// it is shutting down, its own is also returned when no other router serves.
+    /// it is shutting down, its own is also returned when no other router serves. Routers that are cut
+    /// off from all targets are left out while others are not.
     pub fn caller_addresses(&self, now: TimePoint) -> Vec<SocketAddr> {
+        let mut linked: Vec<SocketAddr> =
+            self.peers.serving_with_links(now).map(|entry| entry.caller_address).collect();
+        if self.ready() && !self.is_cut_off(now) {
+            linked.push(self.entry.caller_address);
+        }
+        if !linked.is_empty() {
+            return linked;
+        }
         let mut addresses: Vec<SocketAddr> =
             self.peers.serving(now).map(|entry| entry.caller_address).collect();
         if self.ready() || (addresses.is_empty() && !self.shutting_down) {
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -65,14 +65,20 @@
         if let ContentVerdict::Blocked(until) = content_verdict {
             return refuse_until(state, NotRunCode::ContentSuspect, UnknownCode::TargetLost, until);
         }
+        if state.may_have_run && !state.retry_rule.is_retryable() {
+            return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
+        }
+        if state.attempts >= state.attempts_max {
+            return self.refuse_spent(now, state);
+        }
+        if let Some(step) = self.detour_step(now, state) {
+            return step;
+        }
         self.resolve_software(now, state);
         if let StreamSoftware::Unresolved(_) = state.software {
             return refuse(now, state, NotRunCode::OriginUnknown, UnknownCode::TargetLost);
         }
-        if state.may_have_run && !state.retry_rule.is_retryable() {
-            return refuse(now, state, NotRunCode::RetriesSpent, UnknownCode::TargetLost);
-        }
-        if state.attempts >= state.attempts_max || state.unsent_attempts >= UNSENT_ATTEMPTS_MAX {
+        if state.unsent_attempts >= UNSENT_ATTEMPTS_MAX {
             return self.refuse_spent(now, state);
         }
         let Some(choice) = self.choose_target(now, state) else {
@@ -125,7 +131,7 @@
         unit_hash(hash) * f64::from(routers) < contenders
     }
 
-    fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
+    pub(crate) fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
         let bounds = self.retry_bounds();
         let routers = self.router_count();
         self.retry_budgets.entry(state.pool.clone()).or_default().try_spend(now, &bounds, routers)
@@ -169,7 +175,9 @@
         let routers = self.router_count();
         let budget = self.retry_budgets.get(&state.pool);
         let has_budget = budget.is_some_and(|budget| budget.remaining(now, &bounds, routers) > 0);
-        has_alternative && !state.deadline.passed(now) && has_budget
+        (has_alternative || self.can_detour(now, state))
+            && !state.deadline.passed(now)
+            && has_budget
     }
 
     /// Number of routers that share the retry budget, including those without a recent heartbeat.
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -125,6 +125,7 @@
     pub fn finish(&mut self, key: CallKey) {
         let Some(mut state) = self.calls.remove(&key) else { return };
         self.end_attempt(&mut state);
+        self.end_detour(&mut state);
     }
 
     /// Removes the target as a holder of the last segment, which it may not have prefilled before
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod call;
 mod core;
 mod crashes;
+mod detours;
 mod limits;
 mod links;
 mod origins;
@@ -26,7 +27,8 @@
         AdmittedCall, EngineAddress, ForwardCore, ForwardStatus, PeerSnapshot, SegmentHolders,
         heartbeat_interval,
     },
-    crashes::{BlockNotice, ContentReport, CrashNotice},
+    crashes::{BlockNotice, ContentReport, CrashNotice, SuspectNotice},
+    detours::{DetourClaim, DetourOutcome, DetourSpec},
     limits::LimitNotice,
     links::{LinkChange, LinkProbe},
     origins::{OriginNotice, SoftwareKey, SoftwareNotice},
--- a/crates/core-forward/src/links.rs
+++ b/crates/core-forward/src/links.rs
@@ -8,7 +8,7 @@
 
 use base_types::{PoolName, TargetKey, TimePoint, message_types};
 
-use crate::ForwardCore;
+use crate::{ForwardCore, targets::TargetRecord};
 
 /// Shortest time between two probes of targets of an unreachable pool, one target each.
 const UNREACHABLE_PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -31,8 +31,8 @@
     pub struct LinkChange {
         /// The pool.
         pub pool: PoolName,
-        /// Number of its targets that accept calls.
-        pub targets: usize,
+        /// Its targets that accept calls; empty if it is reachable.
+        pub targets: Vec<TargetKey>,
         /// Whether any of them accepts connections of this router.
         pub reachable: bool,
     }
@@ -58,6 +58,11 @@
         self.down_since.is_none()
     }
 
+    /// Takes the link to be up, until a connection fails.
+    pub(crate) fn reset(&mut self) {
+        self.down_since = None;
+    }
+
     /// Records that a connection failed; returns whether the link was up.
     fn on_failed(&mut self, now: TimePoint) -> bool {
         let was_up = self.is_up();
@@ -135,6 +140,13 @@
         std::mem::take(&mut self.link_changes)
     }
 
+    /// Whether no target of any pool accepts connections of this router.
+    pub(crate) fn is_cut_off(&self, now: TimePoint) -> bool {
+        let mut accepting = self.targets.iter().filter(|(_, record)| record.accepts_calls(now));
+        !self.unreachable_pools.is_empty()
+            && accepting.all(|(_, record)| self.unreachable_pools.contains(&record.entry.pool))
+    }
+
     /// Records that a connection to a target failed.
     pub(crate) fn on_link_failed(&mut self, now: TimePoint, target: TargetKey) {
         let Some(record) = self.targets.get_mut(target) else { return };
@@ -143,12 +155,21 @@
         }
     }
 
-    /// Records that a target answered or accepted a connection.
+    /// Records that a target answered or accepted a connection. If no target of its pool did so
+    /// before, the others are taken to be reachable again, too.
     pub(crate) fn on_link_answered(&mut self, now: TimePoint, target: TargetKey) {
         let Some(record) = self.targets.get_mut(target) else { return };
-        if record.link.on_answered(now) {
-            self.note_unreachable_pools(&self.failed_pool_links(now));
+        if !record.link.on_answered(now) {
+            return;
+        }
+        let pool = record.entry.pool.clone();
+        if self.unreachable_pools.contains(&pool) {
+            let records = self.targets.iter_mut().map(|(_, record)| record);
+            records
+                .filter(|record| record.entry.pool == pool)
+                .for_each(TargetRecord::assume_reachable);
         }
+        self.note_unreachable_pools(&self.failed_pool_links(now));
     }
 
     fn note_unreachable_pools(&mut self, pools: &BTreeMap<PoolName, PoolLinks>) {
@@ -157,8 +178,10 @@
         let unreachable: BTreeSet<PoolName> =
             pools.keys().filter(|pool| is_unreachable(pool)).cloned().collect();
         for pool in unreachable.symmetric_difference(&self.unreachable_pools) {
-            let targets = pools.get(pool).map_or(0, |links| links.targets);
             let reachable = !unreachable.contains(pool);
+            let of_pool = |(_, record): &(TargetKey, &TargetRecord)| record.entry.pool == *pool;
+            let targets = self.targets.iter().filter(|target| !reachable && of_pool(target));
+            let targets = targets.map(|(target, _)| target).collect();
             self.link_changes.push(LinkChange { pool: pool.clone(), targets, reachable });
         }
         self.unreachable_pools = unreachable;
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -27,6 +27,10 @@
         pub failure_domain: Box<str>,
         /// Identifies one start of the router; differs after a restart.
         pub incarnation: u64,
+        /// Secret that routers show to send calls of their callers through this one; empty if it takes
+        /// none.
+        #[serde(default)]
+        pub detour_key: Box<str>,
     }
 
     /// Heartbeat that a router sends to all others several times a second.
@@ -53,6 +57,10 @@
         pub leaving_targets: Vec<u64>,
         /// Origins of streams that began through the router.
         pub stream_origins: Vec<OriginNotice>,
+        /// Hashes of the pools none of whose targets accepts connections of the router.
+        pub unreachable_pools: Vec<u64>,
+        /// Whether these are all pools with targets.
+        pub cut_off: bool,
     }
 }
 
@@ -67,11 +75,41 @@
 }
 
 #[derive(Debug)]
-struct PeerRecord {
-    entry: RouterEntry,
+pub(crate) struct PeerRecord {
+    pub(crate) entry: RouterEntry,
     alive_until: TimePoint,
     serving: bool,
     listed: bool,
+    /// Calls of the router in flight, by its last heartbeat.
+    calls_in_flight: u32,
+    /// Calls that this router has sent through it and that are in flight.
+    detours: u32,
+    unreachable_pools: Vec<u64>,
+    cut_off: bool,
+}
+
+impl PeerRecord {
+    fn new(entry: RouterEntry, listed: bool) -> Self {
+        Self {
+            entry,
+            alive_until: TimePoint(0),
+            serving: false,
+            listed,
+            calls_in_flight: 0,
+            detours: 0,
+            unreachable_pools: Vec::new(),
+            cut_off: false,
+        }
+    }
+
+    /// Calls of the router, and those sent through it that its last heartbeat may not contain.
+    pub(crate) fn calls(&self) -> u32 {
+        self.calls_in_flight + self.detours
+    }
+
+    fn is_serving(&self, now: TimePoint) -> bool {
+        self.serving && !self.alive_until.passed(now)
+    }
 }
 
 /// The other routers, from the platform's store and from their heartbeats.
@@ -106,9 +144,7 @@
             }
             None => {
                 let name = entry.name.clone();
-                let record =
-                    PeerRecord { entry, alive_until: TimePoint(0), serving: false, listed: true };
-                self.records.insert(name, record);
+                self.records.insert(name, PeerRecord::new(entry, true));
             }
         }
     }
@@ -120,27 +156,60 @@
 
     /// Records a heartbeat; returns whether the router restarted since the previous one.
     pub(crate) fn record_heartbeat(&mut self, now: TimePoint, heartbeat: &PeerHeartbeat) -> bool {
-        let record =
-            self.records.entry(heartbeat.entry.name.clone()).or_insert_with(|| PeerRecord {
-                entry: heartbeat.entry.clone(),
-                alive_until: TimePoint(0),
-                serving: false,
-                listed: false,
-            });
+        let record = self
+            .records
+            .entry(heartbeat.entry.name.clone())
+            .or_insert_with(|| PeerRecord::new(heartbeat.entry.clone(), false));
         let is_restarted = record.entry.incarnation != heartbeat.entry.incarnation;
         if is_restarted {
             record.entry = heartbeat.entry.clone();
         }
         record.alive_until = now.after(HEARTBEAT_TTL);
         record.serving = heartbeat.ready && !heartbeat.shutting_down;
+        let loads = heartbeat.load_share.loads.iter();
+        record.calls_in_flight = loads.map(|load| load.in_flight).sum();
+        record.unreachable_pools.clone_from(&heartbeat.unreachable_pools);
+        record.cut_off = heartbeat.cut_off;
         is_restarted
     }
 
     /// Returns the routers that are alive and serve callers.
     pub(crate) fn serving(&self, now: TimePoint) -> impl Iterator<Item = &RouterEntry> {
-        let is_alive =
-            move |record: &&PeerRecord| record.serving && !record.alive_until.passed(now);
-        self.records.values().filter(is_alive).map(|record| &record.entry)
+        let serving = self.records.values().filter(move |record| record.is_serving(now));
+        serving.map(|record| &record.entry)
+    }
+
+    /// Returns the serving routers that reach targets.
+    pub(crate) fn serving_with_links(&self, now: TimePoint) -> impl Iterator<Item = &RouterEntry> {
+        let serving = self.records.values().filter(move |record| record.is_serving(now));
+        serving.filter(|record| !record.cut_off).map(|record| &record.entry)
+    }
+
+    /// Returns the serving routers that take calls of other routers and reach a pool.
+    pub(crate) fn reaching(
+        &self,
+        now: TimePoint,
+        pool_hash: u64,
+    ) -> impl Iterator<Item = &PeerRecord> {
+        self.records.values().filter(move |record| {
+            record.is_serving(now)
+                && !record.entry.detour_key.is_empty()
+                && !record.unreachable_pools.contains(&pool_hash)
+        })
+    }
+
+    /// Counts a call that is sent through a router.
+    pub(crate) fn add_detour(&mut self, name: &HostName) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.detours += 1;
+        }
+    }
+
+    /// Counts the end of such a call.
+    pub(crate) fn remove_detour(&mut self, name: &HostName) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.detours = record.detours.saturating_sub(1);
+        }
     }
 
     /// Returns all routers that heartbeats are sent to.
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -225,6 +225,12 @@
         self.unreachable_until = now.after(UNREACHABLE_TTL);
     }
 
+    /// Takes the target to accept connections again, until one fails.
+    pub(crate) fn assume_reachable(&mut self) {
+        self.link.reset();
+        self.unreachable_until = TimePoint(0);
+    }
+
     /// Returns whether a probe is due, never for an ejected target; if so, schedules the next one.
     pub(crate) fn take_due_probe(&mut self, now: TimePoint) -> bool {
         let is_due = self.next_probe_at.passed(now) && !self.is_ejected(now);
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use base_types::{ContentDigest, NotRunCode, Refusal, TargetKey, TimePoint};
-use core_forward::{AttemptOutcome, CallKey, DispatchStep, ForwardCore, PromptHead, PromptSegment};
+use base_types::{ContentDigest, HostName, NotRunCode, Refusal, TargetKey, TimePoint};
+use core_forward::{
+    AttemptOutcome, CallHead, CallKey, DetourClaim, DetourOutcome, DispatchStep, ForwardCore,
+    PromptHead, PromptSegment,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::RetryRule;
 
@@ -74,7 +77,15 @@
     starts_at: TimePoint,
     ends_at: TimePoint,
     started: bool,
+    request: Request,
+}
+
+/// A call as its caller sent it.
+#[derive(Debug, Clone)]
+struct Request {
     caller: Caller,
+    head: CallHead,
+    digest: ContentDigest,
 }
 
 /// Who sent a call.
@@ -216,11 +227,17 @@
             _ => ContentDigest(1_000_000_000 + u128::from(self.next_number)),
         };
         let head = call_head(self.now, self.next_number, prompt);
-        let admitted = self.routers[router].admit(self.now, head, digest).expect("admitted");
         if !caller.is_crashing {
             self.record.sound_calls += 1;
         }
-        self.dispatch(router, admitted.call, caller);
+        self.admit(router, Request { caller, head, digest });
+    }
+
+    fn admit(&mut self, router: usize, request: Request) {
+        let head = request.head.clone();
+        let admitted = self.routers[router].admit(self.now, head, request.digest);
+        let call = admitted.expect("admitted").call;
+        self.dispatch(router, call, request);
     }
 
     /// Sound calls have one of 40 first and one of 64 second segments; crashing ones share the first.
@@ -235,7 +252,8 @@
         }
     }
 
-    fn dispatch(&mut self, router: usize, call: CallKey, caller: Caller) {
+    fn dispatch(&mut self, router: usize, call: CallKey, mut request: Request) {
+        let caller = request.caller;
         loop {
             match self.routers[router].dispatch(self.now, call) {
                 DispatchStep::Refuse(refusal) => {
@@ -248,6 +266,13 @@
                     }
                     return self.routers[router].finish(call);
                 }
+                DispatchStep::Detour(detour) => {
+                    self.routers[router].on_detour_finished(call, DetourOutcome::Answered);
+                    self.routers[router].finish(call);
+                    request.head.detour =
+                        Some(DetourClaim { key: detour.key, attempts: detour.attempts });
+                    return self.admit(router_index(&detour.router), request);
+                }
                 DispatchStep::Send(attempt) => {
                     let target = target_index(attempt.address);
                     if self.targets[target].1 > TimePoint(0) {
@@ -268,7 +293,7 @@
                         starts_at,
                         ends_at,
                         started: false,
-                        caller,
+                        request,
                     });
                 }
             }
@@ -287,8 +312,9 @@
                 self.routers[run.router].on_response_started(now, run.call);
             }
         }
-        let is_crash =
-            |run: &Run| run.caller.is_crashing && run.starts_at.after(CRASH_DELAY).passed(now);
+        let is_crash = |run: &Run| {
+            run.request.caller.is_crashing && run.starts_at.after(CRASH_DELAY).passed(now)
+        };
         let crashing: Vec<usize> =
             self.runs.iter().filter(|run| is_crash(run)).map(|run| run.target).collect();
         for target in crashing {
@@ -315,7 +341,7 @@
             if core.take_crash_probe(self.now, run.key) {
                 self.probes.push((run.router, run.key, self.now.after(PROBE_DELAY)));
             }
-            self.dispatch(run.router, run.call, run.caller);
+            self.dispatch(run.router, run.call, run.request);
         }
     }
 
@@ -337,3 +363,9 @@
         }
     }
 }
+
+/// Index of a router in its name.
+fn router_index(name: &HostName) -> usize {
+    let index = name.as_str().strip_prefix("router-").and_then(|index| index.parse().ok());
+    index.expect("the name of a router")
+}
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -34,6 +34,7 @@
         peer_address: address(port + 1),
         failure_domain: "z".into(),
         incarnation: u64::from(port),
+        detour_key: "key".into(),
     }
 }
 
@@ -90,6 +91,7 @@
         deadline: now.after(Duration::from_secs(3)),
         prompt: None,
         resumption: None,
+        detour: None,
     }
 }
 
@@ -102,6 +104,7 @@
     match core.dispatch(now, call) {
         DispatchStep::Send(attempt) => Some(attempt),
         DispatchStep::Refuse(_) => None,
+        DispatchStep::Detour(detour) => panic!("{detour:?}"),
     }
 }
 
@@ -129,7 +132,7 @@
             assert!(is_unknown);
             assert_eq!(code, UnknownCode::TargetLost);
         }
-        DispatchStep::Send(attempt) => panic!("attempted again: {attempt:?}"),
+        step => panic!("attempted again: {step:?}"),
     }
     core.finish(call);
     assert!(core.status(now).targets.iter().all(|target| target.own_in_flight == 0));
@@ -440,6 +443,7 @@
                         }
                         DispatchStep::Refuse(Refusal::NotRun(..)) => prop_assert!(!call.may_have_run),
                         DispatchStep::Refuse(Refusal::Unknown(_)) => prop_assert!(call.may_have_run),
+                        DispatchStep::Detour(detour) => prop_assert!(false, "{detour:?}"),
                     }
                 }
                 Operation::End(index, outcome) => {
@@ -598,6 +602,9 @@
         let now = TimePoint(second * 1_000_000);
         let is_last = second == LAST_SECOND;
         let mut crashed = Vec::new();
+        for target in &targets {
+            core.on_target_reachable(now, *target);
+        }
         for number in 0..90u64 {
             // The content before the last one is held, but not blocked, and a call with it is in flight.
             let is_crashing = number % 2 == 0 && second + 1 != LAST_SECOND;
@@ -634,7 +641,9 @@
                 core.on_target_answered(later, *target);
             }
         }
-        let heartbeat = core.next_heartbeat(later);
+        let mut heartbeat = core.next_heartbeat(later);
+        // The configuration of this test has one pool only.
+        heartbeat.unreachable_pools = vec![u64::MAX; 16];
         let bytes = postcard::to_stdvec(&heartbeat).expect("encoded").len();
         assert!(bytes <= DATAGRAM_BYTES_MAX, "{bytes} bytes at {second} s");
         let full_at_last = [
--- /dev/null
+++ b/crates/core-forward/tests/detours.rs
@@ -0,0 +1,227 @@
+//! Calls at routers that reach no target go through other routers, spread by their calls in flight.
+
+#[path = "support/fixture.rs"]
+mod fixture;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use base_types::{ContentDigest, NotRunCode, Refusal, TargetKey, TimePoint, test_cases};
+use core_forward::{
+    AttemptOutcome, CallKey, DetourClaim, DetourOutcome, DetourSpec, DispatchStep, ForwardCore,
+};
+use fixture::{call_head, new_router, target_entry, target_index};
+use state_config::RetryRule;
+
+const TARGETS: usize = 9;
+const CALLS: u64 = 400;
+const CALLS_PER_HEARTBEAT: u64 = 10;
+const START: TimePoint = TimePoint(10_000_000);
+
+/// Routers that know each other and all targets; some are cut off from the targets.
+struct CutFleet {
+    routers: Vec<ForwardCore>,
+    next_id: u64,
+}
+
+impl CutFleet {
+    fn new(count: u16, cut: &[usize]) -> Self {
+        let routers = (0..count).map(|index| {
+            let mut core = new_router(START, index, 1, RetryRule::Idempotent);
+            core.list_targets(START, (0..TARGETS).map(|target| target_entry(target, 1)).collect());
+            core
+        });
+        let mut fleet = Self { routers: routers.collect(), next_id: 0 };
+        for router in cut {
+            fleet.cut(*router);
+        }
+        fleet.exchange_heartbeats();
+        fleet
+    }
+
+    fn cut(&mut self, router: usize) {
+        for target in 0..TARGETS {
+            self.routers[router].on_target_unreachable(START, TargetKey(target as u32));
+        }
+    }
+
+    fn exchange_heartbeats(&mut self) {
+        let heartbeats: Vec<_> =
+            self.routers.iter_mut().map(|router| router.next_heartbeat(START)).collect();
+        for router in &mut self.routers {
+            for heartbeat in &heartbeats {
+                router.on_heartbeat(START, heartbeat.clone());
+            }
+        }
+    }
+
+    /// Admits a call at a router, and returns what is to be done with it.
+    fn call(&mut self, router: usize, claim: Option<DetourClaim>) -> (CallKey, DispatchStep) {
+        self.next_id += 1;
+        let mut head = call_head(START, self.next_id, None);
+        head.detour = claim;
+        let digest = ContentDigest(u128::from(self.next_id));
+        let call = self.routers[router].admit(START, head, digest).expect("admitted").call;
+        (call, self.routers[router].dispatch(START, call))
+    }
+}
+
+fn claim(detour: &DetourSpec) -> Option<DetourClaim> {
+    Some(DetourClaim { key: detour.key.clone(), attempts: detour.attempts })
+}
+
+fn index(detour: &DetourSpec) -> usize {
+    let index = detour.router.as_str().strip_prefix("router-").map(str::parse);
+    index.and_then(Result::ok).expect("the name of a router")
+}
+
+/// Calls at routers that are cut off go to the others, evenly and each directly to a target from there.
+fn check_spread(count: u16, cut: &[usize]) {
+    let mut fleet = CutFleet::new(count, cut);
+    let mut shares: BTreeMap<usize, u64> = BTreeMap::new();
+    for number in 0..CALLS {
+        let (_, step) = fleet.call(cut[number as usize % cut.len()], None);
+        let DispatchStep::Detour(detour) = step else { panic!("no detour: {step:?}") };
+        let router = index(&detour);
+        assert!(!cut.contains(&router), "sent through a router that is cut off");
+        let (_, step) = fleet.call(router, claim(&detour));
+        assert!(matches!(step, DispatchStep::Send(_)), "{step:?}");
+        *shares.entry(router).or_default() += 1;
+        if number % CALLS_PER_HEARTBEAT == 0 {
+            fleet.exchange_heartbeats();
+        }
+    }
+    let mean = CALLS as f64 / (usize::from(count) - cut.len()) as f64;
+    let busiest = shares.values().copied().max().unwrap_or(0) as f64;
+    assert!(busiest <= mean * 1.5 + 3.0, "{busiest} calls at one router, {mean} on average");
+}
+
+test_cases! {
+    check_spread:
+    calls_of_one_cut_router_are_spread(7, &[3]);
+    calls_of_a_cut_failure_domain_are_spread(7, &[0, 1]);
+    calls_of_most_routers_are_spread(7, &[0, 1, 2, 3, 4]);
+    calls_of_cut_routers_are_spread_in_a_large_fleet(67, &[5, 6, 7, 8, 9, 10, 11]);
+}
+
+#[test]
+fn a_busy_router_gets_no_calls_of_a_router_that_is_cut_off() {
+    let mut fleet = CutFleet::new(3, &[0]);
+    for _ in 0..50 {
+        fleet.call(1, None);
+    }
+    fleet.exchange_heartbeats();
+    for _ in 0..20 {
+        let (_, step) = fleet.call(0, None);
+        let DispatchStep::Detour(detour) = step else { panic!("no detour: {step:?}") };
+        assert_eq!(index(&detour), 2);
+    }
+}
+
+/// What a router does with a call that names a key, while it reaches no target.
+fn check_claim(key: &str, makes_detour: bool) {
+    let mut fleet = CutFleet::new(3, &[0]);
+    let (_, step) = fleet.call(0, Some(DetourClaim { key: key.into(), attempts: 0 }));
+    assert_eq!(matches!(step, DispatchStep::Detour(_)), makes_detour, "{step:?}");
+    let is_refused = matches!(step, DispatchStep::Refuse(Refusal::NotRun(NotRunCode::NoTarget, _)));
+    assert_eq!(is_refused, !makes_detour, "{step:?}");
+}
+
+test_cases! {
+    check_claim:
+    a_call_of_another_router_makes_no_second_detour("key-0", false);
+    a_call_with_the_key_of_another_router_is_that_of_a_caller("key-1", true);
+    a_call_with_an_empty_key_is_that_of_a_caller("", true);
+}
+
+#[test]
+fn a_call_is_refused_at_once_when_no_router_reaches_its_pool() {
+    let mut fleet = CutFleet::new(3, &[0, 1, 2]);
+    let (_, step) = fleet.call(0, None);
+    assert!(matches!(step, DispatchStep::Refuse(Refusal::NotRun(NotRunCode::NoTarget, _))));
+}
+
+/// What becomes of a call after detours that ended in these ways.
+fn check_ends(outcomes: &[DetourOutcome], is_offered_again: bool, may_have_run: bool) {
+    let mut fleet = CutFleet::new(5, &[0]);
+    let (call, mut step) = fleet.call(0, None);
+    let mut offered = Vec::new();
+    for outcome in outcomes {
+        let DispatchStep::Detour(detour) = step else { panic!("no detour: {step:?}") };
+        assert!(!offered.contains(&detour.router), "offered twice to one router");
+        offered.push(detour.router);
+        fleet.routers[0].on_detour_finished(call, *outcome);
+        step = fleet.routers[0].dispatch(START, call);
+    }
+    assert_eq!(matches!(step, DispatchStep::Detour(_)), is_offered_again, "{step:?}");
+    let is_unknown = matches!(step, DispatchStep::Refuse(Refusal::Unknown(_)));
+    assert_eq!(is_unknown, may_have_run, "{step:?}");
+}
+
+use DetourOutcome::{Lost, Unsent};
+
+test_cases! {
+    check_ends:
+    a_call_that_a_router_did_not_accept_is_offered_to_another(&[Unsent], true, false);
+    a_call_that_two_routers_did_not_accept_is_refused(&[Unsent, Unsent], false, false);
+    a_call_that_was_lost_on_a_detour_is_unknown(&[Lost], false, true);
+    a_call_that_was_lost_on_a_second_offer_is_unknown(&[Unsent, Lost], false, true);
+}
+
+#[test]
+fn a_call_after_two_failed_connections_makes_a_detour() {
+    let mut fleet = CutFleet::new(2, &[]);
+    let (call, mut step) = fleet.call(0, None);
+    for _ in 0..2 {
+        assert!(matches!(step, DispatchStep::Send(_)), "{step:?}");
+        fleet.routers[0].on_attempt_finished(START, call, AttemptOutcome::Unsent);
+        step = fleet.routers[0].dispatch(START, call);
+    }
+    assert!(matches!(step, DispatchStep::Detour(_)), "{step:?}");
+}
+
+#[test]
+fn calls_are_sent_directly_again_when_one_target_answers() {
+    let mut fleet = CutFleet::new(3, &[0]);
+    let probes = fleet.routers[0].take_link_probes(START.after(Duration::from_secs(1)));
+    assert_eq!(probes.len(), 1, "one target of an unreachable pool is probed at a time");
+    fleet.routers[0].on_target_reachable(START, probes[0].target);
+    let mut targets = BTreeSet::new();
+    for _ in 0..TARGETS {
+        let (_, step) = fleet.call(0, None);
+        let DispatchStep::Send(attempt) = step else { panic!("not sent directly: {step:?}") };
+        targets.insert(target_index(attempt.address));
+    }
+    assert!(targets.len() > TARGETS / 2, "{} targets got calls", targets.len());
+}
+
+#[test]
+fn callers_are_not_sent_to_routers_that_are_cut_off() {
+    let fleet = CutFleet::new(3, &[0]);
+    assert_eq!(fleet.routers[0].caller_addresses(START).len(), 2);
+    assert_eq!(fleet.routers[1].caller_addresses(START).len(), 2);
+    let all_cut = CutFleet::new(3, &[0, 1, 2]);
+    assert_eq!(all_cut.routers[0].caller_addresses(START).len(), 3);
+}
+
+/// One failed connection puts the other links in doubt, unless a target answers afterwards.
+fn check_doubt(answers_after_failure: bool, probes: usize) {
+    let mut core = CutFleet::new(1, &[]).routers.remove(0);
+    core.on_target_answered(START, TargetKey(1));
+    let failed_at = START.after(Duration::from_millis(100));
+    core.on_target_unreachable(failed_at, TargetKey(0));
+    let later = failed_at.after(Duration::from_millis(100));
+    if answers_after_failure {
+        core.on_target_answered(later, TargetKey(1));
+    }
+    assert_eq!(core.take_link_probes(later).len(), probes);
+    assert_eq!(core.take_link_probes(later).len(), 0, "each is probed once");
+}
+
+test_cases! {
+    check_doubt:
+    all_other_targets_are_probed_after_a_failed_connection(false, TARGETS - 1);
+    no_target_is_probed_while_another_answers(true, 0);
+}
--- a/crates/core-forward/tests/limits.rs
+++ b/crates/core-forward/tests/limits.rs
@@ -130,7 +130,7 @@
                 self.record.refused.push((now, retry_at));
                 core.finish(call);
             }
-            DispatchStep::Refuse(refusal) => panic!("{refusal:?}"),
+            step => panic!("{step:?}"),
         }
     }
 
@@ -236,6 +236,7 @@
         match step {
             DispatchStep::Send(attempt) => Some(attempt.target),
             DispatchStep::Refuse(_) => None,
+            DispatchStep::Detour(detour) => panic!("{detour:?}"),
         }
     };
     // Routers take turns in using the allowance.
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -58,7 +58,7 @@
     match core.dispatch(now, call) {
         DispatchStep::Send(attempt) => Ok(target_index(attempt.address)),
         DispatchStep::Refuse(Refusal::NotRun(code, retry_at)) => Err((code, retry_at)),
-        DispatchStep::Refuse(refusal) => panic!("{refusal:?}"),
+        step => panic!("{step:?}"),
     }
 }
 
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     ExecutionStatus, ForwardState, ResponseBody, ResponseHead,
+    detour::{DetourResponse, forward_stream},
     framing::{BodyFraming, BodyProgress},
     hop::{end_to_end_parts, strip_hop_by_hop_headers},
     log_lines::CallLog,
@@ -20,7 +21,7 @@
 const DEFAULT_BODY_BYTES_MAX: usize = 1024 * 1024;
 
 /// Limit on the bytes of a response that is buffered before it is forwarded.
-const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
+pub(crate) const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// An admitted call; dropping it removes the call from the core, as abandoned if unfinished.
 #[derive(Debug)]
@@ -28,8 +29,8 @@
     pub(crate) state: ForwardState,
     pub(crate) log: CallLog,
     pub(crate) admitted: AdmittedCall,
-    head: request::Parts,
-    body: Bytes,
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
     finished: bool,
 }
 
@@ -47,6 +48,8 @@
 pub(crate) enum DispatchOutcome {
     /// A target started a response that is not a server error.
     Started(Box<StartedResponse>),
+    /// Another router, through which the call was sent, started a response.
+    Detoured(Box<DetourResponse>),
     /// The last server error that a target returned; no further attempt was allowed.
     TargetFailed(Response<Bytes>),
     /// No target gave a usable response, and no further attempt is allowed; the router refuses the
@@ -74,8 +77,12 @@
         Err(code) => return refuse_unadmitted(&state, &log, code, &head),
     };
     let content = content_digest(&call, &head, &body);
+    let has_detour_claim = call.detour.is_some();
     match state.with_core(|core, now| core.admit(now, call, content)) {
         Ok(admitted) => {
+            if has_detour_claim && !admitted.from_router {
+                log.detour_claim_ignored(state.now());
+            }
             let call = ServedCall { state, log, admitted, head, body, finished: false };
             call.serve().await
         }
@@ -157,6 +164,17 @@
                         return self.finish_with(response.map(ResponseBody::buffered), "answered");
                     }
                 }
+                DispatchOutcome::Detoured(started) if self.admitted.is_stream => {
+                    return forward_stream(self, *started);
+                }
+                DispatchOutcome::Detoured(started) => {
+                    if let Some(response) = self.buffer_detour(*started).await {
+                        return self.finish_with(
+                            response.map(ResponseBody::buffered),
+                            "answered by a router",
+                        );
+                    }
+                }
                 DispatchOutcome::TargetFailed(response) => {
                     return self
                         .finish_with(response.map(ResponseBody::buffered), "failed by its target");
@@ -210,6 +228,10 @@
             let call = self.admitted.call;
             let attempt = match self.state.with_core(|core, now| core.dispatch(now, call)) {
                 DispatchStep::Send(attempt) => attempt,
+                DispatchStep::Detour(detour) => match self.send_detour(detour).await {
+                    Some(started) => return DispatchOutcome::Detoured(Box::new(started)),
+                    None => continue,
+                },
                 DispatchStep::Refuse(refusal) => {
                     return last_failure
                         .map_or(DispatchOutcome::GivenUp(refusal), DispatchOutcome::TargetFailed);
--- a/crates/io-forward/src/dialect.rs
+++ b/crates/io-forward/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use base_types::{NotRunCode, Refusal, TimePoint, key_types, message_types};
-use core_forward::{AttemptSpec, CallHead, CallRate, PromptSegment};
+use core_forward::{AttemptSpec, CallHead, CallRate, DetourSpec, PromptSegment};
 use http::{HeaderMap, HeaderValue, Response, request, response};
 
 key_types! {
@@ -52,6 +52,9 @@
     /// router.
     fn write_request_headers(&self, now: TimePoint, attempt: &AttemptSpec, headers: &mut HeaderMap);
 
+    /// Adds the headers of a call that is sent through another router.
+    fn write_detour_headers(&self, now: TimePoint, detour: &DetourSpec, headers: &mut HeaderMap);
+
     /// Adds the header that asks a target to resume a stream after an event.
     fn write_resume_header(&self, last_event_id: &HeaderValue, headers: &mut HeaderMap);
 
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod connect;
 mod contents;
+mod detour;
 mod dialect;
 mod events;
 mod framing;
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base_types::{ContentKey, NotRunCode, Refusal, TimePoint};
-use core_forward::{AdmittedCall, AttemptSpec};
+use core_forward::{AdmittedCall, AttemptSpec, DetourSpec};
 
 use crate::framing::BodyProgress;
 
@@ -92,6 +92,41 @@
         );
     }
 
+    /// Logs a call that is sent through another router.
+    pub(crate) fn detour_sent(&self, now: TimePoint, call: &AdmittedCall, detour: &DetourSpec) {
+        log::info!(
+            call = &*self.id,
+            age_ms = self.age_ms(now),
+            pool = call.pool.as_str(),
+            router = detour.router.as_str(),
+            sends = detour.attempts,
+            left_ms = detour.deadline.since(now).as_millis() as u64;
+            "call sent through another router"
+        );
+    }
+
+    /// Logs how the other router took a call.
+    pub(crate) fn detour_ended(
+        &self,
+        now: TimePoint,
+        detour: &DetourSpec,
+        end: &str,
+        reason: &str,
+    ) {
+        log::info!(
+            call = &*self.id, age_ms = self.age_ms(now), router = detour.router.as_str(), end, reason;
+            "answer of another router"
+        );
+    }
+
+    /// Logs a call whose head names a wrong key of this router.
+    pub(crate) fn detour_claim_ignored(&self, now: TimePoint) {
+        log::info!(
+            call = &*self.id, age_ms = self.age_ms(now);
+            "claim to come from a router ignored"
+        );
+    }
+
     /// Logs the content of a call whose connection to a target was lost, as keys in hexadecimal.
     pub(crate) fn content_lost(
         &self,
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -38,6 +38,8 @@
     if !call.admitted.resumable {
         call.drop_request_data();
     }
+    let call_key = call.admitted.call;
+    call.state.with_core(|core, _| core.on_response_forwarded(call_key));
     let (parts, source) = StreamSource::new(started);
     let relay = StreamRelay {
         content: StreamContent::new(&parts, call.admitted.resumable),
@@ -221,7 +223,8 @@
                 self.call.record_failed_attempt(&source.attempt, AttemptOutcome::Failed, &reason);
                 None
             }
-            DispatchOutcome::TargetFailed(_) => None,
+            // A call whose response is being forwarded is not sent through another router.
+            DispatchOutcome::TargetFailed(_) | DispatchOutcome::Detoured(_) => None,
             DispatchOutcome::GivenUp(refusal) => {
                 self.call.log.given_up(self.call.state.now(), refusal);
                 None
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -143,6 +143,7 @@
     calls: Counter<u64>,
     call_seconds: Histogram<f64>,
     attempts: Counter<u64>,
+    detours: Counter<u64>,
     response_ends: Counter<u64>,
     platform_seconds: Histogram<f64>,
 }
@@ -172,6 +173,10 @@
                 .u64_counter("knapweedport_sends")
                 .with_description("Sends to targets that ended, by pool and end.")
                 .build(),
+            detours: meter
+                .u64_counter("knapweedport_detours")
+                .with_description("Calls sent through another router, by pool and end.")
+                .build(),
             response_ends: meter
                 .u64_counter("knapweedport_response_ends")
                 .with_description(
@@ -198,6 +203,12 @@
             .add(1, &[pool, KeyValue::new("end", outcome), KeyValue::new("repeat", is_retry)]);
     }
 
+    /// Counts a call that was sent through another router, when that has ended.
+    pub fn count_detour(&self, pool: &str, outcome: &'static str) {
+        let pool = KeyValue::new("pool", pool.to_owned());
+        self.detours.add(1, &[pool, KeyValue::new("end", outcome)]);
+    }
+
     /// Counts a response of a target when its body has ended, completely or not.
     pub fn count_response_end(
         &self,
