Refute a reported crash only by calls that were sent after it

Found in reading. An answer that a router reads some time after a target crashed may have been sent before: routers have a quarter of a core and may stand still for 75 ms. Such an answer erased a true crash on all routers, so that content that crashes targets would have been sent on. The call must have been sent after the crash now. The test fails on the code before, which took no time of sending. What is logged of content is a `ContentChange`, and a call is `Refused` rather than `Blocked`, as held content refuses calls, too.

--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -62,7 +62,7 @@
             return refuse(now, state, NotRunCode::DeadlinePassed, UnknownCode::DeadlineAfterSend);
         }
         let content_verdict = self.content_verdict(now, state);
-        if let ContentVerdict::Blocked(until) = content_verdict {
+        if let ContentVerdict::Refused(until) = content_verdict {
             return refuse_until(state, NotRunCode::ContentSuspect, UnknownCode::TargetLost, until);
         }
         if state.may_have_run && !state.retry_rule.is_retryable() {
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base_types::{TargetKey, TimePoint};
-use policy_retries::{BlockChange, CrashRecord};
+use policy_retries::{ContentChange, CrashRecord};
 use policy_targets::{CallRate, NamedLimit};
 
 use crate::{AttemptOutcome, CallKey, ForwardCore, LeavingNotice, call::CallState};
@@ -24,12 +24,15 @@
         attempt.response_started_at = Some(now);
     }
 
-    /// Records that a target answered a call, whatever the answer.
-    pub fn on_target_answered(&mut self, now: TimePoint, target: TargetKey) {
-        if let Some(record) = self.targets.get(target) {
-            self.crashes.on_target_answered(now, record.target_hash);
+    /// Records that the target of the attempt in progress answered, whatever the answer.
+    pub fn on_target_answered(&mut self, now: TimePoint, key: CallKey) {
+        let Some(attempt) = self.calls.get(&key).and_then(|state| state.current_attempt) else {
+            return;
+        };
+        if let Some(record) = self.targets.get(attempt.target) {
+            self.crashes.on_target_answered(now, record.target_hash, attempt.sent_at);
         }
-        self.on_link_answered(now, target);
+        self.on_link_answered(now, attempt.target);
     }
 
     /// Records the limit on the rate of calls that a target named in an answer, or that it named none;
@@ -99,8 +102,8 @@
         }
     }
 
-    /// Returns the changes of blocks on content since the last call, for logs.
-    pub fn take_block_changes(&mut self) -> Vec<BlockChange> {
+    /// Returns what changed in what is known of content since the last call, for logs.
+    pub fn take_content_changes(&mut self) -> Vec<ContentChange> {
         self.crashes.tracker.take_changes()
     }
 
--- a/crates/core-forward/src/crashes.rs
+++ b/crates/core-forward/src/crashes.rs
@@ -139,10 +139,15 @@
         self.unreported_crashes.extend(pieces);
     }
 
-    /// Records that a target answered a call of this router. If another router reported its crash, that
-    /// router has lost its connections to the target.
-    pub(crate) fn on_target_answered(&mut self, now: TimePoint, target_hash: u64) {
-        if self.tracker.refute_crash(now, target_hash) {
+    /// Records that a target answered a call that this router sent at a time. If another router reported a
+    /// crash of the target before, that router has lost its connections to it.
+    pub(crate) fn on_target_answered(
+        &mut self,
+        now: TimePoint,
+        target_hash: u64,
+        sent_at: TimePoint,
+    ) {
+        if self.tracker.refute_crash(now, target_hash, sent_at) {
             self.unreported_responding.insert(target_hash, REPORTS_PER_NOTICE);
         }
     }
@@ -167,7 +172,7 @@
             }
         }
         for target_hash in &report.responding {
-            self.tracker.refute_crash(now, *target_hash);
+            self.tracker.refute_crash(now, *target_hash, now);
         }
         for key in &report.held {
             self.tracker.on_peer_call(now, *key);
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -35,5 +35,5 @@
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
     targets::{LeavingNotice, TargetEntry, TargetStatus},
 };
-pub use policy_retries::BlockChange;
+pub use policy_retries::ContentChange;
 pub use policy_targets::CallRate;
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -1,6 +1,6 @@
 //! Decisions on calls: attempts, retry budgets, target lifecycle, heartbeats.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::Range, time::Duration};
 
 use base_types::{
     ContentDigest, HostName, NotRunCode, PoolName, Refusal, RouteName, TimePoint, UnknownCode,
@@ -568,14 +568,14 @@
     assert_eq!(reported.len(), 1 + 3 * 60);
 }
 
-/// Another router, which has lost its links, reports crashes of many targets.
-fn report_crashes_of_a_peer(core: &mut ForwardCore, now: TimePoint) {
+/// Another router, which has lost its links, reports crashes of the targets of some of its calls.
+fn report_crashes_of_a_peer(core: &mut ForwardCore, now: TimePoint, calls: Range<usize>) {
     let mut peer = core_of(RetryRule::AtMostOnceStream, 1, 90);
-    let sent = (0..40).map(|_| {
+    let sent = (0..calls.end).map(|_| {
         let call = admit(&mut peer, now, None);
         (call, send(&mut peer, now, call).expect("sent").target)
     });
-    for (call, target) in sent.collect::<Vec<_>>() {
+    for (call, target) in sent.collect::<Vec<_>>().drain(calls) {
         peer.on_attempt_finished(now, call, Lost);
         peer.on_target_unreachable(now, target);
     }
@@ -633,12 +633,17 @@
         }
         let later = now.after(Duration::from_millis(700));
         if is_last {
-            for target in &targets {
-                assert!(core.on_leaving_announced(later, *target).is_some());
+            let sent_at = crashed_at.after(Duration::from_millis(100));
+            for first in [0, 20, 40, 60] {
+                report_crashes_of_a_peer(&mut core, crashed_at, first..first + 20);
+                for _ in 0..400 {
+                    let call = admit(&mut core, sent_at, None);
+                    send(&mut core, sent_at, call);
+                    core.on_target_answered(later, call);
+                }
             }
-            report_crashes_of_a_peer(&mut core, crashed_at);
             for target in &targets {
-                core.on_target_answered(later, *target);
+                assert!(core.on_leaving_announced(later, *target).is_some());
             }
         }
         let mut heartbeat = core.next_heartbeat(later);
--- a/crates/core-forward/tests/detours.rs
+++ b/crates/core-forward/tests/detours.rs
@@ -209,12 +209,12 @@
 /// One failed connection puts the other links in doubt, unless a target answers afterwards.
 fn check_doubt(answers_after_failure: bool, probes: usize) {
     let mut core = CutFleet::new(1, &[]).routers.remove(0);
-    core.on_target_answered(START, TargetKey(1));
+    core.on_target_reachable(START, TargetKey(1));
     let failed_at = START.after(Duration::from_millis(100));
     core.on_target_unreachable(failed_at, TargetKey(0));
     let later = failed_at.after(Duration::from_millis(100));
     if answers_after_failure {
-        core.on_target_answered(later, TargetKey(1));
+        core.on_target_reachable(later, TargetKey(1));
     }
     assert_eq!(core.take_link_probes(later).len(), probes);
     assert_eq!(core.take_link_probes(later).len(), 0, "each is probed once");
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -320,8 +320,8 @@
         let status = started.response.status().as_u16();
         // An answer of another target, or to another call, says nothing about this target.
         if let ExecutionStatus::Executed | ExecutionStatus::Declined = started.head.execution {
-            let target = started.attempt.target;
-            self.state.with_core(|core, now| core.on_target_answered(now, target));
+            let call = self.admitted.call;
+            self.state.with_core(|core, now| core.on_target_answered(now, call));
             self.record_rate_limit(&started);
             self.record_leaving(&started);
             self.record_pause(&started);
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use core_forward::{BlockChange, PeerHeartbeat, heartbeat_interval};
+use core_forward::{ContentChange, PeerHeartbeat, heartbeat_interval};
 use tokio::{net::UdpSocket, time::Instant};
 
 use crate::ForwardState;
@@ -79,25 +79,25 @@
     }
 }
 
-fn log_block_changes(state: &ForwardState) {
-    for change in state.with_core(|core, _| core.take_block_changes()) {
+fn log_content_changes(state: &ForwardState) {
+    for change in state.with_core(|core, _| core.take_content_changes()) {
         match change {
-            BlockChange::Suspected(key, crashes) => {
+            ContentChange::Suspected(key, crashes) => {
                 log::info!(
                     content = format!("{:016x}", key.0).as_str(), crashes;
                     "content in flight at several crashes"
                 )
             }
-            BlockChange::Blocked(key) => {
+            ContentChange::Blocked(key) => {
                 log::warn!(content = format!("{:016x}", key.0).as_str(); "content blocked")
             }
-            BlockChange::TrialStarted(key) => {
+            ContentChange::TrialStarted(key) => {
                 log::info!(
                     content = format!("{:016x}", key.0).as_str();
                     "blocked content sent as a trial"
                 )
             }
-            BlockChange::Lifted(key) => {
+            ContentChange::Lifted(key) => {
                 log::info!(content = format!("{:016x}", key.0).as_str(); "content block lifted")
             }
         }
@@ -108,7 +108,7 @@
 async fn send_heartbeat(state: &ForwardState, socket: &UdpSocket) -> usize {
     let (heartbeat, addresses) =
         state.with_core(|core, now| (core.next_heartbeat(now), core.heartbeat_addresses()));
-    log_block_changes(state);
+    log_content_changes(state);
     let datagram = match postcard::to_stdvec(&heartbeat) {
         Ok(datagram) => datagram,
         Err(error) => {
--- a/crates/policy-retries/src/crashes.rs
+++ b/crates/policy-retries/src/crashes.rs
@@ -73,8 +73,8 @@
         Allowed,
         /// A trial of blocked content is due: one call may be sent.
         Trial,
-        /// Refused; the content may be tried again at this time.
-        Blocked(TimePoint),
+        /// The call is refused; it may come again at this time.
+        Refused(TimePoint),
     }
 
     /// A block on content, without its key.
@@ -86,7 +86,7 @@
     }
 
     /// Change of what is known of content, for logs.
-    pub enum BlockChange {
+    pub enum ContentChange {
         /// The content was in flight at this number of crashes, at least two, since its last complete
         /// answer.
         Suspected(ContentKey, usize),
@@ -110,7 +110,7 @@
     peer_calls: BTreeMap<ContentKey, TimePoint>,
     /// Whether suspect content was recorded that is not judged yet.
     has_unjudged: bool,
-    changes: Vec<BlockChange>,
+    changes: Vec<ContentChange>,
 }
 
 impl ContentBlock {
@@ -146,7 +146,7 @@
         self.peer_calls.remove(&key);
         let is_blocked = self.blocks.remove(&key).is_some();
         if is_blocked {
-            self.changes.push(BlockChange::Lifted(key));
+            self.changes.push(ContentChange::Lifted(key));
         }
         is_suspect || is_blocked
     }
@@ -168,16 +168,16 @@
         self.has_unjudged |= !added.is_empty();
         for key in added {
             if let Some(record) = self.evidence.repeated(key) {
-                self.changes.push(BlockChange::Suspected(key, record.crashes));
+                self.changes.push(ContentChange::Suspected(key, record.crashes));
             }
         }
         sound
     }
 
-    /// Records that a target answered; returns whether a crash of it was recorded shortly before, which
-    /// other routers must forget, too.
-    pub fn refute_crash(&mut self, now: TimePoint, target_hash: u64) -> bool {
-        self.evidence.refute(now, target_hash)
+    /// Records that a target answered a call that was sent to it at a time; returns whether this shows that
+    /// a crash of it was reported wrongly, which other routers must forget, too.
+    pub fn refute_crash(&mut self, now: TimePoint, target_hash: u64, sent_at: TimePoint) -> bool {
+        self.evidence.refute(now, target_hash, sent_at)
     }
 
     /// Records that another router has a call with held content in flight.
@@ -242,38 +242,15 @@
             let block = self.blocks.get(key).filter(|block| !block.is_expired(now));
             let key_verdict = match block.map(|block| block.trial_at) {
                 None => self.suspect_verdict(now, *key, &is_in_flight),
-                Some(trial_at) if !trial_at.passed(now) => ContentVerdict::Blocked(trial_at),
+                Some(trial_at) if !trial_at.passed(now) => ContentVerdict::Refused(trial_at),
                 Some(_) if may_try(*key) => ContentVerdict::Trial,
-                Some(_) => ContentVerdict::Blocked(now.after(TRIAL_ELSEWHERE_WAIT)),
+                Some(_) => ContentVerdict::Refused(now.after(TRIAL_ELSEWHERE_WAIT)),
             };
             verdict = verdict.max(key_verdict);
         }
         verdict
     }
 
-    /// Whether a call with content that is not blocked may be dispatched.
-    fn suspect_verdict(
-        &self,
-        now: TimePoint,
-        key: ContentKey,
-        is_in_flight: impl Fn(ContentKey) -> bool,
-    ) -> ContentVerdict {
-        let record = self.evidence.repeated(key);
-        let Some(record) = record.filter(|record| record.chain >= HOLDING_CRASHES) else {
-            return ContentVerdict::Allowed;
-        };
-        let reported_at = record.last_at.after(REPORT_TIME);
-        if !reported_at.passed(now) {
-            return ContentVerdict::Blocked(reported_at);
-        }
-        let peer_until = self.peer_calls.get(&key).copied().unwrap_or(TimePoint(0));
-        let is_awaited = record.chain >= BLOCKING_CRASHES || !peer_until.passed(now);
-        if is_awaited || is_in_flight(key) {
-            return ContentVerdict::Blocked(now.after(HELD_RETURN_TIME));
-        }
-        ContentVerdict::Allowed
-    }
-
     /// Whether the content is blocked.
     pub fn is_blocked(&self, now: TimePoint, key: ContentKey) -> bool {
         self.blocks.get(&key).is_some_and(|block| !block.is_expired(now))
@@ -294,7 +271,7 @@
         for key in content {
             if let Some(block) = self.blocks.get_mut(key) {
                 block.start_trial(now);
-                self.changes.push(BlockChange::TrialStarted(*key));
+                self.changes.push(ContentChange::TrialStarted(*key));
             }
         }
     }
@@ -304,8 +281,8 @@
         self.blocks.iter().map(|(key, block)| (*key, *block))
     }
 
-    /// Takes the changes of blocks since the last call.
-    pub fn take_changes(&mut self) -> Vec<BlockChange> {
+    /// Takes the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<ContentChange> {
         std::mem::take(&mut self.changes)
     }
 
@@ -317,6 +294,29 @@
         self.blocks.retain(|_, block| !block.is_expired(now));
     }
 
+    /// Whether a call with content that is not blocked may be dispatched.
+    fn suspect_verdict(
+        &self,
+        now: TimePoint,
+        key: ContentKey,
+        is_in_flight: impl Fn(ContentKey) -> bool,
+    ) -> ContentVerdict {
+        let record = self.evidence.repeated(key);
+        let Some(record) = record.filter(|record| record.chain >= HOLDING_CRASHES) else {
+            return ContentVerdict::Allowed;
+        };
+        let reported_at = record.last_at.after(REPORT_TIME);
+        if !reported_at.passed(now) {
+            return ContentVerdict::Refused(reported_at);
+        }
+        let peer_until = self.peer_calls.get(&key).copied().unwrap_or(TimePoint(0));
+        let is_awaited = record.chain >= BLOCKING_CRASHES || !peer_until.passed(now);
+        if is_awaited || is_in_flight(key) {
+            return ContentVerdict::Refused(now.after(HELD_RETURN_TIME));
+        }
+        ContentVerdict::Allowed
+    }
+
     /// Whether the content was answered completely within `ttl` before a time.
     fn is_answered(&self, at: TimePoint, key: ContentKey, ttl: Duration) -> bool {
         let answered_at = self.proofs.get(&key);
@@ -326,7 +326,7 @@
     fn insert_block(&mut self, key: ContentKey, block: ContentBlock) {
         if self.blocks.len() < BLOCKS_MAX {
             self.blocks.insert(key, block);
-            self.changes.push(BlockChange::Blocked(key));
+            self.changes.push(ContentChange::Blocked(key));
         }
     }
 }
--- a/crates/policy-retries/src/crashes/evidence.rs
+++ b/crates/policy-retries/src/crashes/evidence.rs
@@ -148,12 +148,13 @@
         is_suspect
     }
 
-    /// Removes the crash of a target that answered shortly after it; returns whether there was one.
-    pub(super) fn refute(&mut self, now: TimePoint, target_hash: u64) -> bool {
+    /// Removes the crash of a target that answered a call shortly after it, which was sent to it after the
+    /// crash, too; returns whether there was one.
+    pub(super) fn refute(&mut self, now: TimePoint, target_hash: u64, sent_at: TimePoint) -> bool {
         let count = self.crashes.len();
         self.crashes.retain(|crash| {
             let is_refuted = crash.target_hash == target_hash
-                && crash.at.after(REPORT_DELAY_MAX).passed(now)
+                && crash.at.after(REPORT_DELAY_MAX).passed(sent_at)
                 && !crash.at.after(RESTART_TIME_MIN).passed(now);
             !is_refuted
         });
--- a/crates/policy-retries/src/lib.rs
+++ b/crates/policy-retries/src/lib.rs
@@ -11,7 +11,7 @@
 pub use crate::{
     budget::{BudgetKey, RetryBudgets},
     crashes::{
-        BlockChange, ContentBlock, ContentVerdict, CrashRecord, CrashTracker, SuspectContent,
+        ContentBlock, ContentChange, ContentVerdict, CrashRecord, CrashTracker, SuspectContent,
     },
     suspects::{SuspectKey, SuspectTracker, SuspectTrial, SuspectVerdict},
     window::{WindowBounds, WindowBudget},
--- a/crates/policy-retries/tests/crashes.rs
+++ b/crates/policy-retries/tests/crashes.rs
@@ -44,7 +44,7 @@
                 trials.push(second);
                 tracker.start_trial(seconds(second), &[KEY]);
             }
-            ContentVerdict::Blocked(until) => assert!(until > seconds(second)),
+            ContentVerdict::Refused(until) => assert!(until > seconds(second)),
             ContentVerdict::Allowed => assert!(second > 600, "allowed at {second} s"),
         }
     }
@@ -93,7 +93,7 @@
     assert_eq!(verdict(&tracker, now, false), expected);
     if expected == ContentVerdict::Allowed && crashes_ms.len() > 1 {
         let beside_another = tracker.verdict(now, &[KEY], |_| false, |_| true);
-        let is_held = matches!(beside_another, ContentVerdict::Blocked(_));
+        let is_held = matches!(beside_another, ContentVerdict::Refused(_));
         assert_eq!(is_held, tracker.is_held(KEY));
     }
 }
@@ -103,9 +103,9 @@
 test_cases! {
     check_suspect:
     content_of_a_single_crash_is_sent(&CHAIN[..1], 1_001, ContentVerdict::Allowed);
-    content_lost_at_two_targets_waits_for_reports(&CHAIN[..2], 1_200, ContentVerdict::Blocked(TimePoint(1_600_000)));
+    content_lost_at_two_targets_waits_for_reports(&CHAIN[..2], 1_200, ContentVerdict::Refused(TimePoint(1_600_000)));
     content_lost_at_two_targets_is_sent_one_call_at_a_time(&CHAIN[..2], 1_600, ContentVerdict::Allowed);
-    content_lost_at_three_targets_one_after_the_other_is_blocked(&CHAIN, 1_720, ContentVerdict::Blocked(TimePoint(61_720_000)));
+    content_lost_at_three_targets_one_after_the_other_is_blocked(&CHAIN, 1_720, ContentVerdict::Refused(TimePoint(61_720_000)));
     content_of_targets_that_crash_together_is_sent(&[(1_000, 900), (1_050, 910), (1_100, 920)], 1_101, ContentVerdict::Allowed);
 }
 
@@ -113,10 +113,12 @@
 fn an_answer_shortly_after_a_reported_crash_refutes_it() {
     let mut tracker = CrashTracker::default();
     tracker.record_crash(seconds(1), crash(1, &[KEY]));
-    assert!(tracker.refute_crash(seconds(1).after(Duration::from_millis(300)), 1));
+    let answered_at = seconds(1).after(Duration::from_millis(300));
+    assert!(!tracker.refute_crash(answered_at, 1, seconds(1)), "sent before the crash");
+    assert!(tracker.refute_crash(answered_at, 1, seconds(1).after(Duration::from_millis(100))));
     assert_eq!(tracker.crashes().count(), 0);
     tracker.record_crash(seconds(3), crash(3, &[KEY]));
-    assert!(!tracker.refute_crash(seconds(5), 3), "the target may have started again");
+    assert!(!tracker.refute_crash(seconds(5), 3, seconds(5)), "the target may have started again");
 }
 
 #[test]
@@ -126,6 +128,6 @@
         tracker.record_crash(seconds(target), crash(target, &[KEY]));
     }
     tracker.on_peer_call(seconds(3), KEY);
-    assert!(matches!(verdict(&tracker, seconds(3), false), ContentVerdict::Blocked(_)));
+    assert!(matches!(verdict(&tracker, seconds(3), false), ContentVerdict::Refused(_)));
     assert_eq!(verdict(&tracker, seconds(4), false), ContentVerdict::Allowed);
 }
