Doubt links by their latest failure, and keep idle connections of unreachable pools

Found in reading. The latest failure counts now. Idle connections of a pool that counts as unreachable are kept: where only new connections are refused, they work.

--- a/crates/core-forward/src/links.rs
+++ b/crates/core-forward/src/links.rs
@@ -31,8 +31,8 @@
     pub struct LinkChange {
         /// The pool.
         pub pool: PoolName,
-        /// Its targets that accept calls; empty if it is reachable.
-        pub targets: Vec<TargetKey>,
+        /// Number of its targets that accept calls; zero if it is reachable.
+        pub targets: usize,
         /// Whether any of them accepts connections of this router.
         pub reachable: bool,
     }
@@ -41,39 +41,39 @@
 /// Link of this router to one target.
 #[derive(Debug)]
 pub(crate) struct TargetLink {
-    /// When the first connection failed since the last answer; `None` while the link is up.
-    down_since: Option<TimePoint>,
+    /// When the latest connection failed, if that was after the last answer; `None` while the link is up.
+    failed_at: Option<TimePoint>,
     answered_at: TimePoint,
     next_probe_at: TimePoint,
 }
 
 impl Default for TargetLink {
     fn default() -> Self {
-        Self { down_since: None, answered_at: TimePoint(0), next_probe_at: TimePoint(0) }
+        Self { failed_at: None, answered_at: TimePoint(0), next_probe_at: TimePoint(0) }
     }
 }
 
 impl TargetLink {
     pub(crate) fn is_up(&self) -> bool {
-        self.down_since.is_none()
+        self.failed_at.is_none()
     }
 
     /// Takes the link to be up, until a connection fails.
     pub(crate) fn reset(&mut self) {
-        self.down_since = None;
+        self.failed_at = None;
     }
 
     /// Records that a connection failed; returns whether the link was up.
     fn on_failed(&mut self, now: TimePoint) -> bool {
         let was_up = self.is_up();
-        self.down_since.get_or_insert(now);
+        self.failed_at = Some(now);
         was_up
     }
 
     /// Records that the target answered or accepted a connection; returns whether the link was down.
     fn on_answered(&mut self, now: TimePoint) -> bool {
         self.answered_at = now;
-        self.down_since.take().is_some()
+        self.failed_at.take().is_some()
     }
 }
 
@@ -81,20 +81,18 @@
 #[derive(Debug, Default)]
 struct PoolLinks {
     targets: usize,
-    first_failed_at: Option<TimePoint>,
     down: usize,
+    /// When the latest connection failed.
+    failed_at: Option<TimePoint>,
     answered_at: Option<TimePoint>,
 }
 
 impl PoolLinks {
     fn add(&mut self, link: &TargetLink) {
         self.targets += 1;
-        self.down += usize::from(link.down_since.is_some());
+        self.down += usize::from(!link.is_up());
+        self.failed_at = self.failed_at.max(link.failed_at);
         self.answered_at = self.answered_at.max(Some(link.answered_at));
-        self.first_failed_at = match (self.first_failed_at, link.down_since) {
-            (Some(first), Some(since)) => Some(first.min(since)),
-            (first, since) => first.or(since),
-        };
     }
 
     /// Whether no target accepts connections.
@@ -102,9 +100,9 @@
         self.down == self.targets
     }
 
-    /// Whether no target has answered since the first connection failed.
+    /// Whether no target has answered since the latest connection failed.
     fn is_doubtful(&self) -> bool {
-        self.first_failed_at.is_some() && self.first_failed_at > self.answered_at
+        self.failed_at.is_some() && self.failed_at > self.answered_at
     }
 }
 
@@ -179,9 +177,7 @@
             pools.keys().filter(|pool| is_unreachable(pool)).cloned().collect();
         for pool in unreachable.symmetric_difference(&self.unreachable_pools) {
             let reachable = !unreachable.contains(pool);
-            let of_pool = |(_, record): &(TargetKey, &TargetRecord)| record.entry.pool == *pool;
-            let targets = self.targets.iter().filter(|target| !reachable && of_pool(target));
-            let targets = targets.map(|(target, _)| target).collect();
+            let targets = pools.get(pool).filter(|_| !reachable).map_or(0, |links| links.targets);
             self.link_changes.push(LinkChange { pool: pool.clone(), targets, reachable });
         }
         self.unreachable_pools = unreachable;
--- a/crates/core-forward/tests/detours.rs
+++ b/crates/core-forward/tests/detours.rs
@@ -225,3 +225,15 @@
     all_other_targets_are_probed_after_a_failed_connection(false, TARGETS - 1);
     no_target_is_probed_while_another_answers(true, 0);
 }
+
+/// A target that has been down for some time does not hide that the links to the others fail.
+#[test]
+fn an_old_failed_connection_does_not_hide_a_new_one() {
+    let mut core = CutFleet::new(1, &[]).routers.remove(0);
+    core.on_target_unreachable(START, TargetKey(0));
+    core.on_target_reachable(START.after(Duration::from_secs(1)), TargetKey(1));
+    let failed_at = START.after(Duration::from_secs(2));
+    core.on_target_unreachable(failed_at, TargetKey(2));
+    let probes = core.take_link_probes(failed_at.after(Duration::from_millis(100)));
+    assert_eq!(probes.len(), TARGETS - 2);
+}
--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -134,13 +134,6 @@
         }
     }
 
-    /// Closes the idle connections to targets.
-    pub(crate) fn close_idle(&mut self, targets: &[TargetKey]) {
-        for target in targets {
-            self.idle.remove(target);
-        }
-    }
-
     /// Closes idle connections that are past their reuse time or were closed by the target.
     pub(crate) fn sweep(&mut self, now: TimePoint) {
         for idle in self.idle.values_mut() {
@@ -215,11 +208,9 @@
             spawn_probe(&state, probe);
         }
         for change in state.with_core(|core, _| core.take_link_changes()) {
-            // Idle connections to targets that cannot be reached may be dead without notice.
-            state.with_upstream(|pool, _| pool.close_idle(&change.targets));
-            let (pool, targets) = (change.pool.as_str(), change.targets.len());
+            let (pool, targets) = (change.pool.as_str(), change.targets);
             match change.reachable {
-                true => log::info!(pool, targets; "pool reachable again"),
+                true => log::info!(pool; "pool reachable again"),
                 false => log::warn!(pool, targets; "no target of the pool accepts connections"),
             }
         }
