Leave out routers that accept no connection when calls are sent through others

Found in reading. A router whose heartbeats arrive, but that accepts no connection, was offered calls again and again: each lost 300 ms. It is left out for 1 s now. The new test fails without the condition.

--- a/crates/core-forward/src/detours.rs
+++ b/crates/core-forward/src/detours.rs
@@ -99,12 +99,16 @@
     }
 
     /// Records how the detour in progress ended.
-    pub fn on_detour_finished(&mut self, key: CallKey, outcome: DetourOutcome) {
+    pub fn on_detour_finished(&mut self, now: TimePoint, key: CallKey, outcome: DetourOutcome) {
         let Some(mut state) = self.calls.remove(&key) else { return };
         self.end_detour(&mut state);
-        if outcome != DetourOutcome::Unsent {
-            state.detour.is_over = true;
-            state.may_have_run |= outcome == DetourOutcome::Lost;
+        match (outcome, state.detour.offered.last()) {
+            (DetourOutcome::Unsent, Some(router)) => self.peers.on_detour_refused(now, router),
+            (DetourOutcome::Unsent, None) => {}
+            (DetourOutcome::Lost | DetourOutcome::Answered, _) => {
+                state.detour.is_over = true;
+                state.may_have_run |= outcome == DetourOutcome::Lost;
+            }
         }
         self.calls.insert(key, state);
     }
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -10,6 +10,9 @@
 /// Time for which a router counts as alive after its last heartbeat.
 const HEARTBEAT_TTL: Duration = Duration::from_millis(1_500);
 
+/// Time for which no calls are sent through a router that did not accept a connection.
+const DETOUR_REFUSED_TTL: Duration = Duration::from_secs(1);
+
 value_types! {
     /// Entry of a router in the platform's store.
     #[derive(Eq)]
@@ -84,6 +87,8 @@
     calls_in_flight: u32,
     /// Calls that this router has sent through it and that are in flight.
     detours: u32,
+    /// Time until which no calls are sent through it, as it did not accept a connection.
+    refusing_until: TimePoint,
     unreachable_pools: Vec<u64>,
     cut_off: bool,
 }
@@ -97,6 +102,7 @@
             listed,
             calls_in_flight: 0,
             detours: 0,
+            refusing_until: TimePoint(0),
             unreachable_pools: Vec::new(),
             cut_off: false,
         }
@@ -193,6 +199,7 @@
     ) -> impl Iterator<Item = &PeerRecord> {
         self.records.values().filter(move |record| {
             record.is_serving(now)
+                && record.refusing_until.passed(now)
                 && !record.entry.detour_key.is_empty()
                 && !record.unreachable_pools.contains(&pool_hash)
         })
@@ -205,6 +212,13 @@
         }
     }
 
+    /// Records that a router did not accept a connection.
+    pub(crate) fn on_detour_refused(&mut self, now: TimePoint, name: &HostName) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.refusing_until = now.after(DETOUR_REFUSED_TTL);
+        }
+    }
+
     /// Counts the end of such a call.
     pub(crate) fn remove_detour(&mut self, name: &HostName) {
         if let Some(record) = self.records.get_mut(name) {
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -267,7 +267,8 @@
                     return self.routers[router].finish(call);
                 }
                 DispatchStep::Detour(detour) => {
-                    self.routers[router].on_detour_finished(call, DetourOutcome::Answered);
+                    let core = &mut self.routers[router];
+                    core.on_detour_finished(self.now, call, DetourOutcome::Answered);
                     self.routers[router].finish(call);
                     request.head.detour =
                         Some(DetourClaim { key: detour.key, attempts: detour.attempts });
--- a/crates/core-forward/tests/detours.rs
+++ b/crates/core-forward/tests/detours.rs
@@ -152,7 +152,7 @@
         let DispatchStep::Detour(detour) = step else { panic!("no detour: {step:?}") };
         assert!(!offered.contains(&detour.router), "offered twice to one router");
         offered.push(detour.router);
-        fleet.routers[0].on_detour_finished(call, *outcome);
+        fleet.routers[0].on_detour_finished(START, call, *outcome);
         step = fleet.routers[0].dispatch(START, call);
     }
     assert_eq!(matches!(step, DispatchStep::Detour(_)), is_offered_again, "{step:?}");
@@ -237,3 +237,18 @@
     let probes = core.take_link_probes(failed_at.after(Duration::from_millis(100)));
     assert_eq!(probes.len(), TARGETS - 2);
 }
+
+/// A router that does not accept connections, although its heartbeats arrive, delays one call.
+#[test]
+fn a_router_that_accepts_no_connection_is_left_out_for_a_while() {
+    let mut fleet = CutFleet::new(3, &[0]);
+    let (call, step) = fleet.call(0, None);
+    let DispatchStep::Detour(detour) = step else { panic!("no detour: {step:?}") };
+    let refusing = index(&detour);
+    fleet.routers[0].on_detour_finished(START, call, Unsent);
+    for _ in 0..20 {
+        let (_, step) = fleet.call(0, None);
+        let DispatchStep::Detour(detour) = step else { panic!("no detour: {step:?}") };
+        assert_ne!(index(&detour), refusing);
+    }
+}
--- a/crates/io-forward/src/detour.rs
+++ b/crates/io-forward/src/detour.rs
@@ -110,7 +110,7 @@
     fn record_detour(&self, detour: &DetourSpec, outcome: DetourOutcome, reason: &str) {
         self.log.detour_ended(self.state.now(), detour, outcome.as_str(), reason);
         let call = self.admitted.call;
-        self.state.with_core(|core, _| core.on_detour_finished(call, outcome));
+        self.state.with_core(|core, now| core.on_detour_finished(now, call, outcome));
         self.state.metrics().count_detour(self.admitted.pool.as_str(), outcome.as_str());
     }
 }
