--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -1,9 +1,11 @@
 //! State machine of one forwarding router.
 
 mod beats;
+mod detours;
 mod dispatch;
 mod ends;
-pub(crate) mod refusals;
+mod links;
+mod refusals;
 mod resumption;
 mod snapshots;
 
@@ -99,10 +101,10 @@
     first_config_at: TimePoint,
     config_adopted_at: TimePoint,
     shutting_down: bool,
-    pub(crate) targets: TargetTable,
+    targets: TargetTable,
     /// Whether a list of targets was received, from the platform or in a snapshot.
     targets_listed: bool,
-    pub(crate) peers: PeerRegistry,
+    peers: PeerRegistry,
     peer_loads: PeerLoads,
     retry_budgets: BTreeMap<PoolName, WindowBudget>,
     segments: SegmentDirectory,
@@ -111,15 +113,15 @@
     /// Pairs of a prompt segment and a target hash that the other routers do not know yet.
     unreported_holders: Vec<(u64, u64)>,
     /// Pools none of whose targets accepts connections of this router.
-    pub(crate) unreachable_pools: BTreeSet<PoolName>,
+    unreachable_pools: BTreeSet<PoolName>,
     /// Changes of `unreachable_pools` since they were last taken.
-    pub(crate) link_changes: Vec<LinkChange>,
+    link_changes: Vec<LinkChange>,
     /// Hashes of targets that announced to this router that they leave.
     unreported_leaving: ReportQueue<u64>,
     /// Names of targets that announced to other routers that they leave, since they were last taken.
     leaving_heard: Vec<HostName>,
     origins: OriginTable,
-    pub(crate) calls: BTreeMap<CallKey, CallState>,
+    calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
     heartbeat_sequence: u64,
 }
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -131,7 +131,7 @@
         unit_hash(hash) * f64::from(routers) < contenders
     }
 
-    pub(crate) fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
+    pub(super) fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
         let bounds = self.retry_bounds();
         let routers = self.router_count();
         self.retry_budgets.entry(state.pool.clone()).or_default().try_spend(now, &bounds, routers)
--- a/crates/core-forward/src/core/refusals.rs
+++ b/crates/core-forward/src/core/refusals.rs
@@ -36,7 +36,7 @@
 
     /// Refuses a call whose attempts or retry budget are spent. Its caller may return soon, or when a
     /// target has room if none has now.
-    pub(crate) fn refuse_spent(&mut self, now: TimePoint, state: &CallState) -> DispatchStep {
+    pub(super) fn refuse_spent(&mut self, now: TimePoint, state: &CallState) -> DispatchStep {
         let room = self.next_room(now, state, |_| true).filter(|room| room.at > now);
         let soonest = now.after(RETRY_AFTER);
         let return_at = room.map_or(soonest, |room| self.queue_return(now, state, room));
@@ -80,7 +80,7 @@
 }
 
 /// Refuses a call; its caller may return soon if it did not run.
-pub(crate) fn refuse(
+pub(super) fn refuse(
     now: TimePoint,
     state: &CallState,
     not_run_code: NotRunCode,
--- a/crates/core-forward/src/detours.rs
+++ b/crates/core-forward/src/detours.rs
@@ -1,23 +1,10 @@
-//! Calls that are sent through another router, because this one cannot reach the targets.
-//!
-//! A call makes one detour at most: a router that gets a call from another one serves it or refuses it.
+//! Detours: calls that are sent through another router, because this one cannot reach the targets.
 
 use std::net::SocketAddr;
 
-use base_types::{
-    HostName, NotRunCode, PoolName, TimePoint, UnknownCode, key_types, message_types,
-};
+use base_types::{HostName, PoolName, TimePoint, key_types, message_types};
 use policy_routing::stable_hash;
 
-use crate::{CallKey, DispatchStep, ForwardCore, call::CallState, core::refusals::refuse};
-
-/// Attempts with outcome `Unsent` after which a call is sent through another router, although not all
-/// targets of its pool are known to be unreachable.
-const UNSENT_ATTEMPTS_BEFORE_DETOUR: u32 = 2;
-
-/// Number of routers that a call is offered to; each of the first ones did not accept a connection.
-const OFFERS_MAX: usize = 2;
-
 message_types! {
     /// Instructions for sending a call through another router.
     pub struct DetourSpec {
@@ -70,11 +57,11 @@
 pub(crate) struct CallDetour {
     /// Whether the call can make no detour any more: it made one, here or on its way to this router, or
     /// its response was forwarded.
-    is_over: bool,
+    pub(crate) is_over: bool,
     /// Routers that the call was offered to.
-    offered: Vec<HostName>,
+    pub(crate) offered: Vec<HostName>,
     /// Whether the last of them has the call.
-    is_in_flight: bool,
+    pub(crate) is_in_flight: bool,
 }
 
 impl CallDetour {
@@ -88,93 +75,3 @@
 pub(crate) fn pool_hash(pool: &PoolName) -> u64 {
     stable_hash(pool.as_str().as_bytes())
 }
-
-impl ForwardCore {
-    /// Records that the response of a call is forwarded to its caller, which ties the call to this
-    /// router.
-    pub fn on_response_forwarded(&mut self, key: CallKey) {
-        if let Some(state) = self.calls.get_mut(&key) {
-            state.detour.is_over = true;
-        }
-    }
-
-    /// Records how the detour in progress ended.
-    pub fn on_detour_finished(&mut self, now: TimePoint, key: CallKey, outcome: DetourOutcome) {
-        let Some(mut state) = self.calls.remove(&key) else { return };
-        self.end_detour(&mut state);
-        match (outcome, state.detour.offered.last()) {
-            (DetourOutcome::Unsent, Some(router)) => self.peers.on_detour_refused(now, router),
-            (DetourOutcome::Unsent, None) => {}
-            (DetourOutcome::Lost | DetourOutcome::Answered, _) => {
-                state.detour.is_over = true;
-                state.may_have_run |= outcome == DetourOutcome::Lost;
-            }
-        }
-        self.calls.insert(key, state);
-    }
-
-    /// Whether an earlier attempt may have run a call, so that it must not be refused as not run.
-    pub fn may_have_run(&self, key: CallKey) -> bool {
-        self.calls.get(&key).is_none_or(|state| state.may_have_run)
-    }
-
-    /// Returns the next action for a call whose pool this router cannot reach; `None` if a target is to
-    /// be tried.
-    pub(crate) fn detour_step(
-        &mut self,
-        now: TimePoint,
-        state: &mut CallState,
-    ) -> Option<DispatchStep> {
-        let is_unreachable = self.unreachable_pools.contains(&state.pool);
-        if !is_unreachable && state.unsent_attempts < UNSENT_ATTEMPTS_BEFORE_DETOUR {
-            return None;
-        }
-        let Some(mut detour) = self.choose_detour(now, state) else {
-            // No router reaches the pool, or the call may not be sent to another one.
-            let refusal = || refuse(now, state, NotRunCode::NoTarget, UnknownCode::TargetLost);
-            return is_unreachable.then(refusal);
-        };
-        if state.attempts > 0 && !self.spend_retry(now, state) {
-            return Some(self.refuse_spent(now, state));
-        }
-        detour.attempts = state.attempts;
-        state.detour.offered.push(detour.router.clone());
-        state.detour.is_in_flight = true;
-        self.peers.add_detour(&detour.router);
-        Some(DispatchStep::Detour(detour))
-    }
-
-    /// Whether a call can be sent through another router.
-    pub(crate) fn can_detour(&self, now: TimePoint, state: &CallState) -> bool {
-        self.unreachable_pools.contains(&state.pool) && self.choose_detour(now, state).is_some()
-    }
-
-    /// Ends a detour in progress.
-    pub(crate) fn end_detour(&mut self, state: &mut CallState) {
-        if std::mem::take(&mut state.detour.is_in_flight)
-            && let Some(router) = state.detour.offered.last()
-        {
-            self.peers.remove_detour(router);
-        }
-    }
-
-    /// Chooses the router with the fewest calls among those that reach the pool.
-    fn choose_detour(&self, now: TimePoint, state: &CallState) -> Option<DetourSpec> {
-        let detour = &state.detour;
-        if detour.is_over || detour.offered.len() >= OFFERS_MAX {
-            return None;
-        }
-        let peers = self.peers.reaching(now, pool_hash(&state.pool));
-        let candidates = peers.filter(|peer| !detour.offered.contains(&peer.entry.name));
-        // Calls are spread over routers with equally many.
-        let tie = |name: &HostName| stable_hash(name.as_str().as_bytes()) ^ state.call_hash;
-        let chosen = candidates.min_by_key(|peer| (peer.calls(), tie(&peer.entry.name)))?;
-        Some(DetourSpec {
-            router: chosen.entry.name.clone(),
-            address: chosen.entry.caller_address,
-            key: chosen.entry.detour_key.clone(),
-            attempts: state.attempts,
-            deadline: state.deadline,
-        })
-    }
-}
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -1,5 +1,5 @@
-//! Decisions on forwarded calls: route, client account, target, retries, and the routers that
-//! callers use.
+//! Decisions on forwarded calls: route, client account, target, retries, the way through another
+//! router, and the routers that callers use.
 //!
 //! [`ForwardCore`] is a state machine without I/O. Its caller owns sockets and timers, reports each
 //! event with its [`TimePoint`](base_types::TimePoint) and carries out the returned actions. Once
