--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -47,6 +47,8 @@
     CutShort,
     /// No answer; the connection stays open.
     Silent,
+    /// A complete answer after a silence.
+    Late(Duration),
     /// A stream of all events up to a number, from the one after the call's `Last-Event-Id`.
     Events(u64),
     /// Such a stream whose connection closes in the middle of the event after that number.
@@ -343,6 +345,10 @@
                 return AfterReply::Close;
             }
             Reply::Silent => return self.wait_for_close(connection).await,
+            Reply::Late(silence) => {
+                tokio::time::sleep(silence).await;
+                connection.send(complete(&id).as_bytes()).await;
+            }
             Reply::Events(last) => self.send_events(connection, request, last, "").await,
             Reply::EventsCut(after) => {
                 let half = format!("id: {}\ndata: ev", after + 1);
