Fill a heartbeat with a key of its real length in the test of datagrams

The key of routers was three characters long there instead of 32, and that targets are reported as leaving only at the end was no longer checked, as it had been. The largest heartbeat still fits.

--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -34,7 +34,7 @@
         peer_address: address(port + 1),
         failure_domain: "z".into(),
         incarnation: u64::from(port),
-        detour_key: "key".into(),
+        detour_key: "0123456789abcdef".repeat(2).into(),
     }
 }
 
@@ -657,6 +657,7 @@
             heartbeat.content.held.len(),
         ];
         assert!(!is_last || full_at_last == [32; 3], "{full_at_last:?}");
+        assert!(is_last || heartbeat.leaving_targets.is_empty());
     }
     assert!(
         core.status(TimePoint(LAST_SECOND * 1_000_000)).blocked_content > 32,
