Give links of tests ports that the system does not give to others

One run of the whole check on failed in a_router_that_keeps_old_links_serves_calls_that_run_once, with 502 for one call after the links were back. Traced: a link that is down closes its port, which the system had chosen and gave to another listener; the router then read answers of another test. Eight processes side by side, three times, with lost calls printed: 4 of 24 failed, the lost calls being answered with status 400 by someone else or broken off by them. The link takes a port of the range that is given out once: 0 of 24 failed, no lost call. No product code changes.

--- a/crates/fakes/src/gateway/link.rs
+++ b/crates/fakes/src/gateway/link.rs
@@ -8,6 +8,8 @@
     time::timeout,
 };
 
+use super::free_address;
+
 /// Pending connections that a listener of a hanging link takes before the system drops further ones.
 const HANGING_BACKLOG: u32 = 1;
 const BACKLOG: u32 = 256;
@@ -41,8 +43,9 @@
 impl RunnerLink {
     /// Starts a link to a runner.
     pub async fn start(runner: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a port");
-        let address = listener.local_addr().expect("the listener has no address");
+        // The system would give a port that it chose itself to others while the link is down.
+        let address = free_address();
+        let listener = TcpListener::bind(address).await.expect("cannot bind a port");
         let link = Self {
             address,
             runner,
