Record in the store which software began each stream while a pool has several versions

Cause: a router that starts with empty tables took what it had not seen for what had not been. After all routers restarted, the only version listed counted as the only one that served, and no origin of a stream was known.

Change: routers elect a recorder by rendezvous among those whose heartbeats arrive. It writes the software of each pool as one object, on condition of the revision just read, and, while a pool has or in the last 60 s had several versions, the origins of streams in 64 parts that are overwritten in turn, one write in 50 ms at most, whatever the size of the fleet. Without a record, other than on the fleet's first start (setting first_start), a pool's only version counts only after 60 s. In a pool of several versions the software of a resumable stream is fixed when its call is sent, so that its origin is known before the first event. Heartbeats carry new software.

--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -240,6 +240,16 @@
         self.strings(name).into_iter().filter_map(|text| self.parse_address(name, text)).collect()
     }
 
+    /// `true` or `false`; `default` when absent or faulty.
+    pub(crate) fn flag(&self, name: &'static str, default: bool) -> bool {
+        let Some(value) = self.read_value(name) else { return default };
+        let flag = value.get_ref().as_bool();
+        if flag.is_none() {
+            self.report_wrong_type(name, value, "a boolean", "write true or false without quotes");
+        }
+        flag.unwrap_or(default)
+    }
+
     /// An integer above zero and at most `max`; `default` when absent or faulty.
     pub(crate) fn positive_integer(&self, name: &'static str, default: u64, max: u64) -> u64 {
         let Some(value) = self.read_value(name) else { return default };
--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -41,6 +41,9 @@
     pub peer_listen: SocketAddr,
     /// Address of the platform's store.
     pub platform: SocketAddr,
+    /// Whether the whole fleet starts for the first time, so that nothing was served before. May stay
+    /// set: it decides only while the platform keeps no record of an earlier start.
+    pub first_start: bool,
     /// Bounds that apply to the fleet as a whole.
     pub fleet: FleetSettings,
     /// Level and format of the log.
@@ -86,6 +89,7 @@
         let metrics_listen = root.address("metrics_listen");
         let peer_listen = root.required_address("peer_listen");
         let platform = root.required_address("platform");
+        let first_start = root.flag("first_start", false);
         let fleet = FleetSettings::read(root);
         let log = LogSettings::read(root);
         Some(Self {
@@ -97,6 +101,7 @@
             metrics_listen,
             peer_listen: peer_listen?,
             platform: platform?,
+            first_start,
             fleet,
             log,
         })
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod ends;
 mod links;
+mod records;
 mod refusals;
 mod resumption;
 mod snapshots;
@@ -121,6 +122,10 @@
     /// Names of targets that announced to other routers that they leave, since they were last taken.
     leaving_heard: Vec<HostName>,
     origins: OriginTable,
+    /// Whether the platform kept no record as the fleet started for the first time.
+    is_first_start: bool,
+    /// Time from which this router may be the recorder; `None` before it was first asked.
+    recorder_from: Option<TimePoint>,
     calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
     heartbeat_sequence: u64,
@@ -150,6 +155,8 @@
             unreported_leaving: ReportQueue::default(),
             leaving_heard: Vec::new(),
             origins: OriginTable::default(),
+            is_first_start: false,
+            recorder_from: None,
             calls: BTreeMap::new(),
             next_call_key: 0,
             heartbeat_sequence: 0,
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -27,6 +27,9 @@
 /// Largest number of stream origins in one heartbeat; the others follow in the next one.
 const STREAM_ORIGINS_MAX: usize = 64;
 
+/// Largest number of notices on software in one heartbeat; the others follow in the next one.
+const SOFTWARE_NOTICES_MAX: usize = 16;
+
 /// Largest number of unreachable pools in one heartbeat.
 const UNREACHABLE_POOLS_MAX: usize = 16;
 
@@ -102,6 +105,7 @@
             limits: self.take_limit_notices(now),
             leaving_targets: self.unreported_leaving.next_report(LEAVING_TARGETS_MAX),
             stream_origins: self.origins.next_report(now, STREAM_ORIGINS_MAX),
+            software: self.targets.software.next_report(now, SOFTWARE_NOTICES_MAX),
             unreachable_pools,
             cut_off: self.is_cut_off(now),
         }
@@ -163,6 +167,9 @@
                 self.leaving_heard.extend(record.map(|record| record.entry.name.clone()));
             }
         }
+        for notice in &heartbeat.software {
+            self.targets.software.on_notice(now, notice);
+        }
         for notice in &heartbeat.stream_origins {
             self.origins.on_notice(now, *notice);
         }
--- /dev/null
+++ b/crates/core-forward/src/core/records.rs
@@ -0,0 +1,98 @@
+//! What the recorder writes to the platform, and what a starting router restores from there.
+
+use std::time::Duration;
+
+use base_types::{HostName, TimePoint};
+use policy_routing::{rendezvous_score, stable_hash};
+
+use crate::{ForwardCore, OriginRecord, RecordWrite, heartbeat_interval};
+
+/// Time from the first start of a fleet after which a router may be the recorder: only then has it learned
+/// of all others, which start at the same time.
+const FIRST_START_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Heartbeat intervals of silence after which another router becomes the recorder.
+const RECORDER_SILENCE_INTERVALS: u32 = 3;
+
+/// Hash by which the routers are ranked for the record; any constant serves.
+const RECORD_HASH: u64 = 0;
+
+impl ForwardCore {
+    /// Returns what this router is to write to the platform now, if it is the recorder.
+    pub fn next_record_write(&mut self, now: TimePoint) -> Option<RecordWrite> {
+        if !self.is_recorder(now) {
+            self.origins.record.stop();
+            return None;
+        }
+        let software = &self.targets.software;
+        let pools = software.by_pool(now);
+        let is_mixed = pools.values().any(|versions| versions.len() > 1);
+        // Software that is written counts as all that served, so it is written once that is known.
+        if software.is_complete(now)
+            && !pools.is_empty()
+            && let Some(write) = self.origins.record.software_write(pools)
+        {
+            return Some(write);
+        }
+        if !is_mixed {
+            self.origins.record.stop_origins();
+            return None;
+        }
+        self.origins.next_write(now)
+    }
+
+    /// Records that the platform accepted a write.
+    pub fn on_record_written(&mut self, now: TimePoint, write: RecordWrite) {
+        self.origins.record.on_written(now, write);
+    }
+
+    /// Whether this router records the origins of streams now.
+    pub fn is_recording_origins(&self) -> bool {
+        self.origins.record.has_origins()
+    }
+
+    /// Whether it is not known yet what served before this router started.
+    pub fn is_past_awaited(&self) -> bool {
+        self.targets.software.is_past_awaited()
+    }
+
+    /// Restores what the platform keeps; `None` if it keeps nothing, which says that nothing served
+    /// before only on the fleet's first start.
+    pub fn restore_record(
+        &mut self,
+        now: TimePoint,
+        record: Option<OriginRecord>,
+        first_start: bool,
+    ) {
+        self.is_first_start = first_start && record.is_none();
+        let is_complete = record.as_ref().map_or(first_start, |record| !record.software.is_empty());
+        let record = record.unwrap_or_default();
+        for (pool, versions) in &record.software {
+            for software in versions {
+                self.targets.software.on_recorded(now, pool, *software);
+            }
+        }
+        for (call_hash, software) in record.origins {
+            self.origins.on_recorded(now, call_hash, software);
+        }
+        self.targets.software.on_past_read(now, is_complete);
+    }
+
+    /// Whether rendezvous hashing assigns the record to this router among those whose heartbeats
+    /// arrive.
+    fn is_recorder(&mut self, now: TimePoint) -> bool {
+        if !self.ready() || self.is_past_awaited() {
+            return false;
+        }
+        let silence = heartbeat_interval(self.router_count()) * RECORDER_SILENCE_INTERVALS;
+        let delay = if self.is_first_start { FIRST_START_DELAY } else { silence };
+        if !self.recorder_from.get_or_insert(now.after(delay)).passed(now) {
+            return false;
+        }
+        let score = |name: &HostName| {
+            rendezvous_score(RECORD_HASH, stable_hash(name.as_str().as_bytes()), 1)
+        };
+        let own_score = score(&self.entry.name);
+        self.peers.serving_within(now, silence).all(|peer| score(&peer.name) < own_score)
+    }
+}
--- a/crates/core-forward/src/core/resumption.rs
+++ b/crates/core-forward/src/core/resumption.rs
@@ -1,14 +1,17 @@
 //! Streams that callers resume: which software may serve them.
 
-use base_types::TimePoint;
+use std::time::Duration;
+
+use base_types::{TargetKey, TimePoint};
 
 use crate::{
-    CallKey, ForwardCore,
-    call::CallState,
-    heartbeat_interval,
-    origins::{SoftwareKey, StreamSoftware},
+    CallKey, ForwardCore, call::CallState, heartbeat_interval, origins::StreamSoftware,
+    software::SoftwareKey,
 };
 
+/// Longest time for which a call waits for this router to learn what served before it started.
+const PAST_WAIT: Duration = Duration::from_secs(1);
+
 /// Fraction of the heartbeat interval for which a call waits for the origin of its stream. A router
 /// that has an origin to report sends its next heartbeat early.
 const ORIGIN_WAIT_DIVISOR: u32 = 2;
@@ -23,19 +26,48 @@
         if state.software == StreamSoftware::Any {
             state.software = StreamSoftware::Only(record.software);
             let deadline = state.caller_deadline;
-            self.origins.on_first_event(now, state.call_hash, record.software, deadline);
+            self.origins.on_begun(now, state.call_hash, record.software, deadline);
         }
     }
 
-    /// Time until which another router may still report the origin of the stream that a call resumes;
-    /// `None` if the call need not wait for it.
+    /// Fixes the software of a stream when its call is sent to a pool of several versions, so that its
+    /// origin is known to the others, and recorded, by the time of its first event.
+    pub(super) fn fix_software(
+        &mut self,
+        now: TimePoint,
+        state: &mut CallState,
+        target: TargetKey,
+    ) {
+        let Some(record) = self.targets.get(target) else { return };
+        let software = record.software;
+        let is_resumable = state.retry_rule.is_streaming() && state.retry_rule.is_retryable();
+        if !is_resumable
+            || state.software != StreamSoftware::Any
+            || record.entry.software_version.is_empty()
+            || !self.targets.software.is_mixed(now, &state.pool)
+        {
+            return;
+        }
+        state.software = StreamSoftware::Only(software);
+        self.origins.on_begun(now, state.call_hash, software, state.caller_deadline);
+    }
+
+    /// Time until which the origin of the stream that a call resumes may still become known: another
+    /// router may report it, or this one may have just started. `None` if the call need not wait.
     pub fn origin_deadline(&self, now: TimePoint, key: CallKey) -> Option<TimePoint> {
         let state = self.calls.get(&key)?;
         let routers = self.router_count();
-        let is_awaited = matches!(state.software, StreamSoftware::Unresolved(Some(_)))
-            && self.find_software(now, state).is_none()
-            && routers > 1;
-        is_awaited.then(|| now.after(heartbeat_interval(routers) / ORIGIN_WAIT_DIVISOR))
+        if !matches!(state.software, StreamSoftware::Unresolved(_))
+            || self.find_software(now, state).is_some()
+        {
+            return None;
+        }
+        if self.is_past_awaited() {
+            return Some(now.after(PAST_WAIT).min(state.deadline));
+        }
+        let is_named = matches!(state.software, StreamSoftware::Unresolved(Some(_)));
+        (is_named && routers > 1)
+            .then(|| now.after(heartbeat_interval(routers) / ORIGIN_WAIT_DIVISOR))
     }
 
     /// Determines the software that may serve a call which resumes a stream, if that is known.
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -57,6 +57,8 @@
         pub content: ContentReport,
         /// Software that targets ran in the time in which a stream may last.
         pub software: Vec<SoftwareNotice>,
+        /// Whether this is all such software.
+        pub software_complete: bool,
         /// Holders of prompt segments, the most recently used segment first; empty until the router
         /// is settled.
         pub segment_holders: Vec<SegmentHolders>,
@@ -79,6 +81,7 @@
             stream_origins: self.origins.notices(now).take(SNAPSHOT_ORIGINS_MAX).collect(),
             content: self.crashes.full_report(now),
             software: self.targets.software.notices(now).collect(),
+            software_complete: self.targets.software.is_complete(now),
             segment_holders: segments
                 .map(|(segment, target_hashes)| SegmentHolders { segment, target_hashes })
                 .collect(),
@@ -101,6 +104,9 @@
         for notice in &snapshot.software {
             self.targets.software.on_notice(now, notice);
         }
+        if snapshot.software_complete {
+            self.targets.software.on_past_read(now, true);
+        }
         if !self.targets_listed && !snapshot.targets.is_empty() {
             self.list_targets(now, snapshot.targets);
         }
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -12,9 +12,11 @@
 mod detours;
 mod limits;
 mod links;
+mod origin_record;
 mod origins;
 mod peers;
 mod reports;
+mod software;
 mod targets;
 
 pub use crate::{
@@ -31,8 +33,10 @@
     detours::{DetourClaim, DetourOutcome, DetourSpec},
     limits::LimitNotice,
     links::{LinkChange, LinkProbe},
-    origins::{OriginNotice, SoftwareKey, SoftwareNotice},
+    origin_record::{OriginRecord, RECORD_PARTS, RecordWrite},
+    origins::OriginNotice,
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
+    software::{SoftwareKey, SoftwareNotice},
     targets::{LeavingNotice, TargetEntry, TargetStatus},
 };
 pub use policy_retries::ContentChange;
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -5,7 +5,7 @@
 use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
 use policy_targets::OutcomeCount;
 
-use crate::{ContentReport, LimitNotice, OriginNotice};
+use crate::{ContentReport, LimitNotice, OriginNotice, SoftwareNotice};
 
 /// Time for which a router counts as alive after its last heartbeat.
 const HEARTBEAT_TTL: Duration = Duration::from_millis(1_500);
@@ -60,6 +60,8 @@
         pub leaving_targets: Vec<u64>,
         /// Origins of streams that began through the router.
         pub stream_origins: Vec<OriginNotice>,
+        /// Software that the router saw first, as far as it knows.
+        pub software: Vec<SoftwareNotice>,
         /// Hashes of the pools none of whose targets accepts connections of the router.
         pub unreachable_pools: Vec<u64>,
         /// Whether these are all pools with targets.
@@ -185,6 +187,18 @@
         serving.map(|record| &record.entry)
     }
 
+    /// Returns the serving routers whose last heartbeat is at most `silence` old.
+    pub(crate) fn serving_within(
+        &self,
+        now: TimePoint,
+        silence: Duration,
+    ) -> impl Iterator<Item = &RouterEntry> {
+        let since =
+            move |record: &PeerRecord| HEARTBEAT_TTL.saturating_sub(record.alive_until.since(now));
+        let serving = self.records.values().filter(move |record| record.is_serving(now));
+        serving.filter(move |record| since(record) <= silence).map(|record| &record.entry)
+    }
+
     /// Returns the serving routers that reach targets.
     pub(crate) fn serving_with_links(&self, now: TimePoint) -> impl Iterator<Item = &RouterEntry> {
         let serving = self.records.values().filter(move |record| record.is_serving(now));
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -18,7 +18,7 @@
 use crate::{
     limits::LimitReport,
     links::TargetLink,
-    origins::{SoftwareHistory, SoftwareKey},
+    software::{SoftwareHistory, SoftwareKey},
 };
 
 /// Time for which other engines may still fetch cached segments from a target that is draining,
--- a/crates/fakes/src/gateway/store.rs
+++ b/crates/fakes/src/gateway/store.rs
@@ -193,10 +193,16 @@
                 Some((200, json!({})))
             }
             ("PUT", Some(name)) => {
-                if self.read(&kind, &name).0 != 200 {
+                let (status, current) = self.read(&kind, &name);
+                if status != 200 {
                     return Some((404, json!({})));
                 }
-                self.put(&kind, &name, spec?["spec"].clone());
+                let spec = spec?;
+                let expected = &spec["metadata"]["revision"];
+                if !expected.is_null() && *expected != current["metadata"]["revision"] {
+                    return Some((409, current));
+                }
+                self.put(&kind, &name, spec["spec"].clone());
                 Some((200, json!({})))
             }
             ("DELETE", Some(name)) => {
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -72,7 +72,7 @@
                 log::info!(target = target.as_str(); "target announced to another router that it leaves");
             }
             if has_origins {
-                state.origins_received().notify_waiters();
+                state.notify_origins();
             }
         }
         Err(error) => log::debug!(error = error.to_string().as_str(); "malformed heartbeat"),
--- a/crates/io-forward/src/snapshots.rs
+++ b/crates/io-forward/src/snapshots.rs
@@ -80,6 +80,7 @@
             let (settled, parts) = (snapshot.settled, snapshot.segment_holders.len());
             let targets = snapshot.targets.len();
             state.with_core(|core, now| core.restore(now, snapshot));
+            state.notify_origins();
             log::info!(peer = peer.as_str(), settled, targets, parts; "snapshot restored");
             settled
         }
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -108,7 +108,12 @@
         &self.inner.heartbeat_wakeup
     }
 
-    /// Notified when a peer reported the origins of streams.
+    /// Has calls that wait for the origins of their streams look for them again.
+    pub fn notify_origins(&self) {
+        self.inner.origins_received.notify_waiters();
+    }
+
+    /// Notified when the origins of streams were received.
     pub(crate) fn origins_received(&self) -> &Notify {
         &self.inner.origins_received
     }
--- a/crates/io-forward/tests/snapshots.rs
+++ b/crates/io-forward/tests/snapshots.rs
@@ -28,6 +28,7 @@
             software: SoftwareKey(6),
             left_ms: 8,
         }],
+        software_complete: true,
         content: ContentReport { responding: vec![9], ..ContentReport::default() },
         segment_holders: vec![
             SegmentHolders { segment: 300, target_hashes: vec![1, 2] },
