--- a/crates/core-forward/src/core/records.rs
+++ b/crates/core-forward/src/core/records.rs
@@ -5,7 +5,7 @@
 use base_types::{HostName, TimePoint};
 use policy_routing::{rendezvous_score, stable_hash};
 
-use crate::{ForwardCore, OriginRecord, RecordWrite, heartbeat_interval};
+use crate::{ContentReport, ForwardCore, OriginRecord, RecordWrite, heartbeat_interval};
 
 /// Time from the first start of a fleet after which a router may be the recorder: only then has it learned
 /// of all others, which start at the same time.
@@ -34,6 +34,10 @@
         {
             return Some(write);
         }
+        let blocks = self.crashes.block_notices(now).collect();
+        if let Some(write) = self.origins.record.blocks_write(blocks) {
+            return Some(write);
+        }
         if !is_mixed {
             self.origins.record.stop_origins();
             return None;
@@ -75,6 +79,8 @@
         for (call_hash, software) in record.origins {
             self.origins.on_recorded(now, call_hash, software);
         }
+        let blocks = ContentReport { blocks: record.blocks, ..ContentReport::default() };
+        self.crashes.on_report(now, &blocks);
         self.targets.software.on_past_read(now, is_complete);
     }
 
--- a/crates/core-forward/src/crashes.rs
+++ b/crates/core-forward/src/crashes.rs
@@ -214,7 +214,8 @@
         }
     }
 
-    fn block_notices(&self, now: TimePoint) -> impl Iterator<Item = BlockNotice> {
+    /// Returns the blocks in force.
+    pub(crate) fn block_notices(&self, now: TimePoint) -> impl Iterator<Item = BlockNotice> {
         self.tracker.blocks().map(move |(key, block)| BlockNotice {
             key,
             trial_in_ms: block.trial_at.since(now).as_millis() as u32,
--- a/crates/core-forward/src/origin_record.rs
+++ b/crates/core-forward/src/origin_record.rs
@@ -1,14 +1,14 @@
 //! What the platform keeps so that streams go on after all routers restarted at once.
 //!
-//! One router, the recorder, writes which software each pool has, and, while a pool has had several
+//! One router, the recorder, writes which software each pool has, which content is blocked, and, while a pool has had several
 //! versions, which software began each stream. The number of writes depends on time only, not on the
 //! number of routers or streams.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base_types::{PoolName, TimePoint, message_types};
+use base_types::{ContentKey, PoolName, TimePoint, message_types};
 
-use crate::SoftwareKey;
+use crate::{BlockNotice, SoftwareKey};
 
 /// Shortest time between two writes of origins; a stream that breaks off sooner may be unknown after all
 /// routers restarted.
@@ -28,6 +28,8 @@
     pub enum RecordWrite {
         /// The software that served each pool while its streams may go on.
         Software(BTreeMap<PoolName, Vec<SoftwareKey>>),
+        /// The content that is blocked because it crashes targets.
+        Blocks(Vec<BlockNotice>),
         /// One part of the origins of streams.
         Origins {
             /// Number of the part, below [`RECORD_PARTS`].
@@ -44,6 +46,8 @@
         pub software: BTreeMap<PoolName, Vec<SoftwareKey>>,
         /// Hashes of the calls that began streams, and the software of each.
         pub origins: Vec<(u64, SoftwareKey)>,
+        /// The content that was blocked.
+        pub blocks: Vec<BlockNotice>,
     }
 }
 
@@ -52,6 +56,8 @@
 pub(crate) struct RecordSchedule {
     /// Software as last written by this router; `None` while another one is the recorder.
     written_software: Option<BTreeMap<PoolName, Vec<SoftwareKey>>>,
+    /// Content as last written, with the number of its trials; the record is taken to have none first.
+    written_blocks: BTreeMap<ContentKey, u8>,
     /// The origins being recorded; `None` while no pool has several versions.
     part: Option<RecordPart>,
 }
@@ -113,6 +119,11 @@
         is_new.then_some(RecordWrite::Software(software))
     }
 
+    /// Returns the blocks to write, if others are in force than were written last.
+    pub(crate) fn blocks_write(&self, blocks: Vec<BlockNotice>) -> Option<RecordWrite> {
+        (trials_by_content(&blocks) != self.written_blocks).then_some(RecordWrite::Blocks(blocks))
+    }
+
     /// Returns the number and the calls of the part to write, if it has new ones.
     pub(crate) fn origins_write(&mut self, now: TimePoint) -> Option<(u32, Vec<u64>)> {
         let part = self.part.as_mut()?;
@@ -129,6 +140,7 @@
     pub(crate) fn on_written(&mut self, now: TimePoint, write: RecordWrite) {
         match write {
             RecordWrite::Software(software) => self.written_software = Some(software),
+            RecordWrite::Blocks(blocks) => self.written_blocks = trials_by_content(&blocks),
             RecordWrite::Origins { part: number, .. } => {
                 if let Some(part) = self.part.as_mut().filter(|part| part.number == number) {
                     part.on_written(now);
@@ -149,6 +161,10 @@
     }
 }
 
+fn trials_by_content(blocks: &[BlockNotice]) -> BTreeMap<ContentKey, u8> {
+    blocks.iter().map(|block| (block.key, block.trials)).collect()
+}
+
 /// Groups the calls of a part by their software.
 pub(crate) fn group_by_software(
     origins: impl Iterator<Item = (u64, SoftwareKey)>,
--- a/crates/core-forward/tests/record.rs
+++ b/crates/core-forward/tests/record.rs
@@ -43,6 +43,7 @@
         self.writes += 1;
         match write {
             RecordWrite::Software(software) => self.software.clone_from(software),
+            RecordWrite::Blocks(_) => panic!("no content is blocked"),
             RecordWrite::Origins { part, calls } => {
                 assert!(*part < RECORD_PARTS);
                 self.parts.insert(*part, calls.clone());
@@ -54,7 +55,11 @@
         let parts = self.parts.values().flatten();
         let origins =
             parts.flat_map(|(software, calls)| calls.iter().map(|call| (*call, *software)));
-        OriginRecord { software: self.software.clone(), origins: origins.collect() }
+        OriginRecord {
+            software: self.software.clone(),
+            origins: origins.collect(),
+            ..OriginRecord::default()
+        }
     }
 }
 
@@ -176,7 +181,7 @@
     for seed in 0..3 {
         let (killed_at, streams, store) = play_until_kill(plan, seed);
         let now = killed_at.after(Duration::from_secs(1));
-        let mut core = new_restarted_router(now, 0, 2, RetryRule::ResumableStream);
+        let mut core = new_restarted_router(now, 0, 2, RetryRule::ResumableStream, 1);
         let listed = if plan.older_leaves { newer() } else { [older(), newer()].concat() };
         core.list_targets(now, listed);
         core.on_platform_responded(now);
@@ -236,7 +241,7 @@
 /// the restart or refused.
 fn check_restarted(read: ReadRecord, after: Duration, served: bool) {
     let now = seconds(10);
-    let mut core = new_restarted_router(now, 0, 2, RetryRule::ResumableStream);
+    let mut core = new_restarted_router(now, 0, 2, RetryRule::ResumableStream, 1);
     core.list_targets(now, newer());
     match read {
         ReadRecord::Nothing => {}
@@ -263,7 +268,9 @@
     core.list_targets(seconds(1), seen.collect());
     assert_eq!(core.next_record_write(seconds(1)), None, "the others are not known yet");
     match core.next_record_write(seconds(3)) {
-        Some(RecordWrite::Software(software)) => OriginRecord { software, origins: Vec::new() },
+        Some(RecordWrite::Software(software)) => {
+            OriginRecord { software, ..OriginRecord::default() }
+        }
         write => panic!("{write:?}"),
     }
 }
@@ -290,7 +297,7 @@
 #[test]
 fn a_call_waits_while_the_record_is_read() {
     let now = seconds(10);
-    let mut core = new_restarted_router(now, 0, 2, RetryRule::ResumableStream);
+    let mut core = new_restarted_router(now, 0, 2, RetryRule::ResumableStream, 1);
     core.list_targets(now, newer());
     core.on_platform_responded(now);
     let call = admit(&mut core, now, 1, Some(99));
