Give a restarted router no retries beyond the ratio until those before are out of the window

Cause: the slack of the retry budget was whole again after each restart, so that all routers together could spend it several times within one window. Change: without the fleet's first start on record, the slack counts from one window after the start on; the ratio of calls counts at once. The routers of decisions.rs are of a first start, as they were meant to be.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -305,7 +305,7 @@
         };
         // The router that sent the call has counted it.
         if !admitted.from_router {
-            let bounds = self.retry_bounds();
+            let bounds = self.retry_bounds(now);
             self.retry_budgets.entry(state.pool.clone()).or_default().on_call(now, &bounds);
         }
         self.calls.insert(call, state);
@@ -323,7 +323,7 @@
             cached_segments: self.segments.segment_count(record.target_hash),
             phase: record.lifecycle.phase(now),
         });
-        let (bounds, routers) = (self.retry_bounds(), self.router_count());
+        let (bounds, routers) = (self.retry_bounds(now), self.router_count());
         let budgets = self.retry_budgets.iter();
         let retries_left =
             budgets.map(|(pool, budget)| (pool.clone(), budget.remaining(now, &bounds, routers)));
@@ -343,10 +343,14 @@
         }
     }
 
-    fn retry_bounds(&self) -> WindowBounds {
+    /// Bounds of the retry budget. A restarted router may have spent its slack just before, so it has
+    /// none until that is out of the window.
+    fn retry_bounds(&self, now: TimePoint) -> WindowBounds {
+        let has_slack =
+            self.is_first_start || self.first_config_at.after(self.bounds.retry_window).passed(now);
         WindowBounds {
             ratio: self.bounds.retry_ratio,
-            slack: self.bounds.retry_slack,
+            slack: if has_slack { self.bounds.retry_slack } else { 0 },
             window: self.bounds.retry_window,
         }
     }
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -132,7 +132,7 @@
     }
 
     pub(super) fn spend_retry(&mut self, now: TimePoint, state: &CallState) -> bool {
-        let bounds = self.retry_bounds();
+        let bounds = self.retry_bounds(now);
         let routers = self.router_count();
         self.retry_budgets.entry(state.pool.clone()).or_default().try_spend(now, &bounds, routers)
     }
@@ -171,7 +171,7 @@
         }
         let has_alternative =
             self.cost_views(now, state).iter().any(|view| !view.excluded && !view.ejected);
-        let bounds = self.retry_bounds();
+        let bounds = self.retry_bounds(now);
         let routers = self.router_count();
         let budget = self.retry_budgets.get(&state.pool);
         let has_budget = budget.is_some_and(|budget| budget.remaining(now, &bounds, routers) > 0);
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -78,6 +78,7 @@
 fn core_of(retry_rule: RetryRule, attempts_max: u32, targets: u16) -> ForwardCore {
     let mut core = ForwardCore::new(router("a", 100), BOUNDS);
     core.adopt_config(TimePoint(0), config(1, retry_rule, attempts_max));
+    core.restore_record(TimePoint(0), None, true);
     core.list_targets(TimePoint(0), (0..targets).map(target).collect());
     core
 }
