Tell other routers of changes of targets, and have few routers watch them at a time

Change: the router that reads a change first reports it in three heartbeats; each change has the store's revision, and one older than the latest known is ignored for 10 s.

The full heartbeat grew, so that it holds 100 segment holders instead of 200.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod ends;
 mod links;
+mod listing;
 mod records;
 mod refusals;
 mod resumption;
@@ -24,8 +25,7 @@
 use state_config::{CallerLimits, ConfigVersion, FleetConfig};
 
 use crate::{
-    CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, StreamResumption, TargetEntry,
-    TargetStatus,
+    CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, StreamResumption, TargetStatus,
     call::CallState,
     crashes::CrashReporter,
     detours::CallDetour,
@@ -121,6 +121,8 @@
     unreported_leaving: ReportQueue<u64>,
     /// Names of targets that announced to other routers that they leave, since they were last taken.
     leaving_heard: Vec<HostName>,
+    /// Targets whose changes other routers reported first, since they were last taken.
+    reported_changes: Vec<HostName>,
     origins: OriginTable,
     /// Whether the platform kept no record as the fleet started for the first time.
     is_first_start: bool,
@@ -154,6 +156,7 @@
             link_changes: Vec::new(),
             unreported_leaving: ReportQueue::default(),
             leaving_heard: Vec::new(),
+            reported_changes: Vec::new(),
             origins: OriginTable::default(),
             is_first_start: false,
             recorder_from: None,
@@ -176,22 +179,6 @@
         true
     }
 
-    /// Replaces the list of targets.
-    pub fn list_targets(&mut self, now: TimePoint, entries: Vec<TargetEntry>) {
-        self.targets.replace_all(now, entries);
-        self.targets_listed = true;
-    }
-
-    /// Adds or updates one entry of the list of targets.
-    pub fn put_target(&mut self, now: TimePoint, entry: TargetEntry) {
-        self.targets.upsert(now, entry);
-    }
-
-    /// Handles the removal of a target from the platform's list.
-    pub fn remove_target(&mut self, now: TimePoint, name: &HostName) {
-        self.targets.mark_missing(now, name);
-    }
-
     /// Handles the end of an outage of the platform; entries that expired during the outage get
     /// time to be listed again.
     pub fn on_platform_reconnected(&mut self, now: TimePoint) {
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -12,7 +12,7 @@
 };
 
 /// Largest number of segment holders in one heartbeat, so that it fits into a datagram.
-const SEGMENT_HOLDERS_MAX: usize = 200;
+const SEGMENT_HOLDERS_MAX: usize = 100;
 
 /// Largest number of targets whose outcomes are reported in one heartbeat; the others follow in the
 /// next one.
@@ -27,8 +27,11 @@
 /// Largest number of stream origins in one heartbeat; the others follow in the next one.
 const STREAM_ORIGINS_MAX: usize = 64;
 
+/// Largest number of changes of targets in one heartbeat; the others follow in the next one.
+const TARGET_CHANGES_MAX: usize = 8;
+
 /// Largest number of notices on software in one heartbeat; the others follow in the next one.
-const SOFTWARE_NOTICES_MAX: usize = 16;
+const SOFTWARE_NOTICES_MAX: usize = 8;
 
 /// Largest number of unreachable pools in one heartbeat.
 const UNREACHABLE_POOLS_MAX: usize = 16;
@@ -105,6 +108,7 @@
             limits: self.take_limit_notices(now),
             leaving_targets: self.unreported_leaving.next_report(LEAVING_TARGETS_MAX),
             stream_origins: self.origins.next_report(now, STREAM_ORIGINS_MAX),
+            target_changes: self.targets.news.next_report(now, TARGET_CHANGES_MAX),
             software: self.targets.software.next_report(now, SOFTWARE_NOTICES_MAX),
             unreachable_pools,
             cut_off: self.is_cut_off(now),
@@ -167,6 +171,7 @@
                 self.leaving_heard.extend(record.map(|record| record.entry.name.clone()));
             }
         }
+        self.on_target_notices(now, &heartbeat.target_changes);
         for notice in &heartbeat.software {
             self.targets.software.on_notice(now, notice);
         }
@@ -182,6 +187,11 @@
         std::mem::take(&mut self.leaving_heard)
     }
 
+    /// Number of routers, including those without a recent heartbeat.
+    pub fn fleet_size(&self) -> u32 {
+        self.router_count()
+    }
+
     /// Returns the addresses that heartbeats are sent to.
     pub fn heartbeat_addresses(&self) -> Vec<SocketAddr> {
         self.peers.entries().map(|entry| entry.peer_address).collect()
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod reports;
 mod software;
+mod target_news;
 mod targets;
 
 pub use crate::{
@@ -37,6 +38,7 @@
     origins::OriginNotice,
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
     software::{SoftwareKey, SoftwareNotice},
+    target_news::TargetNotice,
     targets::{LeavingNotice, TargetEntry, TargetStatus},
 };
 pub use policy_retries::ContentChange;
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -5,7 +5,7 @@
 use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
 use policy_targets::OutcomeCount;
 
-use crate::{ContentReport, LimitNotice, OriginNotice, SoftwareNotice};
+use crate::{ContentReport, LimitNotice, OriginNotice, SoftwareNotice, TargetNotice};
 
 /// Time for which a router counts as alive after its last heartbeat.
 const HEARTBEAT_TTL: Duration = Duration::from_millis(1_500);
@@ -60,6 +60,8 @@
         pub leaving_targets: Vec<u64>,
         /// Origins of streams that began through the router.
         pub stream_origins: Vec<OriginNotice>,
+        /// Changes of targets' entries that the router read from the platform before others told it.
+        pub target_changes: Vec<TargetNotice>,
         /// Software that the router saw first, as far as it knows.
         pub software: Vec<SoftwareNotice>,
         /// Hashes of the pools none of whose targets accepts connections of the router.
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -19,6 +19,7 @@
     limits::LimitReport,
     links::TargetLink,
     software::{SoftwareHistory, SoftwareKey},
+    target_news::TargetNews,
 };
 
 /// Time for which other engines may still fetch cached segments from a target that is draining,
@@ -151,6 +152,7 @@
     /// record of a target that is no longer listed.
     leaving_until: BTreeMap<u64, TimePoint>,
     pub(crate) software: SoftwareHistory,
+    pub(crate) news: TargetNews,
     /// Until this time, a missing entry does not count as removed.
     relist_until: TimePoint,
 }
@@ -296,6 +298,7 @@
             next_key: 0,
             leaving_until: BTreeMap::new(),
             software: SoftwareHistory::default(),
+            news: TargetNews::default(),
             relist_until: TimePoint(0),
         }
     }
@@ -356,6 +359,19 @@
         self.records.insert(key, record);
     }
 
+    /// The entry of a target as it is listed; `None` if it is not, or no longer.
+    pub(crate) fn listed_entry(&self, name: &HostName) -> Option<&TargetEntry> {
+        let record = self.records.get(self.keys_by_name.get(name)?)?;
+        let is_listed = record.listed && record.delist_at == TimePoint::NEVER;
+        is_listed.then_some(&record.entry)
+    }
+
+    /// Names of the listed targets.
+    pub(crate) fn listed_names(&self) -> Vec<HostName> {
+        let names = self.keys_by_name.keys();
+        names.filter(|name| self.listed_entry(name).is_some()).cloned().collect()
+    }
+
     /// Marks an entry as missing from the list. Shortly after an outage of the platform, it gets
     /// time to be listed again before it is removed.
     pub(crate) fn mark_missing(&mut self, now: TimePoint, name: &HostName) {
@@ -419,6 +435,7 @@
         }
         let (keys_by_name, keys_by_hash) = (&mut self.keys_by_name, &mut self.keys_by_hash);
         self.software.sweep(now);
+        self.news.sweep(now);
         let mut removed_hashes = Vec::new();
         self.records.retain(|key, record| {
             let is_kept =
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -5,7 +5,7 @@
 use base_types::{ContentDigest, HostName, NotRunCode, Refusal, TargetKey, TimePoint};
 use core_forward::{
     AttemptOutcome, CallHead, CallKey, DetourClaim, DetourOutcome, DispatchStep, ForwardCore,
-    PromptHead, PromptSegment,
+    PromptHead, PromptSegment, TargetNotice,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::RetryRule;
@@ -202,7 +202,13 @@
                 self.targets[target] = (incarnation + 1, TimePoint(0));
                 let entry = target_entry(target, incarnation + 1);
                 for router in &mut self.routers {
-                    router.put_target(self.now, entry.clone());
+                    let entry = Some(entry.clone());
+                    let notice = TargetNotice {
+                        name: target_entry(target, 0).name,
+                        revision: self.now.0,
+                        entry,
+                    };
+                    router.on_targets_changed(self.now, vec![notice]);
                 }
             }
         }
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -8,7 +8,8 @@
 };
 use core_forward::{
     AttemptOutcome, AttemptSpec, CallHead, CallKey, CallRate, DispatchStep, ForwardBounds,
-    ForwardCore, PromptHead, PromptSegment, RouterEntry, StreamResumption, TargetEntry,
+    ForwardCore, PromptHead, PromptSegment, RouterEntry, SoftwareKey, SoftwareNotice,
+    StreamResumption, TargetEntry, TargetNotice,
 };
 use proptest::prelude::*;
 use state_config::{
@@ -466,11 +467,16 @@
                     }
                 }
                 Operation::Put(index, draining, incarnation) => {
-                    core.put_target(now, TargetEntry { draining, incarnation, ..target(index) });
+                    let entry = TargetEntry { draining, incarnation, ..target(index) };
+                    let name = entry.name.clone();
+                    let entry = Some(entry);
+                    core.on_targets_changed(now, vec![TargetNotice { name, revision: now.0, entry }]);
                     accepting[usize::from(index)] = !draining;
                 }
                 Operation::Remove(index) => {
-                    core.remove_target(now, &target(index).name);
+                    let name = target(index).name;
+                    let notice = TargetNotice { name, revision: now.0, entry: None };
+                    core.on_targets_changed(now, vec![notice]);
                     accepting[usize::from(index)] = false;
                 }
                 Operation::Sweep => core.sweep(now),
@@ -589,6 +595,24 @@
 
 /// All lists of a heartbeat are full: loads, segments, outcomes, crashes, held content, blocks, limits,
 /// origins of streams, and at last the targets that answer after a reported crash or that leave.
+fn longest_software() -> SoftwareNotice {
+    let pool = PoolName::new(&"p".repeat(32));
+    SoftwareNotice { pool, software: SoftwareKey(u64::MAX), left_ms: u32::MAX }
+}
+
+fn longest_change() -> TargetNotice {
+    let name = HostName::new(&"t".repeat(32));
+    let entry = TargetEntry {
+        name: name.clone(),
+        pool: PoolName::new(&"p".repeat(32)),
+        failure_domain: "z".repeat(32).into(),
+        software_version: "v".repeat(32).into(),
+        incarnation: u64::MAX,
+        ..target(0)
+    };
+    TargetNotice { name, revision: u64::MAX, entry: Some(entry) }
+}
+
 #[test]
 fn a_full_heartbeat_fits_into_a_datagram() {
     const DATAGRAM_BYTES_MAX: usize = 8_192;
@@ -650,6 +674,8 @@
         let mut heartbeat = core.next_heartbeat(later);
         // The configuration of this test has one pool only.
         heartbeat.unreachable_pools = vec![u64::MAX; 16];
+        heartbeat.software = vec![longest_software(); 8];
+        heartbeat.target_changes = vec![longest_change(); 8];
         let bytes = postcard::to_stdvec(&heartbeat).expect("encoded").len();
         assert!(bytes <= DATAGRAM_BYTES_MAX, "{bytes} bytes at {second} s");
         let full_at_last = [
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -64,10 +64,13 @@
     match postcard::from_bytes::<PeerHeartbeat>(datagram) {
         Ok(heartbeat) => {
             let has_origins = !heartbeat.stream_origins.is_empty();
-            let leaving = state.with_core(|core, now| {
+            let (leaving, changed) = state.with_core(|core, now| {
                 core.on_heartbeat(now, heartbeat);
-                core.take_leaving_heard()
+                (core.take_leaving_heard(), core.take_reported_changes())
             });
+            for target in changed {
+                log::info!(target = target.as_str(); "change of a target reported by another router");
+            }
             for target in leaving {
                 log::info!(target = target.as_str(); "target announced to another router that it leaves");
             }
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -103,6 +103,11 @@
         action(&mut self.inner.upstream.borrow_mut(), now)
     }
 
+    /// Has the next heartbeat sent early, as it has news.
+    pub fn hasten_heartbeat(&self) {
+        self.inner.heartbeat_wakeup.notify_one();
+    }
+
     /// Notified when there is state that peers can use at once, to send a heartbeat early.
     pub(crate) fn heartbeat_wakeup(&self) -> &Notify {
         &self.inner.heartbeat_wakeup
