Let a stream begin at another version than was reported, and have its first event wait for the record

Cause: since the software of a resumable call was fixed when it was sent to a pool of several versions, so that a call whose target broke off before the first event could not be sent to another version: a_stream_without_events_begins_at_any_version failed, though not in each run, as the choice is random.

Change: the statement is replaced when the call is sent to other software, and the first event waits until heartbeat and record have had time for it. Replaced statements win over earlier ones at other routers; a record that has both tells neither.

--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -185,6 +185,8 @@
     /// Time at which the caller stops waiting, which may be later than `deadline`.
     pub(crate) caller_deadline: TimePoint,
     pub(crate) software: StreamSoftware,
+    /// Time from which the recorded origin of the stream is the latest one.
+    pub(crate) origin_settled_at: TimePoint,
     pub(crate) content_keys: Box<[ContentKey]>,
     pub(crate) attempted_targets: Vec<TargetKey>,
     pub(crate) attempts: u32,
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -271,6 +271,7 @@
                 Some(origin) if resumable => StreamSoftware::Unresolved(origin),
                 _ => StreamSoftware::Any,
             },
+            origin_settled_at: TimePoint(0),
             content_keys: content_keys.clone(),
             attempted_targets: Vec::new(),
             attempts: detour.as_ref().map_or(0, |claim| claim.attempts),
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -250,7 +250,7 @@
         state: &mut CallState,
         choice: CostChoice,
     ) -> Option<AttemptSpec> {
-        self.fix_software(now, state, choice.target);
+        self.report_origin_early(now, state, choice.target);
         let fetch_from = choice.fetch_from.and_then(|target| self.targets.get(target));
         let fetch_from = fetch_from.map(|record| record.entry.address);
         let record = self.targets.get_mut(choice.target)?;
--- a/crates/core-forward/src/core/records.rs
+++ b/crates/core-forward/src/core/records.rs
@@ -1,11 +1,16 @@
 //! What the recorder writes to the platform, and what a starting router restores from there.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base_types::{HostName, TimePoint};
 use policy_routing::{rendezvous_score, stable_hash};
 
-use crate::{ContentReport, ForwardCore, OriginRecord, RecordWrite, heartbeat_interval};
+use crate::{
+    ContentReport, ForwardCore, OriginRecord, RecordWrite, SoftwareKey, heartbeat_interval,
+};
 
 /// Time from the first start of a fleet after which a router may be the recorder: only then has it learned
 /// of all others, which start at the same time.
@@ -76,7 +81,7 @@
                 self.targets.software.on_recorded(now, pool, *software);
             }
         }
-        for (call_hash, software) in record.origins {
+        for (call_hash, software) in unambiguous(record.origins) {
             self.origins.on_recorded(now, call_hash, software);
         }
         let blocks = ContentReport { blocks: record.blocks, ..ContentReport::default() };
@@ -102,3 +107,17 @@
         self.peers.serving_within(now, silence).all(|peer| score(&peer.name) < own_score)
     }
 }
+
+/// Returns the origins without those of calls that were sent to several versions, of which the record may
+/// lack the last one.
+fn unambiguous(origins: Vec<(u64, SoftwareKey)>) -> BTreeMap<u64, SoftwareKey> {
+    let mut software_of: BTreeMap<u64, SoftwareKey> = BTreeMap::new();
+    let mut ambiguous: BTreeSet<u64> = BTreeSet::new();
+    for (call_hash, software) in origins {
+        if *software_of.entry(call_hash).or_insert(software) != software {
+            ambiguous.insert(call_hash);
+        }
+    }
+    software_of.retain(|call_hash, _| !ambiguous.contains(call_hash));
+    software_of
+}
--- a/crates/core-forward/src/core/resumption.rs
+++ b/crates/core-forward/src/core/resumption.rs
@@ -12,27 +12,37 @@
 /// Longest time for which a call waits for this router to learn what served before it started.
 const PAST_WAIT: Duration = Duration::from_secs(1);
 
+/// Fraction of the heartbeat interval after which a heartbeat with news is sent.
+const EARLY_DIVISOR: u32 = 4;
+
+/// Time in which the recorder writes what a heartbeat told it.
+const RECORD_TIME: Duration = Duration::from_millis(100);
+
 /// Fraction of the heartbeat interval for which a call waits for the origin of its stream. A router
 /// that has an origin to report sends its next heartbeat early.
 const ORIGIN_WAIT_DIVISOR: u32 = 2;
 
 impl ForwardCore {
     /// Records that the first event of a resumable stream is about to be forwarded: from now on only
-    /// targets of the same software continue it, in this call and in those that resume it.
-    pub fn on_first_event(&mut self, now: TimePoint, key: CallKey) {
-        let Some(state) = self.calls.get_mut(&key) else { return };
-        let Some(attempt) = &state.current_attempt else { return };
-        let Some(record) = self.targets.get(attempt.target) else { return };
-        if state.software == StreamSoftware::Any {
-            state.software = StreamSoftware::Only(record.software);
-            let deadline = state.caller_deadline;
-            self.origins.on_begun(now, state.call_hash, record.software, deadline);
+    /// targets of the same software continue it, in this call and in those that resume it. Returns the
+    /// time before which the event must not be forwarded.
+    pub fn on_first_event(&mut self, now: TimePoint, key: CallKey) -> TimePoint {
+        let Some(mut state) = self.calls.remove(&key) else { return now };
+        let software = self.current_software(&state);
+        if let Some(software) = software
+            && matches!(state.software, StreamSoftware::Any | StreamSoftware::Reported(_))
+        {
+            self.report_origin(now, &mut state, software);
+            state.software = StreamSoftware::Only(software);
         }
+        let settled_at = state.origin_settled_at;
+        self.calls.insert(key, state);
+        settled_at
     }
 
-    /// Fixes the software of a stream when its call is sent to a pool of several versions, so that its
-    /// origin is known to the others, and recorded, by the time of its first event.
-    pub(super) fn fix_software(
+    /// Reports the origin of a stream already when its call is sent to a pool of several versions, so that
+    /// it is known to the others, and recorded, by the time of the first event.
+    pub(super) fn report_origin_early(
         &mut self,
         now: TimePoint,
         state: &mut CallState,
@@ -41,15 +51,32 @@
         let Some(record) = self.targets.get(target) else { return };
         let software = record.software;
         let is_resumable = state.retry_rule.is_streaming() && state.retry_rule.is_retryable();
-        if !is_resumable
-            || state.software != StreamSoftware::Any
-            || record.entry.software_version.is_empty()
-            || !self.targets.software.is_mixed(now, &state.pool)
-        {
-            return;
+        let has_begun =
+            !matches!(state.software, StreamSoftware::Any | StreamSoftware::Reported(_));
+        if is_resumable && !has_begun && self.targets.software.is_mixed(now, &state.pool) {
+            self.report_origin(now, state, software);
+            state.software = StreamSoftware::Reported(software);
         }
-        state.software = StreamSoftware::Only(software);
-        self.origins.on_begun(now, state.call_hash, software, state.caller_deadline);
+    }
+
+    /// Reports which software begins a stream, unless that was reported. Where another one was, the first
+    /// event waits until the record has the new one.
+    fn report_origin(&mut self, now: TimePoint, state: &mut CallState, software: SoftwareKey) {
+        let deadline = state.caller_deadline;
+        match state.software {
+            StreamSoftware::Reported(reported) if reported == software => {}
+            StreamSoftware::Reported(_) => {
+                self.origins.on_replaced(now, state.call_hash, software, deadline);
+                let heartbeat_time = heartbeat_interval(self.router_count()) / EARLY_DIVISOR;
+                state.origin_settled_at = now.after(heartbeat_time + RECORD_TIME);
+            }
+            _ => self.origins.on_begun(now, state.call_hash, software, deadline),
+        }
+    }
+
+    fn current_software(&self, state: &CallState) -> Option<SoftwareKey> {
+        let attempt = state.current_attempt.as_ref()?;
+        self.targets.get(attempt.target).map(|record| record.software)
     }
 
     /// Time until which the origin of the stream that a call resumes may still become known: another
--- a/crates/core-forward/src/origins.rs
+++ b/crates/core-forward/src/origins.rs
@@ -28,12 +28,17 @@
         pub software: SoftwareKey,
         /// Milliseconds until the origin may be forgotten.
         pub left_ms: u32,
+        /// Whether this replaces an earlier statement: the call was sent again, to other software, before
+        /// its first event.
+        pub replaces: bool,
     }
 
     /// Software that may serve a call.
     pub(crate) enum StreamSoftware {
         /// Any, as no event was forwarded yet.
         Any,
+        /// Any, but this one was reported as the one that begins the stream.
+        Reported(SoftwareKey),
         /// The software that began the stream.
         Only(SoftwareKey),
         /// The software that began the stream in another call, which is not known yet; that call is
@@ -46,7 +51,7 @@
     /// Whether a target of this software may serve the call.
     pub(crate) fn allows(self, software: SoftwareKey) -> bool {
         match self {
-            Self::Any => true,
+            Self::Any | Self::Reported(_) => true,
             Self::Only(origin) => origin == software,
             Self::Unresolved(_) => false,
         }
@@ -57,6 +62,7 @@
 struct StreamOrigin {
     software: SoftwareKey,
     forget_at: TimePoint,
+    replaces: bool,
 }
 
 /// The origins of streams, by the hash of the call that delivered the first event.
@@ -84,9 +90,25 @@
         }
     }
 
-    /// Records what another router reported. The first statement about a call stays until it ends.
+    /// Records and reports that another software begins a stream than was reported before.
+    pub(crate) fn on_replaced(
+        &mut self,
+        now: TimePoint,
+        call_hash: u64,
+        software: SoftwareKey,
+        deadline: TimePoint,
+    ) {
+        self.replace(now, call_hash, software, deadline);
+        self.unreported.push(call_hash);
+    }
+
+    /// Records what another router reported. The first statement about a call stays until it ends or is
+    /// replaced.
     pub(crate) fn on_notice(&mut self, now: TimePoint, notice: OriginNotice) {
         let forget_at = now.after(Duration::from_millis(notice.left_ms.into()));
+        if notice.replaces && self.software(now, notice.call_hash) != Some(notice.software) {
+            return self.replace(now, notice.call_hash, notice.software, forget_at);
+        }
         self.insert(now, notice.call_hash, notice.software, forget_at);
     }
 
@@ -141,6 +163,19 @@
         self.dropped
     }
 
+    fn replace(
+        &mut self,
+        now: TimePoint,
+        call_hash: u64,
+        software: SoftwareKey,
+        forget_at: TimePoint,
+    ) {
+        self.origins.remove(&call_hash);
+        if self.insert(now, call_hash, software, forget_at) {
+            self.origins.entry(call_hash).and_modify(|origin| origin.replaces = true);
+        }
+    }
+
     /// Returns whether the origin of the stream is kept.
     fn insert(
         &mut self,
@@ -157,7 +192,7 @@
             return false;
         }
         let forget_at = forget_at.min(now.after(STREAM_LIFETIME_MAX));
-        self.origins.insert(call_hash, StreamOrigin { software, forget_at });
+        self.origins.insert(call_hash, StreamOrigin { software, forget_at, replaces: false });
         self.record.on_origin(call_hash);
         true
     }
@@ -165,7 +200,8 @@
     fn notice(&self, now: TimePoint, call_hash: u64) -> Option<OriginNotice> {
         let origin = self.live(now, call_hash)?;
         let left_ms = origin.forget_at.since(now).as_millis() as u32;
-        Some(OriginNotice { call_hash, software: origin.software, left_ms })
+        let StreamOrigin { software, replaces, .. } = *origin;
+        Some(OriginNotice { call_hash, software, left_ms, replaces })
     }
 
     fn live(&self, now: TimePoint, call_hash: u64) -> Option<&StreamOrigin> {
--- a/crates/core-forward/tests/origins.rs
+++ b/crates/core-forward/tests/origins.rs
@@ -380,7 +380,12 @@
 fn the_origins_of_streams_are_bounded() {
     const KEPT: u64 = 100_000;
     let [mut first, mut second] = [0, 1].map(|index| new_listed_router(seconds(0), index, 1));
-    let notice = |call_hash| OriginNotice { call_hash, software: SoftwareKey(1), left_ms: 5_000 };
+    let notice = |call_hash| OriginNotice {
+        call_hash,
+        software: SoftwareKey(1),
+        left_ms: 5_000,
+        replaces: false,
+    };
     let mut heartbeat = first.next_heartbeat(seconds(1));
     heartbeat.stream_origins = (0..KEPT + 7).map(notice).collect();
     second.on_heartbeat(seconds(1), heartbeat);
--- a/crates/core-forward/tests/record.rs
+++ b/crates/core-forward/tests/record.rs
@@ -10,13 +10,16 @@
 
 use base_types::{ContentDigest, NotRunCode, Refusal, TimePoint, test_cases};
 use core_forward::{
-    CallKey, DispatchStep, ForwardCore, OriginRecord, RECORD_PARTS, RecordWrite, SoftwareKey,
-    StreamResumption, TargetEntry,
+    AttemptOutcome, CallKey, DispatchStep, ForwardCore, OriginRecord, RECORD_PARTS, RecordWrite,
+    SoftwareKey, StreamResumption, TargetEntry,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::RetryRule;
 
-use fixture::{call_head, new_restarted_router, new_router, target_entry, target_index};
+use fixture::{
+    call_head, new_restarted_router, new_router, new_router_with_attempts, target_entry,
+    target_index,
+};
 use heartbeats::HeartbeatPlan;
 
 const STEP: Duration = Duration::from_millis(5);
@@ -371,3 +374,55 @@
     core.on_record_written(at(61), write);
     assert_eq!(core.next_record_write(at(200)), None, "nothing new");
 }
+
+/// A call that is sent again, to another version, before its first event: the later statement holds at
+/// the other routers, the event waits for the record, and a record of both versions tells neither.
+#[test]
+fn a_stream_that_begins_at_another_version_than_reported_is_not_joined() {
+    let at = |millis: u64| seconds(3).after(Duration::from_millis(millis));
+    let entries = || vec![versioned_entry(0), versioned_entry(TARGETS / 2)];
+    let mut core = new_router_with_attempts(seconds(1), 0, 1, RetryRule::ResumableStream, 2);
+    let mut peer = new_router(seconds(1), 1, 1, RetryRule::ResumableStream);
+    core.list_targets(seconds(1), entries());
+    peer.list_targets(seconds(1), entries());
+    core.next_record_write(seconds(1));
+    let software = core.next_record_write(at(0)).expect("the software");
+    core.on_record_written(at(0), software);
+    let (call, first) = send(&mut core, at(0), 1, None).expect("sent");
+    let before = core.next_record_write(at(0)).expect("the first statement");
+    core.on_record_written(at(0), before.clone());
+    let early = core.next_heartbeat(at(10));
+    core.on_attempt_finished(at(20), call, AttemptOutcome::Lost);
+    let DispatchStep::Send(attempt) = core.dispatch(at(20), call) else { panic!("not sent") };
+    assert_ne!(is_older(target_index(attempt.address)), is_older(first));
+    let settled_at = core.on_first_event(at(30), call);
+    assert!(settled_at > at(30) && settled_at < at(500), "{settled_at:?}");
+    let after = core.next_record_write(at(60)).expect("the later statement");
+    let late = core.next_heartbeat(at(70));
+    for heartbeat in [late, early] {
+        peer.on_heartbeat(at(80), heartbeat);
+    }
+    peer.on_platform_responded(at(90));
+    let (_, resumed) = send(&mut peer, at(90), 2, Some(1)).expect("sent");
+    assert_eq!(is_older(resumed), is_older(target_index(attempt.address)));
+    for (writes, served) in [(vec![&after], true), (vec![&before, &after], false)] {
+        let mut record = OriginRecord::default();
+        for write in writes {
+            let RecordWrite::Origins { calls, .. } = write else { panic!("{write:?}") };
+            let origins = calls.iter();
+            record
+                .origins
+                .extend(origins.flat_map(|(key, calls)| calls.iter().map(|call| (*call, *key))));
+        }
+        let mut restarted = new_restarted_router(at(90), 0, 2, RetryRule::ResumableStream, 1);
+        restarted.list_targets(at(90), entries());
+        restarted.restore_record(at(90), Some(record), false);
+        match send(&mut restarted, at(90), 3, Some(1)) {
+            Ok((_, target)) => {
+                assert!(served);
+                assert_eq!(is_older(target), is_older(resumed));
+            }
+            Err(code) => assert_eq!((code, served), (NotRunCode::OriginUnknown, false)),
+        }
+    }
+}
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -179,7 +179,7 @@
                 self.call.state.with_core(|core, now| core.on_response_started(now, call));
             }
             if let Some(bytes) = self.content.push(chunk) {
-                self.record_first_event();
+                self.record_first_event().await;
                 if self.chunks.send(bytes).await.is_err() {
                     return StreamEnd::CallerDisconnected;
                 }
@@ -191,15 +191,19 @@
     }
 
     /// Reports the first event of a resumable stream to the core, and soon to the other routers, where
-    /// the caller may resume the stream.
-    fn record_first_event(&mut self) {
+    /// the caller may resume the stream. Returns when the event may be forwarded.
+    async fn record_first_event(&mut self) {
         if self.has_first_event || !self.content.is_resumable() {
             return;
         }
         self.has_first_event = true;
         let call = self.call.admitted.call;
-        self.call.state.with_core(|core, now| core.on_first_event(now, call));
-        self.call.state.heartbeat_wakeup().notify_one();
+        let state = &self.call.state;
+        let settled_at = state.with_core(|core, now| core.on_first_event(now, call));
+        state.hasten_heartbeat();
+        if settled_at > state.now() {
+            tokio::time::sleep_until(state.clock().instant(settled_at)).await;
+        }
     }
 
     /// Dispatches the call again, to resume the stream after the last complete event.
--- a/crates/io-forward/tests/snapshots.rs
+++ b/crates/io-forward/tests/snapshots.rs
@@ -22,7 +22,12 @@
         config: None,
         targets: vec![target("t-a"), target("t-b")],
         leaving_targets: vec![4],
-        stream_origins: vec![OriginNotice { call_hash: 5, software: SoftwareKey(6), left_ms: 7 }],
+        stream_origins: vec![OriginNotice {
+            call_hash: 5,
+            software: SoftwareKey(6),
+            left_ms: 7,
+            replaces: false,
+        }],
         software: vec![SoftwareNotice {
             pool: PoolName::new("pool"),
             software: SoftwareKey(6),
