Send heartbeats early in large fleets only for news that the others need soon

Change: above 50 routers a change of the load alone waits for the next heartbeat, 500 ms after the one before; changes of targets, leaving, crashes, and origins of streams while a pool has several versions do not.

--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -56,7 +56,24 @@
     (HEARTBEAT_INTERVAL_PER_ROUTER * routers).clamp(HEARTBEAT_INTERVAL_MIN, HEARTBEAT_INTERVAL_MAX)
 }
 
+/// Largest fleet in which a change of the load alone sends a heartbeat early. In a larger one a router has
+/// few of the calls, and each heartbeat is sent to more routers.
+const LOAD_NEWS_ROUTERS_MAX: u32 = 50;
+
 impl ForwardCore {
+    /// Whether the next heartbeat is to be sent early, as it has news that the others need soon.
+    pub fn has_urgent_news(&self, now: TimePoint) -> bool {
+        let has_mixed_pool = || {
+            let pools = self.targets.software.by_pool(now);
+            pools.values().any(|versions| versions.len() > 1)
+        };
+        self.router_count() <= LOAD_NEWS_ROUTERS_MAX
+            || self.targets.news.has_report()
+            || !self.unreported_leaving.is_empty()
+            || self.crashes.has_report()
+            || (self.origins.has_report() && has_mixed_pool())
+    }
+
     /// Replaces the list of routers; the entry of this router is ignored.
     pub fn list_routers(&mut self, entries: Vec<RouterEntry>) {
         let own_name = self.entry.name.clone();
--- a/crates/core-forward/src/crashes.rs
+++ b/crates/core-forward/src/crashes.rs
@@ -205,6 +205,13 @@
         }
     }
 
+    /// Whether a crash, or what refutes one, is due in the next heartbeat.
+    pub(crate) fn has_report(&self) -> bool {
+        !self.unreported_crashes.is_empty()
+            || !self.unreported_sound.is_empty()
+            || !self.unreported_responding.is_empty()
+    }
+
     /// Returns all that a router which starts must know.
     pub(crate) fn full_report(&self, now: TimePoint) -> ContentReport {
         ContentReport {
--- a/crates/core-forward/src/origins.rs
+++ b/crates/core-forward/src/origins.rs
@@ -130,6 +130,11 @@
         Some(RecordWrite::Origins { part, calls: group_by_software(origins) })
     }
 
+    /// Whether an origin is due in the next heartbeat.
+    pub(crate) fn has_report(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
     /// Returns the notices of the next heartbeat, at most `count_max`.
     pub(crate) fn next_report(&mut self, now: TimePoint, count_max: usize) -> Vec<OriginNotice> {
         let due = self.unreported.next_report(count_max);
--- a/crates/core-forward/src/reports.rs
+++ b/crates/core-forward/src/reports.rs
@@ -24,6 +24,11 @@
         self.pending.push_back((statement, REPEATS));
     }
 
+    /// Whether no statement is due.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Drops statements that need no report any more.
     pub(crate) fn retain(&mut self, is_kept: impl Fn(&T) -> bool) {
         self.pending.retain(|(statement, _)| is_kept(statement));
--- a/crates/core-forward/src/target_news.rs
+++ b/crates/core-forward/src/target_news.rs
@@ -63,6 +63,11 @@
         self.unreported.push(notice);
     }
 
+    /// Whether a change is due in the next heartbeat.
+    pub(crate) fn has_report(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
     /// Returns the changes of the next heartbeat, at most `count_max`, without those that are out of date.
     pub(crate) fn next_report(&mut self, now: TimePoint, count_max: usize) -> Vec<TargetNotice> {
         let mut due = self.unreported.next_report(count_max);
--- a/crates/core-forward/tests/target_news.rs
+++ b/crates/core-forward/tests/target_news.rs
@@ -147,3 +147,26 @@
     starting.on_targets_listed(seconds(2), 9, vec![entry(0), entry(1)]);
     assert_eq!(called_targets(&mut starting, seconds(2)), [1], "a late response");
 }
+
+/// Routers that know of `others`, and whether their heartbeats are sent early after a call, after a change
+/// of a target.
+fn check_urgency(others: u16, after_call: bool, after_change: bool) {
+    let mut core = new_listed_router(0);
+    for index in 1..=others {
+        let mut peer = new_listed_router(index);
+        core.on_heartbeat(seconds(1), peer.next_heartbeat(seconds(1)));
+    }
+    while core.has_urgent_news(seconds(1)) && others > 50 {
+        core.next_heartbeat(seconds(1));
+    }
+    called_targets(&mut core, seconds(1));
+    assert_eq!(core.has_urgent_news(seconds(1)), after_call);
+    core.on_targets_changed(seconds(1), vec![put(0, 10, true)]);
+    assert_eq!(core.has_urgent_news(seconds(1)), after_change);
+}
+
+test_cases! {
+    check_urgency:
+    load_is_urgent_in_a_small_fleet(6, true, true);
+    load_is_not_urgent_in_a_large_fleet(194, false, true);
+}
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -34,7 +34,9 @@
                     log::debug!(error = error.to_string().as_str(); "receiving a heartbeat failed");
                 }
             },
-            () = state.heartbeat_wakeup().notified(), if !schedule.urgent => schedule.urgent = true,
+            () = state.heartbeat_wakeup().notified(), if !schedule.urgent => {
+                schedule.urgent = state.with_core(|core, now| core.has_urgent_news(now));
+            }
             () = tokio::time::sleep_until(schedule.next_at()) => {
                 let peer_count = send_heartbeat(&state, &socket).await;
                 let interval = heartbeat_interval(peer_count as u32);
