Continue a stream elsewhere whose target sends bytes but no event

Cause: any bytes moved the time at which a resumable stream counts as silent, so that one that trickled a byte now and then stayed at its target until the deadline of the route (2.5 s in the test, 1.5 s asked). Change: only complete events move it.

--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -31,6 +31,8 @@
     UnframedReset(u16),
     /// A complete answer, followed by an answer to another call.
     Extra,
+    /// A complete answer, and after a pause a copy of it.
+    Copied(Duration),
     /// A complete answer with the attempt id of another call.
     Foreign,
     /// An answer with status 200 and without the runner's signature.
@@ -53,6 +55,10 @@
     Events(u64),
     /// Such a stream whose connection closes in the middle of the event after that number.
     EventsCut(u64),
+    /// Such a stream with a pause before each event.
+    EventsSlow(u64, Duration),
+    /// Such a stream that stays open and sends one byte at a time of the event after that number.
+    EventsTrickled(u64),
     /// Such a stream that stays open and sends only the start of the event after that number.
     EventsSilent(u64),
     /// A stream of all events up to `last` and the first bytes of the next one, which ends there as
@@ -98,6 +104,9 @@
     Reset,
 }
 
+/// Pause between two bytes of a stream that trickles.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(300);
+
 /// Number of repeated pieces in one write of an answer without end.
 const ENDLESS_REPEATS: usize = 16_384;
 
@@ -317,6 +326,11 @@
                 let both = format!("{}{}", complete(&id), complete("feedfeedfeedfeed"));
                 connection.send(both.as_bytes()).await;
             }
+            Reply::Copied(pause) => {
+                connection.send(complete(&id).as_bytes()).await;
+                tokio::time::sleep(pause).await;
+                connection.send(complete(&id).as_bytes()).await;
+            }
             Reply::Foreign => connection.send(complete("feedfeedfeedfeed").as_bytes()).await,
             Reply::Unsigned => {
                 let answer =
@@ -350,6 +364,22 @@
                 connection.send(complete(&id).as_bytes()).await;
             }
             Reply::Events(last) => self.send_events(connection, request, last, "").await,
+            Reply::EventsSlow(last, pause) => {
+                let head = self.event_stream_head(&id);
+                connection.send(head.as_bytes()).await;
+                for event in event_numbers(request, last) {
+                    tokio::time::sleep(pause).await;
+                    connection.send(chunk(&self.event_text(event)).as_bytes()).await;
+                }
+                connection.send(b"0\r\n\r\n").await;
+            }
+            Reply::EventsTrickled(after) => {
+                self.send_events(connection, request, after, "id").await;
+                while connection.stream.write_all(chunk(" ").as_bytes()).await.is_ok() {
+                    tokio::time::sleep(TRICKLE_PAUSE).await;
+                }
+                return AfterReply::Close;
+            }
             Reply::EventsCut(after) => {
                 let half = format!("id: {}\ndata: ev", after + 1);
                 self.send_events(connection, request, after, &half).await;
@@ -433,9 +463,7 @@
         partial_event: &str,
     ) {
         let id = request.header("attempt-id").unwrap_or("");
-        let head = self.signed_head(200, id);
-        let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        connection.send(format!("{head}{kind}").as_bytes()).await;
+        connection.send(self.event_stream_head(id).as_bytes()).await;
         for event in event_numbers(request, last) {
             connection.send(chunk(&self.event_text(event)).as_bytes()).await;
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -447,6 +475,11 @@
         }
     }
 
+    fn event_stream_head(&self, id: &str) -> String {
+        let head = self.signed_head(200, id);
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+    }
+
     /// Text of an event, with a comment on the software if it was set.
     fn event_text(&self, number: u64) -> String {
         let state = self.state.lock().expect("the state lock is poisoned");
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -24,8 +24,8 @@
     upstream::TargetConnection,
 };
 
-/// Silence after which a resumable stream is resumed at another target; callers abandon a stream
-/// after two seconds without an event.
+/// Time without a complete event after which a resumable stream is resumed at another target, whatever
+/// bytes arrive; callers abandon a stream after two seconds without an event.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Spawns a task that forwards a stream to the caller, and returns the response that carries it.
@@ -158,7 +158,6 @@
                     continue;
                 }
             };
-            event_deadline = Instant::now() + EVENT_TIMEOUT;
             let chunk = match frame {
                 None => {
                     return match self.content.incomplete_reason(source.progress.framing) {
@@ -179,6 +178,7 @@
                 self.call.state.with_core(|core, now| core.on_response_started(now, call));
             }
             if let Some(bytes) = self.content.push(chunk) {
+                event_deadline = Instant::now() + EVENT_TIMEOUT;
                 self.record_first_event().await;
                 if self.chunks.send(bytes).await.is_err() {
                     return StreamEnd::CallerDisconnected;
