Add up the loads in heartbeats without overflow

Cause: the loads that a heartbeat states were added as they came; with extreme ones the sum wrapped, or panicked in a debug build, in the task that receives heartbeats.

--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -214,7 +214,7 @@
         };
         let views = responding.map(|(target, record)| CostView {
             target,
-            load: record.own_in_flight + self.peer_loads.load(record.target_hash),
+            load: record.own_in_flight.saturating_add(self.peer_loads.load(record.target_hash)),
             slots: record.entry.slots,
             queued_prefill_tokens: record.prefill_tokens,
             cached_tokens: tokens(record, TimePoint::NEVER),
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -114,7 +114,7 @@
 
     /// Calls of the router, and those sent through it that its last heartbeat may not contain.
     pub(crate) fn calls(&self) -> u32 {
-        self.calls_in_flight + self.detours
+        self.calls_in_flight.saturating_add(self.detours)
     }
 
     fn is_serving(&self, now: TimePoint) -> bool {
@@ -177,7 +177,7 @@
         record.alive_until = now.after(HEARTBEAT_TTL);
         record.serving = heartbeat.ready && !heartbeat.shutting_down;
         let loads = heartbeat.load_share.loads.iter();
-        record.calls_in_flight = loads.map(|load| load.in_flight).sum();
+        record.calls_in_flight = loads.fold(0, |sum: u32, load| sum.saturating_add(load.in_flight));
         record.unreachable_pools.clone_from(&heartbeat.unreachable_pools);
         record.cut_off = heartbeat.cut_off;
         is_restarted
--- a/crates/policy-routing/src/cost.rs
+++ b/crates/policy-routing/src/cost.rs
@@ -139,7 +139,7 @@
             + FETCH_COST * f64::from(fetched_tokens)
             + PREFILL_COST * view.queued_prefill_tokens as f64
             + LOAD_COST * f64::from(view.load.saturating_sub(least))
-            + QUEUEING_COST * f64::from((view.load + 1).saturating_sub(view.slots))
+            + QUEUEING_COST * f64::from(view.load.saturating_add(1).saturating_sub(view.slots))
             + failure_cost * (view.failure_rate - BASELINE_FAILURE_RATE).max(0.0);
         let rank = CostRank {
             unreachable: view.unreachable,
