--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -128,6 +128,9 @@
     is_first_start: bool,
     /// Time from which this router may be the recorder; `None` before it was first asked.
     recorder_from: Option<TimePoint>,
+    /// Whether a call was sent since the last heartbeat to a pool without engines. Such targets run few
+    /// calls at once, so that the others must soon know of each.
+    has_plain_call: bool,
     calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
     heartbeat_sequence: u64,
@@ -160,6 +163,7 @@
             origins: OriginTable::default(),
             is_first_start: false,
             recorder_from: None,
+            has_plain_call: false,
             calls: BTreeMap::new(),
             next_call_key: 0,
             heartbeat_sequence: 0,
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -56,7 +56,7 @@
     (HEARTBEAT_INTERVAL_PER_ROUTER * routers).clamp(HEARTBEAT_INTERVAL_MIN, HEARTBEAT_INTERVAL_MAX)
 }
 
-/// Largest fleet in which a change of the load alone sends a heartbeat early. In a larger one a router has
+/// Largest fleet in which a call to an engine alone sends a heartbeat early. In a larger one a router has
 /// few of the calls, and each heartbeat is sent to more routers.
 const LOAD_NEWS_ROUTERS_MAX: u32 = 50;
 
@@ -68,6 +68,7 @@
             pools.values().any(|versions| versions.len() > 1)
         };
         self.router_count() <= LOAD_NEWS_ROUTERS_MAX
+            || self.has_plain_call
             || self.targets.news.has_report()
             || !self.unreported_leaving.is_empty()
             || self.crashes.has_report()
@@ -97,6 +98,7 @@
     /// reports: they are not reported again when the heartbeat is lost.
     pub fn next_heartbeat(&mut self, now: TimePoint) -> PeerHeartbeat {
         self.heartbeat_sequence += 1;
+        self.has_plain_call = false;
         let loads = self.targets.iter().filter(|(_, record)| record.own_in_flight > 0);
         let loads = loads.map(|(_, record)| TargetLoad {
             target_hash: record.target_hash,
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -251,6 +251,8 @@
         choice: CostChoice,
     ) -> Option<AttemptSpec> {
         self.report_origin_early(now, state, choice.target);
+        let pool = self.config.as_ref().and_then(|config| config.pools.get(&state.pool));
+        self.has_plain_call |= pool.is_some_and(|pool| pool.engine.is_none());
         let fetch_from = choice.fetch_from.and_then(|target| self.targets.get(target));
         let fetch_from = fetch_from.map(|record| record.entry.address);
         let record = self.targets.get_mut(choice.target)?;
--- a/crates/core-forward/tests/target_news.rs
+++ b/crates/core-forward/tests/target_news.rs
@@ -9,7 +9,7 @@
 use core_forward::{DispatchStep, ForwardCore, TargetEntry, TargetNotice};
 use state_config::RetryRule;
 
-use fixture::{call_head, new_router, target_entry, target_index};
+use fixture::{call_head, new_plain_router, new_router, target_entry, target_index};
 
 /// Heartbeats in which a change is reported.
 const REPORTS: usize = 3;
@@ -170,3 +170,21 @@
     load_is_urgent_in_a_small_fleet(6, true, true);
     load_is_not_urgent_in_a_large_fleet(194, false, true);
 }
+
+/// The pool runs few calls at once.
+#[test]
+fn load_of_plain_targets_is_urgent_in_a_large_fleet() {
+    let mut core = new_plain_router(seconds(0), 0);
+    core.list_targets(seconds(0), vec![target_entry(0, 1), target_entry(1, 1)]);
+    for index in 1..=194 {
+        let mut peer = new_listed_router(index);
+        core.on_heartbeat(seconds(1), peer.next_heartbeat(seconds(1)));
+    }
+    while core.has_urgent_news(seconds(1)) {
+        core.next_heartbeat(seconds(1));
+    }
+    called_targets(&mut core, seconds(1));
+    assert!(core.has_urgent_news(seconds(1)));
+    core.next_heartbeat(seconds(1));
+    assert!(!core.has_urgent_news(seconds(1)));
+}
