--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -52,3 +52,9 @@
     a_host_name_is_not_an_address("10.200.1.7:8223", "store:8223", &["platform"]);
     two_keys_may_not_bind_one_address("10.1.0.40:8224", "10.1.0.40:8227", &["entry_listen"]);
 }
+
+test_cases! {
+    check_fault_keys:
+    the_first_start_may_be_stated("platform =", "first_start = true\nplatform =", &[]);
+    a_first_start_in_quotes_is_refused("platform =", "first_start = \"true\"\nplatform =", &["first_start"]);
+}
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -59,6 +59,8 @@
         pub unreachable_pools: usize,
         /// Streams whose origins are known.
         pub stream_origins: usize,
+        /// Whether this router records the origins of streams in the platform.
+        pub recording_origins: bool,
         /// Origins of streams that were dropped because too many were known.
         pub dropped_origins: u64,
         /// Whether the router is shutting down.
@@ -328,6 +330,7 @@
             blocked_content: self.crashes.tracker.blocks().count(),
             unreachable_pools: self.unreachable_pools.len(),
             stream_origins: self.origins.len(),
+            recording_origins: self.is_recording_origins(),
             dropped_origins: self.origins.dropped(),
             shutting_down: self.shutting_down,
             retries_left: retries_left.collect(),
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -55,6 +55,8 @@
     UnreachablePools,
     /// Resumable streams whose origins are known.
     StreamOrigins,
+    /// Whether the router records the origins of streams in the platform.
+    RecordingOrigins,
     /// Origins of streams that were dropped because too many were known.
     DroppedOrigins,
     /// Calls of this router in flight at a target.
@@ -80,7 +82,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 21] = [
+    const ALL: [Self; 22] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -91,6 +93,7 @@
         Self::BlockedContent,
         Self::UnreachablePools,
         Self::StreamOrigins,
+        Self::RecordingOrigins,
         Self::DroppedOrigins,
         Self::TargetOwnCalls,
         Self::TargetOtherCalls,
@@ -116,6 +119,7 @@
             Self::BlockedContent => "knapweedport_blocked_content",
             Self::UnreachablePools => "knapweedport_unreachable_pools",
             Self::StreamOrigins => "knapweedport_stream_origins",
+            Self::RecordingOrigins => "knapweedport_recording_origins",
             Self::DroppedOrigins => "knapweedport_dropped_stream_origins",
             Self::TargetOwnCalls => "knapweedport_target_own_calls",
             Self::TargetOtherCalls => "knapweedport_target_other_calls",
