--- a/crates/core-forward/src/core/listing.rs
+++ b/crates/core-forward/src/core/listing.rs
@@ -55,7 +55,7 @@
         changed
     }
 
-    /// Handles the changes that another router reported; returns the targets as above.
+    /// Handles the changes that another router reported.
     pub(super) fn on_target_notices(&mut self, now: TimePoint, notices: &[TargetNotice]) {
         // A router without a list cannot tell what is missing from it.
         if !self.targets_listed {
