Send heartbeats early for calls to engines in fleets of up to 100 routers

Loads that are up to 500 ms old let routers send more to engines above twice the mean while most fail.

--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -58,7 +58,7 @@
 
 /// Largest fleet in which a call to an engine alone sends a heartbeat early. In a larger one a router has
 /// few of the calls, and each heartbeat is sent to more routers.
-const LOAD_NEWS_ROUTERS_MAX: u32 = 50;
+const LOAD_NEWS_ROUTERS_MAX: u32 = 100;
 
 impl ForwardCore {
     /// Whether the next heartbeat is to be sent early, as it has news that the others need soon.
