--- a/crates/core-forward/src/origin_record.rs
+++ b/crates/core-forward/src/origin_record.rs
@@ -1,8 +1,8 @@
 //! What the platform keeps so that streams go on after all routers restarted at once.
 //!
-//! One router, the recorder, writes which software each pool has, which content is blocked, and, while a pool has had several
-//! versions, which software began each stream. The number of writes depends on time only, not on the
-//! number of routers or streams.
+//! One router, the recorder, writes which software each pool has, which content is blocked, and, while
+//! a pool has had several versions, which software began each stream. The number of writes depends on
+//! time only, not on the number of routers or streams.
 
 use std::{collections::BTreeMap, time::Duration};
 
