--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -8,7 +8,8 @@
 use policy_targets::OutcomeCount;
 
 use crate::{
-    ForwardCore, LimitNotice, PeerHeartbeat, RouterEntry, TargetOutcomes, detours::pool_hash,
+    ForwardCore, HeartbeatExtension, LimitNotice, PeerHeartbeat, RouterEntry, TargetOutcomes,
+    detours::pool_hash,
 };
 
 /// Largest number of segment holders in one heartbeat, so that it fits into a datagram.
@@ -131,6 +132,7 @@
             software: self.targets.software.next_report(now, SOFTWARE_NOTICES_MAX),
             unreachable_pools,
             cut_off: self.is_cut_off(now),
+            extension: HeartbeatExtension::default(),
         }
     }
 
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -6,7 +6,10 @@
 use policy_routing::{rendezvous_score, stable_hash};
 use state_config::FleetConfig;
 
-use crate::{ContentReport, ForwardCore, OriginNotice, PromptSegment, SoftwareNotice, TargetEntry};
+use crate::{
+    ContentReport, ForwardCore, OriginNotice, PromptSegment, SnapshotExtension, SoftwareNotice,
+    TargetEntry,
+};
 
 /// Largest number of prompt segments in a snapshot; the most recently used are included.
 const SNAPSHOT_SEGMENTS_MAX: usize = 2_048;
@@ -62,6 +65,9 @@
         /// Holders of prompt segments, the most recently used segment first; empty until the router
         /// is settled.
         pub segment_holders: Vec<SegmentHolders>,
+        /// Facts that the layout above, which is frozen, does not have.
+        #[serde(skip)]
+        pub extension: SnapshotExtension,
     }
 }
 
@@ -85,6 +91,7 @@
             segment_holders: segments
                 .map(|(segment, target_hashes)| SegmentHolders { segment, target_hashes })
                 .collect(),
+            extension: SnapshotExtension::default(),
         }
     }
 
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -10,6 +10,7 @@
 mod core;
 mod crashes;
 mod detours;
+mod extension;
 mod limits;
 mod links;
 mod origin_record;
@@ -32,6 +33,10 @@
     },
     crashes::{BlockNotice, ContentReport, CrashNotice, SuspectNotice},
     detours::{DetourClaim, DetourOutcome, DetourSpec},
+    extension::{
+        ColdNotice, EvacuationNotice, HeartbeatExtension, RouterCapacity, SnapshotExtension,
+        SpeedNotice, WaitingNotice,
+    },
     limits::LimitNotice,
     links::{LinkChange, LinkProbe},
     origin_record::{OriginRecord, RECORD_PARTS, RecordWrite},
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -5,7 +5,9 @@
 use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
 use policy_targets::OutcomeCount;
 
-use crate::{ContentReport, LimitNotice, OriginNotice, SoftwareNotice, TargetNotice};
+use crate::{
+    ContentReport, HeartbeatExtension, LimitNotice, OriginNotice, SoftwareNotice, TargetNotice,
+};
 
 /// Time for which a router counts as alive after its last heartbeat.
 const HEARTBEAT_TTL: Duration = Duration::from_millis(1_500);
@@ -68,6 +70,9 @@
         pub unreachable_pools: Vec<u64>,
         /// Whether these are all pools with targets.
         pub cut_off: bool,
+        /// Facts that the layout above, which is frozen, does not have.
+        #[serde(skip)]
+        pub extension: HeartbeatExtension,
     }
 }
 
--- a/crates/io-forward/tests/snapshots.rs
+++ b/crates/io-forward/tests/snapshots.rs
@@ -2,8 +2,8 @@
 
 use base_types::{HostName, PoolName};
 use core_forward::{
-    ContentReport, OriginNotice, PeerSnapshot, SegmentHolders, SoftwareKey, SoftwareNotice,
-    TargetEntry,
+    ContentReport, OriginNotice, PeerSnapshot, SegmentHolders, SnapshotExtension, SoftwareKey,
+    SoftwareNotice, TargetEntry,
 };
 
 fn snapshot() -> PeerSnapshot {
@@ -39,6 +39,7 @@
             SegmentHolders { segment: 300, target_hashes: vec![1, 2] },
             SegmentHolders { segment: 7, target_hashes: Vec::new() },
         ],
+        extension: SnapshotExtension::default(),
     }
 }
 
