Keep calls from evacuated failure domains, and share what cold targets take

Cause: nothing read the operator's evacuations nor how long a target is cold, so that evacuated domains went on getting calls and all routers sent their calls to the idle targets of a domain that came back. A target is cold by its entry, by another router's notice, or, where it starts while the fleet serves, by assumption; each router sends it calls only in turns of its own, which keeps the bound also where routers do not know of each other.

--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -20,6 +20,9 @@
 const RETRY_SLACK_MAX: u64 = 1_000_000;
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
 const DEFAULT_LOAD_RATIO_MAX: f64 = 2.0;
+const DEFAULT_COLD_RATIO: f64 = 1.0;
+const DEFAULT_COLD_SLACK: u64 = 1;
+const COLD_SLACK_MAX: u64 = 1_000_000;
 const RATIO_MAX: f64 = 100.0;
 
 /// Settings of one gateway process, with every value checked, alone and against the others.
@@ -67,6 +70,12 @@
     pub stop_timeout: Duration,
     /// Upper bound on the time for which callers may cache the list of gateways.
     pub entry_ttl_max: Duration,
+    /// Whether the operator evacuates failure domains of targets.
+    pub evacuations: bool,
+    /// Calls in one second that a cold target may get, as a multiple of the rate that its pool states.
+    pub cold_ratio: f64,
+    /// Calls in one second that a cold target may get beyond `cold_ratio`.
+    pub cold_slack: u32,
 }
 
 impl GatewaySettings {
@@ -126,6 +135,10 @@
             target_drain: duration("target_drain_ms", DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: duration("stop_ms", DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: duration("entry_life_max_ms", DEFAULT_ENTRY_TTL_MAX_MS),
+            evacuations: section.flag("evacuations", false),
+            cold_ratio: section.ratio("cold_ratio", DEFAULT_COLD_RATIO, RATIO_MAX),
+            cold_slack: section.positive_integer("cold_slack", DEFAULT_COLD_SLACK, COLD_SLACK_MAX)
+                as u32,
         };
         section.finish();
         fleet
@@ -142,6 +155,9 @@
             target_drain: Duration::from_millis(DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: Duration::from_millis(DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: Duration::from_millis(DEFAULT_ENTRY_TTL_MAX_MS),
+            evacuations: false,
+            cold_ratio: DEFAULT_COLD_RATIO,
+            cold_slack: DEFAULT_COLD_SLACK as u32,
         }
     }
 }
--- a/crates/core-forward/src/bounds.rs
+++ b/crates/core-forward/src/bounds.rs
@@ -16,5 +16,11 @@
         pub retry_window: Duration,
         /// Multiple of the pool's mean load above which other reachable targets are preferred.
         pub load_ratio_max: f64,
+        /// Whether the operator evacuates failure domains, so that the list of them must be known.
+        pub evacuations: bool,
+        /// Calls in one second that a cold target may get, as a multiple of its rate.
+        pub cold_ratio: f64,
+        /// Calls in one second that a cold target may get beyond `cold_ratio`.
+        pub cold_slack: u32,
     }
 }
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -1,9 +1,11 @@
 //! State machine of one forwarding router.
 
 mod beats;
+mod cold;
 mod detours;
 mod dispatch;
 mod ends;
+mod evacuations;
 mod links;
 mod listing;
 mod records;
@@ -25,10 +27,12 @@
 use state_config::{CallerLimits, ConfigVersion, FleetConfig};
 
 use crate::{
-    CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, StreamResumption, TargetStatus,
+    CallHead, CallKey, EvacuationChange, ForwardBounds, PromptHead, RouterEntry, StreamResumption,
+    TargetStatus,
     call::CallState,
     crashes::CrashReporter,
     detours::CallDetour,
+    evacuations::EvacuationTable,
     limits::ReturnQueue,
     links::LinkChange,
     origins::{OriginTable, StreamSoftware},
@@ -63,6 +67,8 @@
         pub recording_origins: bool,
         /// Origins of streams that were dropped because too many were known.
         pub dropped_origins: u64,
+        /// Failure domains that the operator has evacuated.
+        pub evacuated_domains: usize,
         /// Whether the router is shutting down.
         pub shutting_down: bool,
         /// Retries left in this router's share of the retry budget, by pool.
@@ -103,10 +109,14 @@
     /// Time at which the first configuration was adopted.
     first_config_at: TimePoint,
     config_adopted_at: TimePoint,
+    /// Whether the configuration comes from a snapshot, whose layout does not have all of it.
+    is_config_partial: bool,
     shutting_down: bool,
     targets: TargetTable,
     /// Whether a list of targets was received, from the platform or in a snapshot.
     targets_listed: bool,
+    /// Whether the list of routers was received from the platform.
+    routers_listed: bool,
     peers: PeerRegistry,
     peer_loads: PeerLoads,
     retry_budgets: BTreeMap<PoolName, WindowBudget>,
@@ -123,6 +133,10 @@
     unreported_leaving: ReportQueue<u64>,
     /// Names of targets that announced to other routers that they leave, since they were last taken.
     leaving_heard: Vec<HostName>,
+    /// Changes of the list of evacuated failure domains since they were last taken.
+    evacuation_changes: Vec<EvacuationChange>,
+    /// Hashes of targets whose time of being cold the other routers may not know.
+    unreported_cold: ReportQueue<u64>,
     /// Targets whose changes other routers reported first, since they were last taken.
     reported_changes: Vec<HostName>,
     origins: OriginTable,
@@ -147,9 +161,11 @@
             config: None,
             first_config_at: TimePoint(0),
             config_adopted_at: TimePoint(0),
+            is_config_partial: false,
             shutting_down: false,
-            targets: TargetTable::default(),
+            targets: TargetTable::new(EvacuationTable::new(bounds.evacuations)),
             targets_listed: false,
+            routers_listed: false,
             peers: PeerRegistry::default(),
             peer_loads: PeerLoads::default(),
             retry_budgets: BTreeMap::new(),
@@ -161,6 +177,8 @@
             link_changes: Vec::new(),
             unreported_leaving: ReportQueue::default(),
             leaving_heard: Vec::new(),
+            evacuation_changes: Vec::new(),
+            unreported_cold: ReportQueue::default(),
             reported_changes: Vec::new(),
             origins: OriginTable::default(),
             is_first_start: false,
@@ -174,9 +192,14 @@
 
     /// Adopts a configuration; returns false when the same or a later version is in force.
     pub fn adopt_config(&mut self, now: TimePoint, config: FleetConfig) -> bool {
-        if self.config.as_ref().is_some_and(|current| current.version >= config.version) {
+        let is_known = |current: &FleetConfig| {
+            current.version > config.version
+                || (current.version == config.version && !self.is_config_partial)
+        };
+        if self.config.as_ref().is_some_and(is_known) {
             return false;
         }
+        self.is_config_partial = false;
         if self.config.is_none() {
             self.first_config_at = now;
         }
@@ -214,7 +237,8 @@
 
     /// Whether the router has a configuration and a target list, and is not shutting down.
     pub fn ready(&self) -> bool {
-        !self.shutting_down && self.config.is_some() && self.targets_listed
+        let is_informed = self.targets_listed && self.targets.evacuations.is_known();
+        !self.shutting_down && self.config.is_some() && is_informed
     }
 
     /// Whether the router is shutting down.
@@ -316,6 +340,8 @@
             rate_limit: record.allowance.limit().rate,
             cached_segments: self.segments.segment_count(record.target_hash),
             phase: record.lifecycle.phase(now),
+            is_evacuated: record.is_evacuated,
+            cold_until: record.cold_until,
         });
         let (bounds, routers) = (self.retry_bounds(now), self.router_count());
         let budgets = self.retry_budgets.iter();
@@ -332,6 +358,7 @@
             stream_origins: self.origins.len(),
             recording_origins: self.is_recording_origins(),
             dropped_origins: self.origins.dropped(),
+            evacuated_domains: self.targets.evacuations.domains().count(),
             shutting_down: self.shutting_down,
             retries_left: retries_left.collect(),
             targets: targets.collect(),
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -71,6 +71,8 @@
         self.router_count() <= LOAD_NEWS_ROUTERS_MAX
             || self.has_plain_call
             || self.targets.news.has_report()
+            || !self.unreported_cold.is_empty()
+            || self.targets.evacuations.has_changed_lately(now)
             || !self.unreported_leaving.is_empty()
             || self.crashes.has_report()
             || (self.origins.has_report() && has_mixed_pool())
@@ -79,6 +81,7 @@
     /// Replaces the list of routers; the entry of this router is ignored.
     pub fn list_routers(&mut self, entries: Vec<RouterEntry>) {
         let own_name = self.entry.name.clone();
+        self.routers_listed = true;
         self.peers
             .replace_all(entries.into_iter().filter(|entry| entry.name != own_name).collect());
     }
@@ -132,7 +135,11 @@
             software: self.targets.software.next_report(now, SOFTWARE_NOTICES_MAX),
             unreachable_pools,
             cut_off: self.is_cut_off(now),
-            extension: HeartbeatExtension::default(),
+            extension: HeartbeatExtension {
+                cold_targets: self.take_cold_notices(now),
+                evacuations: self.targets.evacuations.report(now),
+                ..HeartbeatExtension::default()
+            },
         }
     }
 
@@ -193,6 +200,10 @@
             }
         }
         self.on_target_notices(now, &heartbeat.target_changes);
+        self.on_cold_notices(now, &heartbeat.extension.cold_targets);
+        if let Some(notice) = &heartbeat.extension.evacuations {
+            self.on_evacuation_notice(now, notice);
+        }
         for notice in &heartbeat.software {
             self.targets.software.on_notice(now, notice);
         }
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -102,9 +102,11 @@
     /// Whether a call that was dispatched, but not sent yet, may not be sent any more.
     pub fn is_withheld(&self, now: TimePoint, key: CallKey) -> bool {
         let Some(state) = self.calls.get(&key) else { return false };
+        let Some(attempt) = state.current_attempt else { return false };
         let is_blocked = |key: &ContentKey| self.crashes.tracker.is_blocked(now, *key);
-        state.current_attempt.is_some_and(|attempt| !attempt.is_trial)
-            && state.content_keys.iter().any(is_blocked)
+        let record = self.targets.get(attempt.target);
+        (!attempt.is_trial && state.content_keys.iter().any(is_blocked))
+            || record.is_some_and(|record| record.is_evacuated)
     }
 
     /// How a call may be dispatched in view of its content. Trials of blocked content are assigned to
@@ -222,11 +224,13 @@
             home_score: rendezvous_score(affinity, record.target_hash, 1),
             failure_rate: record.failure_rate.rate(now),
             ejected: record.is_ejected(now),
-            unreachable: record.is_unreachable(now),
+            // Nothing is fetched from a target of an evacuated failure domain either.
+            unreachable: record.is_unreachable(now) || record.is_evacuated,
             excluded: state.attempted_targets.contains(&target)
                 || !state.software.allows(record.software)
                 || !record.can_be_sent_calls(now)
-                || !self.is_contender(now, record),
+                || !self.is_contender(now, record)
+                || !self.has_cold_turn(now, record),
         });
         views.collect()
     }
@@ -255,7 +259,11 @@
         self.has_plain_call |= pool.is_some_and(|pool| pool.engine.is_none());
         let fetch_from = choice.fetch_from.and_then(|target| self.targets.get(target));
         let fetch_from = fetch_from.map(|record| record.entry.address);
+        let turns = self.targets.get(choice.target).and_then(|record| self.cold_turns(now, record));
         let record = self.targets.get_mut(choice.target)?;
+        if let Some(turns) = turns {
+            turns.take(now, &mut record.cold_turn);
+        }
         record.own_in_flight += 1;
         record.allowance.spend(now, 1);
         record.limit_report.on_send(&record.allowance);
--- /dev/null
+++ b/crates/core-forward/src/core/evacuations.rs
@@ -0,0 +1,38 @@
+//! Evacuated failure domains, from the platform and from other routers.
+
+use base_types::TimePoint;
+
+use crate::{EvacuationChange, EvacuationNotice, ForwardCore};
+
+impl ForwardCore {
+    /// Handles the complete list of evacuated failure domains at a revision of the platform; returns whether it differs
+    /// from what was known.
+    pub fn on_evacuations_listed(
+        &mut self,
+        now: TimePoint,
+        revision: u64,
+        domains: Vec<Box<str>>,
+    ) -> bool {
+        let notice = EvacuationNotice { revision, domains };
+        let change = self.targets.evacuations.on_listed(now, &notice);
+        self.on_evacuation_change(change)
+    }
+
+    /// Handles the list that another router reported.
+    pub(super) fn on_evacuation_notice(&mut self, now: TimePoint, notice: &EvacuationNotice) {
+        let change = self.targets.evacuations.on_reported(now, notice);
+        self.on_evacuation_change(change);
+    }
+
+    /// Returns the changes of the list since the last call, for logs.
+    pub fn take_evacuation_changes(&mut self) -> Vec<EvacuationChange> {
+        std::mem::take(&mut self.evacuation_changes)
+    }
+
+    fn on_evacuation_change(&mut self, change: Option<EvacuationChange>) -> bool {
+        let Some(change) = change else { return false };
+        self.targets.apply_evacuations();
+        self.evacuation_changes.push(change);
+        true
+    }
+}
--- a/crates/core-forward/src/core/listing.rs
+++ b/crates/core-forward/src/core/listing.rs
@@ -79,11 +79,17 @@
         if !self.targets.news.is_current(now, name, *revision) {
             return false;
         }
-        let is_changed = self.targets.listed_entry(name) != entry.as_ref();
+        let before = self.targets.listed_entry(name);
+        let is_changed = before != entry.as_ref();
+        let start = |entry: &TargetEntry| (entry.incarnation, entry.address);
+        let is_new_start = before.map(start) != entry.as_ref().map(start);
         match entry {
             Some(entry) => self.targets.upsert(now, entry.clone()),
             None => self.targets.mark_missing(now, name),
         }
+        if is_new_start {
+            self.assume_cold(now, name);
+        }
         if is_changed {
             self.targets.news.on_applied(now, name, *revision);
         }
--- a/crates/core-forward/src/core/refusals.rs
+++ b/crates/core-forward/src/core/refusals.rs
@@ -55,11 +55,17 @@
         let turn = heartbeat_interval(self.router_count());
         let responding = self.targets.responding(now, &state.pool);
         let candidates = responding.filter(|(target, record)| {
-            record.accepts_calls(now) && state.software.allows(record.software) && selects(*target)
+            record.accepts_calls(now)
+                && !record.is_evacuated
+                && state.software.allows(record.software)
+                && selects(*target)
         });
         let rooms = candidates.map(|(_, record)| {
             let turn_at = if self.is_contender(now, record) { now } else { now.after(turn) };
-            let at = record.allowance.room_at(now).max(turn_at).max(record.paused_until);
+            let turns = self.cold_turns(now, record);
+            let cold_at = turns.map_or(now, |turns| turns.next_at(now, record.cold_turn));
+            let at = record.allowance.room_at(now).max(turn_at).max(cold_at);
+            let at = at.max(record.paused_until);
             // Without a limit, a target takes about as many calls a second as it runs at once.
             let rate = record.allowance.rate().unwrap_or(f64::from(record.entry.slots.max(1)));
             PoolRoom { at, calls_per_s: rate }
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -6,6 +6,7 @@
 use policy_routing::{rendezvous_score, stable_hash};
 use state_config::FleetConfig;
 
+use super::cold::add_cold_rules;
 use crate::{
     ContentReport, ForwardCore, OriginNotice, PromptSegment, SnapshotExtension, SoftwareNotice,
     TargetEntry,
@@ -91,15 +92,24 @@
             segment_holders: segments
                 .map(|(segment, target_hashes)| SegmentHolders { segment, target_hashes })
                 .collect(),
-            extension: SnapshotExtension::default(),
+            extension: SnapshotExtension {
+                cold_targets: self.cold_notices(now),
+                cold_rates: self.cold_rates(),
+                evacuations: self.targets.evacuations.full_report(),
+                ..SnapshotExtension::default()
+            },
         }
     }
 
     /// Restores the state of another router; an already known list of targets and a configuration
     /// of the same or a later version are kept.
     pub fn restore(&mut self, now: TimePoint, snapshot: PeerSnapshot) {
-        if let Some(config) = snapshot.config {
-            self.adopt_config(now, config);
+        if let Some(mut config) = snapshot.config {
+            add_cold_rules(&mut config, &snapshot.extension.cold_rates);
+            self.is_config_partial |= self.adopt_config(now, config);
+        }
+        if let Some(notice) = &snapshot.extension.evacuations {
+            self.on_evacuation_notice(now, notice);
         }
         for target_hash in snapshot.leaving_targets {
             self.targets.on_leaving_announced(now, target_hash);
@@ -116,6 +126,7 @@
         }
         if !self.targets_listed && !snapshot.targets.is_empty() {
             self.list_targets(now, snapshot.targets);
+            self.on_cold_notices(now, &snapshot.extension.cold_targets);
         }
         for holders in snapshot.segment_holders.into_iter().rev() {
             for target_hash in holders.target_hashes {
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -10,6 +10,7 @@
 mod core;
 mod crashes;
 mod detours;
+mod evacuations;
 mod extension;
 mod limits;
 mod links;
@@ -33,6 +34,7 @@
     },
     crashes::{BlockNotice, ContentReport, CrashNotice, SuspectNotice},
     detours::{DetourClaim, DetourOutcome, DetourSpec},
+    evacuations::EvacuationChange,
     extension::{
         ColdNotice, EvacuationNotice, HeartbeatExtension, RouterCapacity, SnapshotExtension,
         SpeedNotice, WaitingNotice,
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -12,10 +12,11 @@
 use policy_retries::SuspectContent;
 use policy_routing::stable_hash;
 use policy_targets::{
-    CallRate, FailureRate, OutcomeCount, RateAllowance, TargetLifecycle, TargetPhase,
+    CallRate, FailureRate, OutcomeCount, RateAllowance, TargetLifecycle, TargetPhase, UsedTurn,
 };
 
 use crate::{
+    evacuations::EvacuationTable,
     limits::LimitReport,
     links::TargetLink,
     software::{SoftwareHistory, SoftwareKey},
@@ -91,6 +92,10 @@
         pub cached_segments: usize,
         /// Phase of the target's lifecycle.
         pub phase: TargetPhase,
+        /// Whether the operator has evacuated the target's failure domain.
+        pub is_evacuated: bool,
+        /// Time until which the target is cold.
+        pub cold_until: TimePoint,
     }
 }
 
@@ -131,6 +136,12 @@
     /// Content of the calls that the target lost since `content_lost_at`, and when it was sent.
     pub(crate) lost_content: BTreeMap<ContentKey, TimePoint>,
     content_lost_at: TimePoint,
+    /// Whether the operator has evacuated the target's failure domain.
+    pub(crate) is_evacuated: bool,
+    pub(crate) cold_until: TimePoint,
+    /// Whether `cold_until` is an assumption, as neither the platform nor another router has said it.
+    pub(crate) is_cold_assumed: bool,
+    pub(crate) cold_turn: UsedTurn,
     /// Whether the target announced in an answer that it leaves; true until it ends.
     announced_leaving: bool,
     listed: bool,
@@ -153,6 +164,7 @@
     leaving_until: BTreeMap<u64, TimePoint>,
     pub(crate) software: SoftwareHistory,
     pub(crate) news: TargetNews,
+    pub(crate) evacuations: EvacuationTable,
     /// Until this time, a missing entry does not count as removed.
     relist_until: TimePoint,
 }
@@ -178,6 +190,10 @@
             next_crash_probe_at: TimePoint(0),
             lost_content: BTreeMap::new(),
             content_lost_at: TimePoint(0),
+            is_evacuated: false,
+            cold_until: TimePoint(0),
+            is_cold_assumed: false,
+            cold_turn: UsedTurn::default(),
             announced_leaving: false,
             listed: true,
             delist_at: TimePoint::NEVER,
@@ -207,7 +223,10 @@
 
     /// Whether a call may be sent to the target now.
     pub(crate) fn can_be_sent_calls(&self, now: TimePoint) -> bool {
-        self.accepts_calls(now) && self.paused_until.passed(now) && self.allowance.has_room(now)
+        self.accepts_calls(now)
+            && !self.is_evacuated
+            && self.paused_until.passed(now)
+            && self.allowance.has_room(now)
     }
 
     /// Whether the target is ejected after a failure.
@@ -289,8 +308,8 @@
     }
 }
 
-impl Default for TargetTable {
-    fn default() -> Self {
+impl TargetTable {
+    pub(crate) fn new(evacuations: EvacuationTable) -> Self {
         Self {
             records: BTreeMap::new(),
             keys_by_name: BTreeMap::new(),
@@ -299,12 +318,18 @@
             leaving_until: BTreeMap::new(),
             software: SoftwareHistory::default(),
             news: TargetNews::default(),
+            evacuations,
             relist_until: TimePoint(0),
         }
     }
-}
 
-impl TargetTable {
+    /// Applies the list of evacuated failure domains to all targets.
+    pub(crate) fn apply_evacuations(&mut self) {
+        for record in self.records.values_mut() {
+            record.is_evacuated = self.evacuations.excludes(&record.entry.failure_domain);
+        }
+    }
+
     /// Replaces the list: adds or updates the given entries and marks all others as missing.
     pub(crate) fn replace_all(&mut self, now: TimePoint, entries: Vec<TargetEntry>) {
         let listed_names: BTreeSet<HostName> =
@@ -342,6 +367,7 @@
                     record.lifecycle.on_leaving_listed(now);
                     record.limit_fetching(now);
                 }
+                record.is_evacuated = self.evacuations.excludes(&entry.failure_domain);
                 record.entry = entry;
                 return;
             }
@@ -352,6 +378,7 @@
         self.next_key += 1;
         self.keys_by_name.insert(entry.name.clone(), key);
         let mut record = TargetRecord::new(entry);
+        record.is_evacuated = self.evacuations.excludes(&record.entry.failure_domain);
         if self.leaving_until.contains_key(&record.target_hash) {
             record.mark_leaving(now);
         }
@@ -473,6 +500,15 @@
         self.records.iter_mut().map(|(key, record)| (*key, record))
     }
 
+    pub(crate) fn find_by_hash(&self, target_hash: u64) -> Option<&TargetRecord> {
+        self.records.get(self.keys_by_hash.get(&target_hash)?)
+    }
+
+    /// The record of the current start of a target.
+    pub(crate) fn find_by_name_mut(&mut self, name: &HostName) -> Option<&mut TargetRecord> {
+        self.records.get_mut(self.keys_by_name.get(name)?)
+    }
+
     pub(crate) fn find_by_hash_mut(&mut self, target_hash: u64) -> Option<&mut TargetRecord> {
         self.records.get_mut(self.keys_by_hash.get(&target_hash)?)
     }
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -22,6 +22,9 @@
     retry_slack: 100,
     retry_window: Duration::from_secs(10),
     load_ratio_max: 2.0,
+    evacuations: false,
+    cold_ratio: 1.5,
+    cold_slack: 5,
 };
 
 fn address(port: u16) -> SocketAddr {
@@ -66,7 +69,12 @@
         public: true,
     };
     let engine = EngineRule { slots: 8, cache_tokens: 1_000_000 };
-    let pool = PoolRule { name: PoolName::new("pool"), connections_max: 10, engine: Some(engine) };
+    let pool = PoolRule {
+        name: PoolName::new("pool"),
+        connections_max: 10,
+        engine: Some(engine),
+        cold: None,
+    };
     let limits = CallerLimits {
         head_bytes_max: 1,
         body_bytes_max: 1,
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -70,6 +70,7 @@
                 core.on_heartbeat(now, heartbeat);
                 (core.take_leaving_heard(), core.take_reported_changes())
             });
+            state.log_evacuations("router");
             for target in changed {
                 log::info!(target = target.as_str(); "change of a target reported by another router");
             }
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -108,6 +108,18 @@
         self.inner.heartbeat_wakeup.notify_one();
     }
 
+    /// Logs the changes of the list of evacuated failure domains; `source` names who reported them.
+    pub fn log_evacuations(&self, source: &str) {
+        for change in self.with_core(|core, _| core.take_evacuation_changes()) {
+            let (evacuated, restored) = (change.evacuated.join(","), change.restored.join(","));
+            log::info!(
+                source, revision = change.revision, evacuated = evacuated.as_str(),
+                restored = restored.as_str();
+                "list of evacuated failure domains changed"
+            );
+        }
+    }
+
     /// Notified when there is state that peers can use at once, to send a heartbeat early.
     pub(crate) fn heartbeat_wakeup(&self) -> &Notify {
         &self.inner.heartbeat_wakeup
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -59,6 +59,10 @@
     RecordingOrigins,
     /// Origins of streams that were dropped because too many were known.
     DroppedOrigins,
+    /// Failure domains that the operator has evacuated.
+    EvacuatedDomains,
+    /// Seconds for which a target stays cold.
+    TargetColdSeconds,
     /// Calls of this router in flight at a target.
     TargetOwnCalls,
     /// Calls of other routers in flight at a target, from their latest heartbeats.
@@ -82,7 +86,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 24] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -95,6 +99,8 @@
         Self::StreamOrigins,
         Self::RecordingOrigins,
         Self::DroppedOrigins,
+        Self::EvacuatedDomains,
+        Self::TargetColdSeconds,
         Self::TargetOwnCalls,
         Self::TargetOtherCalls,
         Self::TargetFailureRate,
@@ -121,6 +127,8 @@
             Self::StreamOrigins => "knapweedport_stream_origins",
             Self::RecordingOrigins => "knapweedport_recording_origins",
             Self::DroppedOrigins => "knapweedport_dropped_stream_origins",
+            Self::EvacuatedDomains => "knapweedport_evacuated_domains",
+            Self::TargetColdSeconds => "knapweedport_target_cold_seconds",
             Self::TargetOwnCalls => "knapweedport_target_own_calls",
             Self::TargetOtherCalls => "knapweedport_target_other_calls",
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
--- a/crates/state-config/src/config.rs
+++ b/crates/state-config/src/config.rs
@@ -18,6 +18,14 @@
         pub cache_tokens: u64,
     }
 
+    /// What the targets of a pool take after their start.
+    pub struct ColdRule {
+        /// Calls per thousand seconds that a cold target takes.
+        pub rate: u32,
+        /// Time for which a target is cold after it started while the fleet serves.
+        pub time: Duration,
+    }
+
     /// Limits on the requests and connections of callers.
     pub struct CallerLimits {
         /// Maximum size of a request head in bytes.
@@ -43,6 +51,10 @@
         pub connections_max: u32,
         /// Capacity of the targets; set only if they are model engines.
         pub engine: Option<EngineRule>,
+        /// What cold targets take; `None` if they take as much as others. Not part of the frozen layout of
+        /// snapshots.
+        #[serde(skip)]
+        pub cold: Option<ColdRule>,
     }
 }
 
--- a/crates/state-config/src/lib.rs
+++ b/crates/state-config/src/lib.rs
@@ -9,6 +9,6 @@
 
 pub use crate::{
     accounts::{AccountRule, KeyDigest},
-    config::{CallerLimits, ConfigVersion, EngineRule, FleetConfig, PoolRule},
+    config::{CallerLimits, ColdRule, ConfigVersion, EngineRule, FleetConfig, PoolRule},
     routes::{RetryRule, RouteMatch, RouteRule, WeightedPool},
 };
