--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -10,7 +10,9 @@
 mod core;
 mod crashes;
 mod detours;
+mod envelope;
 mod extension;
+mod fleet_key;
 mod limits;
 mod links;
 mod origin_record;
@@ -33,10 +35,17 @@
     },
     crashes::{BlockNotice, ContentReport, CrashNotice, SuspectNotice},
     detours::{DetourClaim, DetourOutcome, DetourSpec},
+    envelope::{
+        DecodedHeartbeat, DecodedMessage, DecodedSnapshot, EncodedMessage, EnvelopeError,
+        ExtensionFault, ExtensionState, HEARTBEAT_BYTES_MAX, MessageAuthenticity, PeerFormat,
+        RecordTag, SNAPSHOT_BYTES_MAX, decode_heartbeat, decode_snapshot, encode_heartbeat,
+        encode_snapshot,
+    },
     extension::{
         ColdNotice, EvacuationNotice, HeartbeatExtension, RouterCapacity, SnapshotExtension,
         SpeedNotice, WaitingNotice,
     },
+    fleet_key::{FleetKey, PeerKeys},
     limits::LimitNotice,
     links::{LinkChange, LinkProbe},
     origin_record::{OriginRecord, RECORD_PARTS, RecordWrite},
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use core_forward::{ContentChange, PeerHeartbeat, heartbeat_interval};
+use core_forward::{
+    ContentChange, HEARTBEAT_BYTES_MAX, PeerKeys, decode_heartbeat, encode_heartbeat,
+    heartbeat_interval,
+};
 use tokio::{net::UdpSocket, time::Instant};
 
 use crate::ForwardState;
@@ -10,8 +13,8 @@
 /// Divisor of the interval after a wakeup (a new attempt or fetched segments).
 const URGENT_DIVISOR: u32 = 4;
 
-/// Size of the receive buffer; a longer heartbeat would be cut off and fail to decode.
-const DATAGRAM_MAX: usize = 8_192;
+/// Size of the receive buffer; a longer heartbeat would be cut off.
+const DATAGRAM_MAX: usize = HEARTBEAT_BYTES_MAX + 1;
 
 /// Sends this router's heartbeats and receives those of its peers until the process ends.
 ///
@@ -63,8 +66,9 @@
 }
 
 fn receive_heartbeat(state: &ForwardState, datagram: &[u8]) {
-    match postcard::from_bytes::<PeerHeartbeat>(datagram) {
-        Ok(heartbeat) => {
+    match decode_heartbeat(datagram, &PeerKeys::default()) {
+        Ok(decoded) => {
+            let heartbeat = decoded.message;
             let has_origins = !heartbeat.stream_origins.is_empty();
             let (leaving, changed) = state.with_core(|core, now| {
                 core.on_heartbeat(now, heartbeat);
@@ -114,17 +118,21 @@
     let (heartbeat, addresses) =
         state.with_core(|core, now| (core.next_heartbeat(now), core.heartbeat_addresses()));
     log_content_changes(state);
-    let datagram = match postcard::to_stdvec(&heartbeat) {
-        Ok(datagram) => datagram,
+    let encoded = match encode_heartbeat(&heartbeat, None) {
+        Ok(encoded) => encoded,
         Err(error) => {
             log::error!(error = error.to_string().as_str(); "encoding a heartbeat failed");
             return addresses.len();
         }
     };
+    if !encoded.omitted.is_empty() {
+        let records = format!("{:?}", encoded.omitted);
+        log::debug!(records = records.as_str(); "records left out of a heartbeat");
+    }
     for address in &addresses {
         // Not retried: the next heartbeat reports the load again, but the segment holders and
         // outcomes of this one are lost to this peer.
-        if let Err(error) = socket.send_to(&datagram, address).await {
+        if let Err(error) = socket.send_to(&encoded.bytes, address).await {
             log::debug!(error = error.to_string().as_str(); "sending a heartbeat failed");
         }
     }
--- a/crates/io-forward/src/snapshots.rs
+++ b/crates/io-forward/src/snapshots.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use core_forward::PeerSnapshot;
+use core_forward::{PeerKeys, PeerSnapshot, SNAPSHOT_BYTES_MAX, decode_snapshot, encode_snapshot};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -23,9 +23,6 @@
 /// Maximum number of peers that are asked for a snapshot.
 const SOURCES_MAX: usize = 3;
 
-/// Limit on the size of a received snapshot; longer ones are cut off and fail to decode.
-const SNAPSHOT_BYTES_MAX: u64 = 8 * 1024 * 1024;
-
 /// Backoff after a failed `accept`.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -103,9 +100,13 @@
 }
 
 async fn send_snapshot(mut stream: TcpStream, snapshot: &PeerSnapshot) -> io::Result<()> {
-    let bytes = postcard::to_stdvec(snapshot).map_err(io::Error::other)?;
+    let encoded = encode_snapshot(snapshot, None).map_err(io::Error::other)?;
+    if !encoded.omitted.is_empty() {
+        let records = format!("{:?}", encoded.omitted);
+        log::debug!(records = records.as_str(); "records left out of a snapshot");
+    }
     let sending = async {
-        stream.write_all(&bytes).await?;
+        stream.write_all(&encoded.bytes).await?;
         stream.shutdown().await
     };
     timeout(SNAPSHOT_TIMEOUT, sending).await?
@@ -115,8 +116,10 @@
     let reading = async {
         let stream = TcpStream::connect(source).await?;
         let mut bytes = Vec::new();
-        stream.take(SNAPSHOT_BYTES_MAX).read_to_end(&mut bytes).await?;
-        postcard::from_bytes(&bytes).map_err(io::Error::other)
+        // A longer snapshot is cut off.
+        stream.take(SNAPSHOT_BYTES_MAX as u64 + 1).read_to_end(&mut bytes).await?;
+        let decoded = decode_snapshot(&bytes, &PeerKeys::default()).map_err(io::Error::other)?;
+        Ok(decoded.message)
     };
     timeout(SNAPSHOT_TIMEOUT, reading).await?
 }
