--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -10,8 +10,10 @@
 mod core;
 mod crashes;
 mod detours;
+mod envelope;
 mod evacuations;
 mod extension;
+mod fleet_key;
 mod limits;
 mod links;
 mod origin_record;
@@ -34,11 +36,18 @@
     },
     crashes::{BlockNotice, ContentReport, CrashNotice, SuspectNotice},
     detours::{DetourClaim, DetourOutcome, DetourSpec},
+    envelope::{
+        DecodedHeartbeat, DecodedMessage, DecodedSnapshot, EncodedMessage, EnvelopeError,
+        ExtensionFault, ExtensionState, HEARTBEAT_BYTES_MAX, MessageAuthenticity, PeerFormat,
+        RecordTag, SNAPSHOT_BYTES_MAX, decode_heartbeat, decode_snapshot, encode_heartbeat,
+        encode_snapshot,
+    },
     evacuations::EvacuationChange,
     extension::{
         ColdNotice, EvacuationNotice, HeartbeatExtension, RouterCapacity, SnapshotExtension,
         SpeedNotice, WaitingNotice,
     },
+    fleet_key::{FleetKey, PeerKeys},
     limits::LimitNotice,
     links::{LinkChange, LinkProbe},
     origin_record::{OriginRecord, RECORD_PARTS, RecordWrite},
