Name routers to callers by their capacity and load

Cause: callers get the first 64 routers by name, each as often as any other, though routers of the hub differ in capacity by 6.7 (0.12 of a core and 10 Mbit/s against 0.5 and 200), and the routers after the 64th are never named.

Change: a decision module in policy-routing names each router with a probability proportional to its weight (rendezvous hashing with the score of Pareto order sampling). The weight follows from the new settings cpu_share, link_mbps and max_descriptors; the load class from the event loop's delay, the processor time and the descriptors that the router observes. Both are sent as the capacity record of heartbeats and kept per peer for 30 s. Without these settings nothing changes in fleets of up to 64 routers.

--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -235,6 +235,12 @@
         }
     }
 
+    /// An integer or float above zero and at most `max`; `None` when absent or faulty.
+    pub(crate) fn optional_ratio(&self, name: &'static str, max: f64) -> Option<f64> {
+        let ratio = self.ratio(name, 0.0, max);
+        (ratio > 0.0).then_some(ratio)
+    }
+
     /// IP addresses and ports in an optional array; empty when absent.
     pub(crate) fn addresses(&self, name: &'static str) -> Vec<SocketAddr> {
         self.strings(name).into_iter().filter_map(|text| self.parse_address(name, text)).collect()
@@ -262,15 +268,24 @@
         match parsed.and_then(|number| u64::try_from(number).ok()) {
             Some(number) if (1..=max).contains(&number) => number,
             _ => {
-                let remedy = format!(
-                    "use a number from 1 to {max}, or omit it for the default of {default}"
-                );
+                let remedy = match default {
+                    0 => format!("use a number from 1 to {max}, or omit it"),
+                    _ => format!(
+                        "use a number from 1 to {max}, or omit it for the default of {default}"
+                    ),
+                };
                 self.report_fault(name, format!("is {}", number.as_str()), remedy);
                 default
             }
         }
     }
 
+    /// An integer above zero and at most `max`; `None` when absent or faulty.
+    pub(crate) fn optional_integer(&self, name: &'static str, max: u64) -> Option<u64> {
+        let number = self.positive_integer(name, 0, max);
+        (number > 0).then_some(number)
+    }
+
     /// One of a fixed set of words; `default` when absent or faulty.
     pub(crate) fn choice<T: Copy>(
         &self,
--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -21,6 +21,9 @@
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
 const DEFAULT_LOAD_RATIO_MAX: f64 = 2.0;
 const RATIO_MAX: f64 = 100.0;
+const CPU_SHARE_MAX: f64 = 1_024.0;
+const LINK_MBPS_MAX: f64 = 1_000_000.0;
+const DESCRIPTORS_MAX: u64 = 100_000_000;
 
 /// Settings of one gateway process, with every value checked, alone and against the others.
 #[derive(Debug, Clone, PartialEq)]
@@ -44,12 +47,26 @@
     /// Whether the whole fleet starts for the first time, so that nothing was served before. May stay
     /// set: it decides only while the platform keeps no record of an earlier start.
     pub first_start: bool,
+    /// What the machine gives to this gateway.
+    pub capacity: CapacitySettings,
     /// Bounds that apply to the fleet as a whole.
     pub fleet: FleetSettings,
     /// Level and format of the log.
     pub log: LogSettings,
 }
 
+/// What the machine gives to one gateway; each value is optional. Callers are shared among gateways by
+/// what they state here.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct CapacitySettings {
+    /// Processor share in cores.
+    pub cpu_share: Option<f64>,
+    /// Bandwidth of the link in each direction in Mbit/s.
+    pub link_mbps: Option<f64>,
+    /// Number of descriptors that the process may open.
+    pub max_descriptors: Option<u32>,
+}
+
 /// Bounds that apply to the fleet as a whole; every gateway must be given the same values.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetSettings {
@@ -90,6 +107,7 @@
         let peer_listen = root.required_address("peer_listen");
         let platform = root.required_address("platform");
         let first_start = root.flag("first_start", false);
+        let capacity = CapacitySettings::read(root);
         let fleet = FleetSettings::read(root);
         let log = LogSettings::read(root);
         Some(Self {
@@ -102,12 +120,25 @@
             peer_listen: peer_listen?,
             platform: platform?,
             first_start,
+            capacity,
             fleet,
             log,
         })
     }
 }
 
+impl CapacitySettings {
+    fn read(root: &SettingsSection<'_, '_>) -> Self {
+        Self {
+            cpu_share: root.optional_ratio("cpu_share", CPU_SHARE_MAX),
+            link_mbps: root.optional_ratio("link_mbps", LINK_MBPS_MAX),
+            max_descriptors: root
+                .optional_integer("max_descriptors", DESCRIPTORS_MAX)
+                .map(|count| count as u32),
+        }
+    }
+}
+
 impl FleetSettings {
     fn read(root: &SettingsSection<'_, '_>) -> Self {
         let Some(section) = root.section("fleet") else { return Self::default() };
--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -56,5 +56,9 @@
 test_cases! {
     check_fault_keys:
     the_first_start_may_be_stated("platform =", "first_start = true\nplatform =", &[]);
+    capacities_may_be_stated("platform =", "cpu_share = 0.12\nlink_mbps = 10\nmax_descriptors = 4096\nplatform =", &[]);
+    a_capacity_of_zero_is_refused("platform =", "cpu_share = 0\nlink_mbps = -1.5\nplatform =", &["cpu_share", "link_mbps"]);
+    a_part_of_a_descriptor_is_refused("platform =", "max_descriptors = 0.5\nplatform =", &["max_descriptors"]);
+    a_capacity_in_quotes_is_refused("platform =", "max_descriptors = \"4096\"\nplatform =", &["max_descriptors"]);
     a_first_start_in_quotes_is_refused("platform =", "first_start = \"true\"\nplatform =", &["first_start"]);
 }
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -1,6 +1,7 @@
 //! State machine of one forwarding router.
 
 mod beats;
+mod callers;
 mod detours;
 mod dispatch;
 mod ends;
@@ -24,8 +25,10 @@
 use policy_routing::{PeerLoads, SegmentDirectory, stable_hash};
 use state_config::{CallerLimits, ConfigVersion, FleetConfig};
 
+use self::callers::OwnCapacity;
 use crate::{
-    CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, StreamResumption, TargetStatus,
+    CallHead, CallKey, ForwardBounds, PromptHead, RouterCapacity, RouterEntry, StreamResumption,
+    TargetStatus,
     call::CallState,
     crashes::CrashReporter,
     detours::CallDetour,
@@ -65,6 +68,10 @@
         pub dropped_origins: u64,
         /// Whether the router is shutting down.
         pub shutting_down: bool,
+        /// Capacity and load that this router reports; `None` if its settings state no resources.
+        pub capacity: Option<RouterCapacity>,
+        /// Routers in the last answer to a caller.
+        pub last_named: usize,
         /// Retries left in this router's share of the retry budget, by pool.
         pub retries_left: Vec<(PoolName, u64)>,
         /// Status of each target.
@@ -136,6 +143,7 @@
     calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
     heartbeat_sequence: u64,
+    capacity: OwnCapacity,
 }
 
 impl ForwardCore {
@@ -169,6 +177,7 @@
             calls: BTreeMap::new(),
             next_call_key: 0,
             heartbeat_sequence: 0,
+            capacity: OwnCapacity::default(),
         }
     }
 
@@ -333,6 +342,8 @@
             recording_origins: self.is_recording_origins(),
             dropped_origins: self.origins.dropped(),
             shutting_down: self.shutting_down,
+            capacity: self.own_capacity(),
+            last_named: self.capacity.last_named,
             retries_left: retries_left.collect(),
             targets: targets.collect(),
         }
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -1,4 +1,4 @@
-//! Heartbeats between routers, and the list of routers that callers use.
+//! Heartbeats between routers.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -132,7 +132,10 @@
             software: self.targets.software.next_report(now, SOFTWARE_NOTICES_MAX),
             unreachable_pools,
             cut_off: self.is_cut_off(now),
-            extension: HeartbeatExtension::default(),
+            extension: HeartbeatExtension {
+                capacity: self.own_capacity(),
+                ..HeartbeatExtension::default()
+            },
         }
     }
 
@@ -227,24 +230,4 @@
         });
         peers.iter().map(|peer| peer.peer_address).collect()
     }
-
-    /// Returns the addresses that callers may use, with this router's own while it serves. Unless
-    /// it is shutting down, its own is also returned when no other router serves. Routers that are cut
-    /// off from all targets are left out while others are not.
-    pub fn caller_addresses(&self, now: TimePoint) -> Vec<SocketAddr> {
-        let mut linked: Vec<SocketAddr> =
-            self.peers.serving_with_links(now).map(|entry| entry.caller_address).collect();
-        if self.ready() && !self.is_cut_off(now) {
-            linked.push(self.entry.caller_address);
-        }
-        if !linked.is_empty() {
-            return linked;
-        }
-        let mut addresses: Vec<SocketAddr> =
-            self.peers.serving(now).map(|entry| entry.caller_address).collect();
-        if self.ready() || (addresses.is_empty() && !self.shutting_down) {
-            addresses.push(self.entry.caller_address);
-        }
-        addresses
-    }
 }
--- a/crates/core-forward/src/extension.rs
+++ b/crates/core-forward/src/extension.rs
@@ -27,9 +27,10 @@
 
     /// What a router can carry, and how much of it is used.
     pub struct RouterCapacity {
-        /// Relative share of the callers that the router can carry.
+        /// Calls per second that the router can carry; routers compare it with the median of all.
         pub weight: u32,
-        /// Use of the resource that is used most, in percent.
+        /// Use of the resource that is used most, in percent, averaged over some seconds. Moved by the
+        /// sender to where it stands for the sender's load class.
         pub load_percent: u16,
     }
 
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -47,4 +47,5 @@
     targets::{LeavingNotice, TargetEntry, TargetStatus},
 };
 pub use policy_retries::ContentChange;
+pub use policy_routing::{CallerKey, LoadClass, LoadSample, RouterResources};
 pub use policy_targets::CallRate;
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -3,10 +3,12 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
+use policy_routing::{LoadClass, PeerClass};
 use policy_targets::OutcomeCount;
 
 use crate::{
-    ContentReport, HeartbeatExtension, LimitNotice, OriginNotice, SoftwareNotice, TargetNotice,
+    ContentReport, HeartbeatExtension, LimitNotice, OriginNotice, RouterCapacity, SoftwareNotice,
+    TargetNotice,
 };
 
 /// Time for which a router counts as alive after its last heartbeat.
@@ -15,6 +17,10 @@
 /// Time for which no calls are sent through a router that did not accept a connection.
 const DETOUR_REFUSED_TTL: Duration = Duration::from_secs(1);
 
+/// Time for which a router's capacity counts after the last heartbeat that stated it. Routers that state
+/// one do so in each heartbeat.
+const CAPACITY_TTL: Duration = Duration::from_secs(30);
+
 value_types! {
     /// Entry of a router in the platform's store.
     #[derive(Eq)]
@@ -100,6 +106,15 @@
     refusing_until: TimePoint,
     unreachable_pools: Vec<u64>,
     cut_off: bool,
+    capacity: Option<PeerCapacity>,
+}
+
+/// Capacity of a router, from its heartbeats.
+#[derive(Debug, Clone, Copy)]
+struct PeerCapacity {
+    weight: u32,
+    class: PeerClass,
+    until: TimePoint,
 }
 
 impl PeerRecord {
@@ -114,6 +129,7 @@
             refusing_until: TimePoint(0),
             unreachable_pools: Vec::new(),
             cut_off: false,
+            capacity: None,
         }
     }
 
@@ -122,6 +138,16 @@
         self.calls_in_flight.saturating_add(self.detours)
     }
 
+    /// Takes over the capacity in a heartbeat; the absence of one says nothing.
+    fn record_capacity(&mut self, now: TimePoint, stated: Option<RouterCapacity>) {
+        let Some(RouterCapacity { weight, load_percent }) = stated else { return };
+        let known = self.capacity.filter(|known| !known.until.passed(now));
+        let mut class =
+            known.map_or_else(|| PeerClass::first(now, load_percent), |known| known.class);
+        class.update(now, load_percent);
+        self.capacity = Some(PeerCapacity { weight, class, until: now.after(CAPACITY_TTL) });
+    }
+
     fn is_serving(&self, now: TimePoint) -> bool {
         self.serving && !self.alive_until.passed(now)
     }
@@ -178,6 +204,7 @@
         let is_restarted = record.entry.incarnation != heartbeat.entry.incarnation;
         if is_restarted {
             record.entry = heartbeat.entry.clone();
+            record.capacity = None;
         }
         record.alive_until = now.after(HEARTBEAT_TTL);
         record.serving = heartbeat.ready && !heartbeat.shutting_down;
@@ -185,6 +212,7 @@
         record.calls_in_flight = loads.fold(0, |sum: u32, load| sum.saturating_add(load.in_flight));
         record.unreachable_pools.clone_from(&heartbeat.unreachable_pools);
         record.cut_off = heartbeat.cut_off;
+        record.record_capacity(now, heartbeat.extension.capacity);
         is_restarted
     }
 
@@ -212,6 +240,16 @@
         serving.filter(|record| !record.cut_off).map(|record| &record.entry)
     }
 
+    /// Returns the stated weight of a router and the class of its load; no weight and the lowest class
+    /// where these are unknown.
+    pub(crate) fn capacity(&self, now: TimePoint, name: &HostName) -> (Option<u32>, LoadClass) {
+        let capacity = self.records.get(name).and_then(|record| record.capacity);
+        match capacity.filter(|capacity| !capacity.until.passed(now)) {
+            Some(capacity) => (Some(capacity.weight), capacity.class.class()),
+            None => (None, LoadClass::Normal),
+        }
+    }
+
     /// Returns the serving routers that take calls of other routers and reach a pool.
     pub(crate) fn reaching(
         &self,
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -7,9 +7,9 @@
     test_cases,
 };
 use core_forward::{
-    AttemptOutcome, AttemptSpec, CallHead, CallKey, CallRate, DispatchStep, ForwardBounds,
-    ForwardCore, PromptHead, PromptSegment, RouterEntry, SoftwareKey, SoftwareNotice,
-    StreamResumption, TargetEntry, TargetNotice,
+    AttemptOutcome, AttemptSpec, CallHead, CallKey, CallRate, CallerKey, DispatchStep,
+    ForwardBounds, ForwardCore, PromptHead, PromptSegment, RouterEntry, SoftwareKey,
+    SoftwareNotice, StreamResumption, TargetEntry, TargetNotice,
 };
 use proptest::prelude::*;
 use state_config::{
@@ -282,16 +282,19 @@
     let mut core = core_of(RetryRule::AtMostOnce, 1, 1);
     core.list_routers(vec![router("b", 200), router("c", 300)]);
     let now = TimePoint(1_000_000);
-    assert_eq!(core.caller_addresses(now), [address(100)]);
+    assert_eq!(core.caller_addresses(now, CallerKey(7)), [address(100)]);
     let mut other = core_of_router("b", 200);
     core.on_heartbeat(now, other.next_heartbeat(now));
-    assert_eq!(core.caller_addresses(now), [address(200), address(100)]);
-    assert_eq!(core.caller_addresses(now.after(Duration::from_secs(3))), [address(100)]);
+    assert_eq!(core.caller_addresses(now, CallerKey(7)), [address(200), address(100)]);
+    assert_eq!(
+        core.caller_addresses(now.after(Duration::from_secs(3)), CallerKey(7)),
+        [address(100)]
+    );
     other.start_shutdown();
     core.on_heartbeat(now, other.next_heartbeat(now));
-    assert_eq!(core.caller_addresses(now), [address(100)]);
+    assert_eq!(core.caller_addresses(now, CallerKey(7)), [address(100)]);
     core.start_shutdown();
-    assert_eq!(core.caller_addresses(now), []);
+    assert_eq!(core.caller_addresses(now, CallerKey(7)), []);
 }
 
 fn core_of_router(name: &str, port: u16) -> ForwardCore {
--- a/crates/core-forward/tests/detours.rs
+++ b/crates/core-forward/tests/detours.rs
@@ -10,7 +10,8 @@
 
 use base_types::{ContentDigest, NotRunCode, Refusal, TargetKey, TimePoint, test_cases};
 use core_forward::{
-    AttemptOutcome, CallKey, DetourClaim, DetourOutcome, DetourSpec, DispatchStep, ForwardCore,
+    AttemptOutcome, CallKey, CallerKey, DetourClaim, DetourOutcome, DetourSpec, DispatchStep,
+    ForwardCore,
 };
 use fixture::{call_head, new_router, target_entry, target_index};
 use state_config::RetryRule;
@@ -199,11 +200,11 @@
 
 #[test]
 fn callers_are_not_sent_to_routers_that_are_cut_off() {
-    let fleet = CutFleet::new(3, &[0]);
-    assert_eq!(fleet.routers[0].caller_addresses(START).len(), 2);
-    assert_eq!(fleet.routers[1].caller_addresses(START).len(), 2);
-    let all_cut = CutFleet::new(3, &[0, 1, 2]);
-    assert_eq!(all_cut.routers[0].caller_addresses(START).len(), 3);
+    let mut fleet = CutFleet::new(3, &[0]);
+    assert_eq!(fleet.routers[0].caller_addresses(START, CallerKey(7)).len(), 2);
+    assert_eq!(fleet.routers[1].caller_addresses(START, CallerKey(7)).len(), 2);
+    let mut all_cut = CutFleet::new(3, &[0, 1, 2]);
+    assert_eq!(all_cut.routers[0].caller_addresses(START, CallerKey(7)).len(), 3);
 }
 
 /// One failed connection puts the other links in doubt, unless a target answers afterwards.
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -14,6 +14,7 @@
 mod framing;
 mod front;
 mod hop;
+mod load;
 mod log_lines;
 mod peers;
 mod relay;
@@ -26,6 +27,7 @@
     dialect::{ExecutionStatus, ForwardDialect, ResponseHead},
     events::{CompleteEvents, EventPosition, EventSplitter},
     front::{CallerListener, serve_callers},
+    load::watch_load,
     peers::exchange_heartbeats,
     snapshots::{bootstrap_from_peers, serve_snapshots},
     state::ForwardState,
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -77,12 +77,18 @@
     PlatformCalls,
     /// Log lines dropped since the process started; see [`dropped_lines`].
     DroppedLogLines,
+    /// Calls per second that this router can carry by its settings; absent where they state nothing.
+    RouterWeight,
+    /// Use of the resource of this router that is used most, 1 at its limit; absent like the weight.
+    RouterLoad,
+    /// Routers in the last answer to a caller that asked which addresses to use.
+    NamedRouters,
     /// Resident memory of the process in bytes; absent where the system does not report it.
     ResidentMemory,
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 25] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -104,6 +110,9 @@
         Self::ConnectionsOpened,
         Self::PlatformCalls,
         Self::DroppedLogLines,
+        Self::RouterWeight,
+        Self::RouterLoad,
+        Self::NamedRouters,
         Self::ResidentMemory,
     ];
 
@@ -130,6 +139,9 @@
             Self::ConnectionsOpened => "knapweedport_target_connections_opened",
             Self::PlatformCalls => "knapweedport_platform_calls",
             Self::DroppedLogLines => "knapweedport_log_lines_left_out",
+            Self::RouterWeight => "knapweedport_router_weight",
+            Self::RouterLoad => "knapweedport_router_load",
+            Self::NamedRouters => "knapweedport_named_routers",
             Self::ResidentMemory => "knapweedport_resident_memory_bytes",
         }
     }
--- a/crates/policy-routing/src/rendezvous.rs
+++ b/crates/policy-routing/src/rendezvous.rs
@@ -10,8 +10,12 @@
 /// Returns the weighted rendezvous score of a target for an affinity; the highest score is
 /// preferred.
 pub fn rendezvous_score(affinity: u64, target_hash: u64, weight: u32) -> f64 {
-    let mixed = xxh3::xxh3_64_with_seed(&target_hash.to_le_bytes(), affinity);
-    -f64::from(weight) / to_unit_interval(mixed).max(f64::MIN_POSITIVE).ln()
+    -f64::from(weight) / pair_unit_hash(affinity, target_hash).max(f64::MIN_POSITIVE).ln()
+}
+
+/// Maps a pair of an affinity and a target to a fixed number from 0 to 1, below 1, uniform over pairs.
+pub(crate) fn pair_unit_hash(affinity: u64, target_hash: u64) -> f64 {
+    to_unit_interval(xxh3::xxh3_64_with_seed(&target_hash.to_le_bytes(), affinity))
 }
 
 /// Maps an affinity to a fixed number from 0 to 1, uniform over affinities.
