--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -1,6 +1,7 @@
 //! State machine of one forwarding router.
 
 mod beats;
+mod callers;
 mod cold;
 mod detours;
 mod dispatch;
@@ -26,9 +27,10 @@
 use policy_routing::{PeerLoads, SegmentDirectory, stable_hash};
 use state_config::{CallerLimits, ConfigVersion, FleetConfig};
 
+use self::callers::OwnCapacity;
 use crate::{
-    CallHead, CallKey, EvacuationChange, ForwardBounds, PromptHead, RouterEntry, StreamResumption,
-    TargetStatus,
+    CallHead, CallKey, EvacuationChange, ForwardBounds, PromptHead, RouterCapacity, RouterEntry,
+    StreamResumption, TargetStatus,
     call::CallState,
     crashes::CrashReporter,
     detours::CallDetour,
@@ -71,6 +73,10 @@
         pub evacuated_domains: usize,
         /// Whether the router is shutting down.
         pub shutting_down: bool,
+        /// Capacity and load that this router reports; `None` if its settings state no resources.
+        pub capacity: Option<RouterCapacity>,
+        /// Routers in the last answer to a caller.
+        pub last_named: usize,
         /// Retries left in this router's share of the retry budget, by pool.
         pub retries_left: Vec<(PoolName, u64)>,
         /// Status of each target.
@@ -150,6 +156,7 @@
     calls: BTreeMap<CallKey, CallState>,
     next_call_key: u64,
     heartbeat_sequence: u64,
+    capacity: OwnCapacity,
 }
 
 impl ForwardCore {
@@ -187,6 +194,7 @@
             calls: BTreeMap::new(),
             next_call_key: 0,
             heartbeat_sequence: 0,
+            capacity: OwnCapacity::default(),
         }
     }
 
@@ -360,6 +368,8 @@
             dropped_origins: self.origins.dropped(),
             evacuated_domains: self.targets.evacuations.domains().count(),
             shutting_down: self.shutting_down,
+            capacity: self.own_capacity(),
+            last_named: self.capacity.last_named,
             retries_left: retries_left.collect(),
             targets: targets.collect(),
         }
