Let the test of two failure domains fail without the rule

In the fleet that it used, the weights alone always named a router of a second failure domain. With 20 strong routers in one failure domain and 4 weak ones in another, it fails when the rule is removed.

--- a/crates/policy-routing/tests/callers.rs
+++ b/crates/policy-routing/tests/callers.rs
@@ -209,7 +209,10 @@
 /// Guards against callers whose addresses all fail together with one failure domain.
 #[test]
 fn answers_name_two_failure_domains() {
-    let views = fleet_of(12, |index| Some(if index % 3 == 0 { 800 } else { 100 }));
+    let mut views = fleet_of(24, |index| Some(if index < 20 { 800 } else { 100 }));
+    for (index, view) in views.iter_mut().enumerate() {
+        view.domain_hash = u64::from(index >= 20);
+    }
     for index in 0..CALLERS {
         let named = choose_routers(caller(index), &views);
         let domains: BTreeSet<u64> =
