Learn the speed of targets, and let the cost of a target follow it

Cause: all targets of a pool are weighed with the same fixed costs, so that a target that is slow for a while, or slows down before it is full, gets as many calls as the others.

Change: policy-targets tracks the time to the first event, the pauses between events and the time of plain calls against a reference of the pool, and derives a slowdown and a concurrency; the cost of a target follows both. The setting adaptive_capacity is off, on or auto, which is on while a target reports other work on its machine.

--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use base_types::{FailureDomainName, HostName};
+use base_types::{AdaptiveCapacity, FailureDomainName, HostName};
 use error_stack::Report;
 
 use crate::{LogSettings, SettingsError, section::SettingsSection, settings::parse_settings};
@@ -22,6 +22,13 @@
 const DEFAULT_LOAD_RATIO_MAX: f64 = 2.0;
 const RATIO_MAX: f64 = 100.0;
 
+/// Words for the values of `adaptive_capacity`.
+const ADAPTIVE_CAPACITIES: [(&str, AdaptiveCapacity); 3] = [
+    ("off", AdaptiveCapacity::Off),
+    ("on", AdaptiveCapacity::On),
+    ("auto", AdaptiveCapacity::Auto),
+];
+
 /// Settings of one gateway process, with every value checked, alone and against the others.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -61,6 +68,8 @@
     pub retry_window: Duration,
     /// Largest load of a target, as a multiple of the mean load of its pool.
     pub load_ratio_max: f64,
+    /// When the learned speed of targets is used.
+    pub adaptive_capacity: AdaptiveCapacity,
     /// Time for which a draining target continues to serve.
     pub target_drain: Duration,
     /// Time from the stop signal until the platform kills the process.
@@ -123,6 +132,11 @@
             ) as u32,
             retry_window: duration("retry_window_ms", DEFAULT_RETRY_WINDOW_MS),
             load_ratio_max: section.ratio("load_ratio_max", DEFAULT_LOAD_RATIO_MAX, RATIO_MAX),
+            adaptive_capacity: section.choice(
+                "adaptive_capacity",
+                AdaptiveCapacity::default(),
+                &ADAPTIVE_CAPACITIES,
+            ),
             target_drain: duration("target_drain_ms", DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: duration("stop_ms", DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: duration("entry_life_max_ms", DEFAULT_ENTRY_TTL_MAX_MS),
@@ -139,6 +153,7 @@
             retry_slack: DEFAULT_RETRY_SLACK as u32,
             retry_window: Duration::from_millis(DEFAULT_RETRY_WINDOW_MS),
             load_ratio_max: DEFAULT_LOAD_RATIO_MAX,
+            adaptive_capacity: AdaptiveCapacity::default(),
             target_drain: Duration::from_millis(DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: Duration::from_millis(DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: Duration::from_millis(DEFAULT_ENTRY_TTL_MAX_MS),
--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -53,6 +53,14 @@
     two_keys_may_not_bind_one_address("10.1.0.40:8224", "10.1.0.40:8227", &["entry_listen"]);
 }
 
+test_cases! {
+    check_fault_keys:
+    adaptive_capacity_may_be_off("load_ratio_max = 2", "adaptive_capacity = \"off\"", &[]);
+    adaptive_capacity_may_be_on("load_ratio_max = 2", "adaptive_capacity = \"on\"", &[]);
+    adaptive_capacity_may_be_automatic("load_ratio_max = 2", "adaptive_capacity = \"auto\"", &[]);
+    another_adaptive_capacity_is_refused("load_ratio_max = 2", "adaptive_capacity = \"yes\"", &["fleet.adaptive_capacity"]);
+}
+
 test_cases! {
     check_fault_keys:
     the_first_start_may_be_stated("platform =", "first_start = true\nplatform =", &[]);
--- a/crates/base-types/src/lib.rs
+++ b/crates/base-types/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The crate holds data only: decisions, state machines and I/O belong to other crates.
 
+mod adaptive;
 mod codes;
 mod hosts;
 mod macros;
@@ -12,6 +13,7 @@
 mod time;
 
 pub use crate::{
+    adaptive::AdaptiveCapacity,
     codes::{CodeRow, CompletedCode, NotRunCode, OutcomeKind, UnknownCode, code_table},
     hosts::{HostEntry, HostRole, HostState},
     names::{
--- a/crates/core-forward/src/bounds.rs
+++ b/crates/core-forward/src/bounds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base_types::message_types;
+use base_types::{AdaptiveCapacity, message_types};
 
 message_types! {
     /// Limits for the whole fleet, set by its operator.
@@ -16,5 +16,7 @@
         pub retry_window: Duration,
         /// Multiple of the pool's mean load above which other reachable targets are preferred.
         pub load_ratio_max: f64,
+        /// When the learned speed of targets is used.
+        pub adaptive_capacity: AdaptiveCapacity,
     }
 }
--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -136,6 +136,10 @@
         pub cached_tokens: u32,
         /// Prompt tokens that the target prefills: neither cached nor fetched, nor presumed cached.
         pub prefill_tokens: u32,
+        /// Time that work takes on the target as a multiple of the pool's median; 1 if unknown.
+        pub slowdown: f64,
+        /// Calls that the target takes at once without slowing down; its slots if unknown.
+        pub comfortable_calls: u32,
     }
 
     /// Next action for a call.
@@ -205,6 +209,12 @@
     pub(crate) prefill_tokens: u32,
     /// Time at which the call was dispatched to the target.
     pub(crate) sent_at: TimePoint,
+    /// Prompt tokens that the target had to prefill when the call was sent.
+    pub(crate) sent_prefill_tokens: u32,
+    /// Calls of all routers on the target then, this one included.
+    pub(crate) sent_load: u32,
+    /// Time of the latest events that were reported; `None` before the first one.
+    pub(crate) last_event_at: Option<TimePoint>,
     /// Whether the call is a trial of blocked content.
     pub(crate) is_trial: bool,
     /// Time at which the response started; `None` before.
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -10,6 +10,7 @@
 mod refusals;
 mod resumption;
 mod snapshots;
+mod speeds;
 
 pub use self::beats::heartbeat_interval;
 pub use self::snapshots::{EngineAddress, PeerSnapshot, SegmentHolders};
@@ -22,6 +23,7 @@
 };
 use policy_retries::{WindowBounds, WindowBudget};
 use policy_routing::{PeerLoads, SegmentDirectory, stable_hash};
+use policy_targets::PoolPace;
 use state_config::{CallerLimits, ConfigVersion, FleetConfig};
 
 use crate::{
@@ -107,6 +109,12 @@
     targets: TargetTable,
     /// Whether a list of targets was received, from the platform or in a snapshot.
     targets_listed: bool,
+    /// Time that work takes on the targets of each pool.
+    paces: BTreeMap<PoolName, PoolPace>,
+    /// Time until which a target's report of other work on its machine counts as recent.
+    adaptive_until: TimePoint,
+    /// Earliest time of the next look at unanswered calls, to learn which targets are slow.
+    next_overdue_at: TimePoint,
     peers: PeerRegistry,
     peer_loads: PeerLoads,
     retry_budgets: BTreeMap<PoolName, WindowBudget>,
@@ -150,6 +158,9 @@
             shutting_down: false,
             targets: TargetTable::default(),
             targets_listed: false,
+            paces: BTreeMap::new(),
+            adaptive_until: TimePoint(0),
+            next_overdue_at: TimePoint(0),
             peers: PeerRegistry::default(),
             peer_loads: PeerLoads::default(),
             retry_budgets: BTreeMap::new(),
@@ -202,6 +213,7 @@
             self.segments.remove_target(target_hash);
         }
         self.peer_loads.expire(now);
+        self.sweep_speeds(now);
         self.clear_content_of_long_answers(now);
         self.crashes.tracker.sweep(now);
         self.origins.sweep(now);
@@ -308,12 +320,14 @@
 
     /// Returns the status for views and metrics.
     pub fn status(&self, now: TimePoint) -> ForwardStatus {
+        let is_adaptive = self.is_adaptive(now);
         let targets = self.targets.iter().map(|(_, record)| TargetStatus {
             name: record.entry.name.clone(),
             own_in_flight: record.own_in_flight,
             peer_in_flight: self.peer_loads.load(record.target_hash),
             failure_rate: record.failure_rate.rate(now),
             rate_limit: record.allowance.limit().rate,
+            speed: is_adaptive.then(|| record.speed_estimate(now, is_adaptive)),
             cached_segments: self.segments.segment_count(record.target_hash),
             phase: record.lifecycle.phase(now),
         });
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -115,6 +115,11 @@
         let unreachable_pools = self.unreachable_pools.iter().map(pool_hash);
         let unreachable_pools = unreachable_pools.take(UNREACHABLE_POOLS_MAX).collect();
         let outcomes = self.take_unreported_outcomes();
+        self.observe_overdue(now);
+        let extension = HeartbeatExtension {
+            speeds: self.take_speed_notices(now),
+            ..HeartbeatExtension::default()
+        };
         let running = self.calls.values().filter(|call| call.current_attempt.is_some());
         let in_flight = running.flat_map(|call| call.content_keys.iter());
         PeerHeartbeat {
@@ -132,7 +137,7 @@
             software: self.targets.software.next_report(now, SOFTWARE_NOTICES_MAX),
             unreachable_pools,
             cut_off: self.is_cut_off(now),
-            extension: HeartbeatExtension::default(),
+            extension,
         }
     }
 
@@ -199,6 +204,7 @@
         for notice in &heartbeat.stream_origins {
             self.origins.on_notice(now, *notice);
         }
+        self.on_speed_notices(now, &heartbeat);
         self.peer_loads.record_share(now, heartbeat.load_share);
     }
 
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -208,25 +208,31 @@
 
     fn cost_views(&self, now: TimePoint, state: &CallState) -> Vec<CostView> {
         let affinity = state.prompt.as_ref().map_or(0, longest_segment);
+        let is_adaptive = self.is_adaptive(now);
         let responding = self.targets.responding(now, &state.pool);
         let tokens = |record: &TargetRecord, until: TimePoint| {
             state.prompt.as_ref().map_or(0, |prompt| self.cached_tokens(prompt, record, until))
         };
-        let views = responding.map(|(target, record)| CostView {
-            target,
-            load: record.own_in_flight.saturating_add(self.peer_loads.load(record.target_hash)),
-            slots: record.entry.slots,
-            queued_prefill_tokens: record.prefill_tokens,
-            cached_tokens: tokens(record, TimePoint::NEVER),
-            fetchable_tokens: tokens(record, now),
-            home_score: rendezvous_score(affinity, record.target_hash, 1),
-            failure_rate: record.failure_rate.rate(now),
-            ejected: record.is_ejected(now),
-            unreachable: record.is_unreachable(now),
-            excluded: state.attempted_targets.contains(&target)
-                || !state.software.allows(record.software)
-                || !record.can_be_sent_calls(now)
-                || !self.is_contender(now, record),
+        let views = responding.map(|(target, record)| {
+            let speed = record.speed_estimate(now, is_adaptive);
+            CostView {
+                target,
+                load: record.own_in_flight.saturating_add(self.peer_loads.load(record.target_hash)),
+                slots: record.entry.slots,
+                queued_prefill_tokens: record.prefill_tokens,
+                cached_tokens: tokens(record, TimePoint::NEVER),
+                fetchable_tokens: tokens(record, now),
+                home_score: rendezvous_score(affinity, record.target_hash, 1),
+                failure_rate: record.failure_rate.rate(now),
+                slowdown: speed.slowdown,
+                comfortable_calls: speed.concurrency,
+                ejected: record.is_ejected(now),
+                unreachable: record.is_unreachable(now),
+                excluded: state.attempted_targets.contains(&target)
+                    || !state.software.allows(record.software)
+                    || !record.can_be_sent_calls(now)
+                    || !self.is_contender(now, record),
+            }
         });
         views.collect()
     }
@@ -280,6 +286,8 @@
                 prompt_tokens: state.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens),
                 cached_tokens: choice.cached_tokens,
                 prefill_tokens: choice.prefill_tokens,
+                slowdown: choice.slowdown,
+                comfortable_calls: choice.comfortable_calls,
             },
         };
         state.attempts += 1;
@@ -287,6 +295,9 @@
             target: choice.target,
             prefill_tokens: choice.prefill_tokens,
             sent_at: now,
+            sent_prefill_tokens: choice.prefill_tokens,
+            sent_load: choice.load.saturating_add(1),
+            last_event_at: None,
             response_started_at: None,
             is_trial: false,
         });
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -145,6 +145,7 @@
         let response_started_at =
             state.current_attempt.and_then(|attempt| attempt.response_started_at);
         let sent_at = state.current_attempt.map_or(now, |attempt| attempt.sent_at);
+        self.record_attempt_time(now, state, outcome);
         let Some(target) = self.end_attempt(state) else { return };
         if response_started_at.is_none() {
             self.forget_last_segment(state, target);
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -91,7 +91,10 @@
             segment_holders: segments
                 .map(|(segment, target_hashes)| SegmentHolders { segment, target_hashes })
                 .collect(),
-            extension: SnapshotExtension::default(),
+            extension: SnapshotExtension {
+                speeds: self.speed_records(now),
+                ..SnapshotExtension::default()
+            },
         }
     }
 
@@ -117,6 +120,7 @@
         if !self.targets_listed && !snapshot.targets.is_empty() {
             self.list_targets(now, snapshot.targets);
         }
+        self.restore_speeds(now, &snapshot.extension.speeds);
         for holders in snapshot.segment_holders.into_iter().rev() {
             for target_hash in holders.target_hashes {
                 self.segments.record_cached(now, holders.segment, target_hash);
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -47,4 +47,4 @@
     targets::{LeavingNotice, TargetEntry, TargetStatus},
 };
 pub use policy_retries::ContentChange;
-pub use policy_targets::CallRate;
+pub use policy_targets::{CallRate, LoadReport};
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -12,7 +12,8 @@
 use policy_retries::SuspectContent;
 use policy_routing::stable_hash;
 use policy_targets::{
-    CallRate, FailureRate, OutcomeCount, RateAllowance, TargetLifecycle, TargetPhase,
+    CallRate, FailureRate, OutcomeCount, RateAllowance, SpeedEstimate, TargetLifecycle,
+    TargetPhase, TargetSpeed,
 };
 
 use crate::{
@@ -87,6 +88,8 @@
         pub failure_rate: f64,
         /// Limit on the rate of calls that the target names; `None` if it names none.
         pub rate_limit: Option<CallRate>,
+        /// Learned speed of the target; `None` while it is not used.
+        pub speed: Option<SpeedEstimate>,
         /// Number of prompt segments that the target is known to cache.
         pub cached_segments: usize,
         /// Phase of the target's lifecycle.
@@ -117,6 +120,7 @@
     /// Calls within the limit that the target names.
     pub(crate) allowance: RateAllowance,
     pub(crate) limit_report: LimitReport,
+    pub(crate) speed: TargetSpeed,
     /// Outcomes not yet reported to the other routers.
     pub(crate) unreported_outcomes: OutcomeCount,
     /// Time until which the target wants no calls from this router.
@@ -170,6 +174,7 @@
             failure_rate: FailureRate::default(),
             allowance: RateAllowance::default(),
             limit_report: LimitReport::default(),
+            speed: TargetSpeed::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             paused_until: TimePoint(0),
             link: TargetLink::default(),
@@ -210,6 +215,14 @@
         self.accepts_calls(now) && self.paused_until.passed(now) && self.allowance.has_room(now)
     }
 
+    /// Speed of the target; that of its pool and all slots where routers do not adapt to it.
+    pub(crate) fn speed_estimate(&self, now: TimePoint, is_adaptive: bool) -> SpeedEstimate {
+        match is_adaptive {
+            true => self.speed.estimate(now, self.entry.slots),
+            false => SpeedEstimate::default_of(self.entry.slots),
+        }
+    }
+
     /// Whether the target is ejected after a failure.
     pub(crate) fn is_ejected(&self, now: TimePoint) -> bool {
         matches!(self.lifecycle.phase(now), TargetPhase::Held(_))
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, ops::Range, time::Duration};
 
 use base_types::{
-    ContentDigest, HostName, NotRunCode, PoolName, Refusal, RouteName, TimePoint, UnknownCode,
-    test_cases,
+    AdaptiveCapacity, ContentDigest, HostName, NotRunCode, PoolName, Refusal, RouteName, TimePoint,
+    UnknownCode, test_cases,
 };
 use core_forward::{
     AttemptOutcome, AttemptSpec, CallHead, CallKey, CallRate, DispatchStep, ForwardBounds,
@@ -22,6 +22,7 @@
     retry_slack: 100,
     retry_window: Duration::from_secs(10),
     load_ratio_max: 2.0,
+    adaptive_capacity: AdaptiveCapacity::Auto,
 };
 
 fn address(port: u16) -> SocketAddr {
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -323,6 +323,7 @@
             let call = self.admitted.call;
             self.state.with_core(|core, now| core.on_target_answered(now, call));
             self.record_rate_limit(&started);
+            self.record_load_report(&started);
             self.record_leaving(&started);
             self.record_pause(&started);
         }
@@ -476,6 +477,13 @@
         }
     }
 
+    fn record_load_report(&self, started: &StartedResponse) {
+        if let Some(report) = started.head.load_report {
+            let target = started.attempt.target;
+            self.state.with_core(|core, now| core.on_load_report(now, target, report));
+        }
+    }
+
     fn record_leaving(&self, started: &StartedResponse) {
         let target = started.attempt.target;
         if !started.head.announces_leaving {
--- a/crates/io-forward/src/dialect.rs
+++ b/crates/io-forward/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use base_types::{NotRunCode, Refusal, TimePoint, key_types, message_types};
-use core_forward::{AttemptSpec, CallHead, CallRate, DetourSpec, PromptSegment};
+use core_forward::{AttemptSpec, CallHead, CallRate, DetourSpec, LoadReport, PromptSegment};
 use http::{HeaderMap, HeaderValue, Response, request, response};
 
 key_types! {
@@ -30,6 +30,8 @@
         pub closes_connection: bool,
         /// Limit on the rate of calls that the target names, over all routers.
         pub rate_limit: Option<CallRate>,
+        /// Load that the target reports; absent if it reports none or a malformed one.
+        pub load_report: Option<LoadReport>,
         /// Time for which the target asks for no further calls from this router.
         pub pause: Option<Duration>,
         /// Whether the target announces that it leaves; it does so until it ends.
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -62,6 +62,8 @@
             prompt = attempt.inputs.prompt_tokens,
             held = attempt.inputs.cached_tokens,
             unread = attempt.inputs.prefill_tokens,
+            slowdown = format!("{:.2}", attempt.inputs.slowdown).as_str(),
+            comfortable = attempt.inputs.comfortable_calls,
             fetch = attempt.fetch_from.is_some();
             "call sent"
         );
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -28,6 +28,10 @@
 /// bytes arrive; callers abandon a stream after two seconds without an event.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Shortest time between two reports of a stream's events to the core. A target that is five times
+/// slower than usual sends events further apart, so that each is reported.
+const EVENT_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Spawns a task that forwards a stream to the caller, and returns the response that carries it.
 pub(crate) fn relay_stream(
     mut call: ServedCall,
@@ -143,6 +147,8 @@
     async fn forward_events(&mut self, source: &mut StreamSource) -> StreamEnd {
         let deadline = self.call.state.clock().instant(source.attempt.deadline);
         let mut has_started = false;
+        let mut unreported_events = 0;
+        let mut next_event_report = Instant::now();
         let mut event_deadline = Instant::now() + EVENT_TIMEOUT;
         loop {
             let frame = tokio::select! {
@@ -178,7 +184,15 @@
                 self.call.state.with_core(|core, now| core.on_response_started(now, call));
             }
             if let Some(bytes) = self.content.push(chunk) {
-                event_deadline = Instant::now() + EVENT_TIMEOUT;
+                let received_at = Instant::now();
+                event_deadline = received_at + EVENT_TIMEOUT;
+                unreported_events += 1;
+                if received_at >= next_event_report {
+                    next_event_report = received_at + EVENT_REPORT_INTERVAL;
+                    let (call, events) = (self.call.admitted.call, unreported_events);
+                    unreported_events = 0;
+                    self.call.state.with_core(|core, now| core.on_events(now, call, events));
+                }
                 self.record_first_event().await;
                 if self.chunks.send(bytes).await.is_err() {
                     return StreamEnd::CallerDisconnected;
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -67,6 +67,11 @@
     TargetFailureRate,
     /// Limit in calls a second that a target names; absent while it names none.
     TargetRateLimit,
+    /// Time that work takes on a target as a multiple of its pool's median; absent while routers do not
+    /// adapt to it.
+    TargetSlowdown,
+    /// Calls that a target takes at once without slowing down; absent likewise.
+    TargetConcurrency,
     /// Number of prompt segments that a target is known to have cached.
     TargetSegments,
     /// Retries left in this router's part of a pool's retry budget.
@@ -82,7 +87,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 24] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -99,6 +104,8 @@
         Self::TargetOtherCalls,
         Self::TargetFailureRate,
         Self::TargetRateLimit,
+        Self::TargetSlowdown,
+        Self::TargetConcurrency,
         Self::TargetSegments,
         Self::RetriesLeft,
         Self::ConnectionsOpened,
@@ -125,6 +132,8 @@
             Self::TargetOtherCalls => "knapweedport_target_other_calls",
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
             Self::TargetRateLimit => "knapweedport_target_rate_limit",
+            Self::TargetSlowdown => "knapweedport_target_slowdown",
+            Self::TargetConcurrency => "knapweedport_target_concurrency",
             Self::TargetSegments => "knapweedport_target_prompt_parts",
             Self::RetriesLeft => "knapweedport_retry_room",
             Self::ConnectionsOpened => "knapweedport_target_connections_opened",
--- a/crates/policy-routing/src/cost.rs
+++ b/crates/policy-routing/src/cost.rs
@@ -2,7 +2,9 @@
 //!
 //! The cost of a target adds up the prompt tokens that it would have to prefill, the tokens that it
 //! could fetch from another engine instead, the calls it already has in flight and its recent
-//! failure rate. The unit of cost is the time that prefilling one thousand prompt tokens takes.
+//! failure rate. Work on a target that is slower than its pool costs more in proportion, and calls count
+//! as queued from the number that the target takes well. The unit of cost is the time that prefilling
+//! one thousand prompt tokens takes.
 
 use base_types::{TargetKey, message_types};
 
@@ -16,8 +18,8 @@
 /// Cost of each call in flight above the least loaded target.
 const LOAD_COST: f64 = 0.05;
 
-/// Cost of each call that would wait for a slot. A slot becomes free after about 80 ms, in which an
-/// engine prefills 4,000 tokens alongside other work.
+/// Cost of each call beyond those that the target takes well, which are its slots unless less is known.
+/// A slot becomes free after about 80 ms, in which an engine prefills 4,000 tokens alongside other work.
 const QUEUEING_COST: f64 = 4.0;
 
 /// Cost of a failed call that can be retried on another target; multiplied by the target's excess
@@ -64,6 +66,10 @@
         pub home_score: f64,
         /// Recent failure rate, 0 to 1; older outcomes weigh less.
         pub failure_rate: f64,
+        /// Time that work takes on the target as a multiple of the pool's median; 1 if unknown.
+        pub slowdown: f64,
+        /// Calls that the target takes at once without slowing down; its slots if unknown.
+        pub comfortable_calls: u32,
         /// Whether the target is ejected after a failure, so that other targets are preferred.
         pub ejected: bool,
         /// Whether a recent connection attempt to the target failed, so that other targets are
@@ -93,6 +99,10 @@
         pub mean_load: f64,
         /// Number of targets that are not excluded.
         pub candidates: u32,
+        /// Slowdown of the target.
+        pub slowdown: f64,
+        /// Calls that the target takes well.
+        pub comfortable_calls: u32,
     }
 
     /// A call that needs a target.
@@ -135,11 +145,16 @@
             .map_or(view.cached_tokens, |source| source.tokens.max(view.cached_tokens));
         let prefill_tokens = query.prompt_tokens.saturating_sub(cached_tokens);
         let fetched_tokens = fetch.map_or(0, |source| source.tokens - view.cached_tokens);
-        let cost = PREFILL_COST * f64::from(prefill_tokens)
+        let calls = view.load.saturating_add(1);
+        // The calls below the least load cost nothing on targets of equal speed. On a slower one they do,
+        // as otherwise an idle slow target would be as cheap as an idle fast one.
+        let excess_load =
+            f64::from(view.load.saturating_sub(least)) + (view.slowdown - 1.0) * f64::from(calls);
+        let cost = PREFILL_COST * f64::from(prefill_tokens) * view.slowdown
             + FETCH_COST * f64::from(fetched_tokens)
-            + PREFILL_COST * view.queued_prefill_tokens as f64
-            + LOAD_COST * f64::from(view.load.saturating_sub(least))
-            + QUEUEING_COST * f64::from(view.load.saturating_add(1).saturating_sub(view.slots))
+            + PREFILL_COST * view.queued_prefill_tokens as f64 * view.slowdown
+            + LOAD_COST * excess_load
+            + QUEUEING_COST * f64::from(calls.saturating_sub(view.comfortable_calls))
             + failure_cost * (view.failure_rate - BASELINE_FAILURE_RATE).max(0.0);
         let rank = CostRank {
             unreachable: view.unreachable,
@@ -157,6 +172,8 @@
             load: view.load,
             mean_load,
             candidates,
+            slowdown: view.slowdown,
+            comfortable_calls: view.comfortable_calls,
         };
         if best.as_ref().is_none_or(|(previous, _)| rank.precedes(previous)) {
             best = Some((rank, choice));
--- a/crates/policy-routing/tests/cost.rs
+++ b/crates/policy-routing/tests/cost.rs
@@ -19,6 +19,8 @@
         fetchable_tokens: 0,
         home_score: f64::from(target),
         failure_rate: 0.0,
+        slowdown: 1.0,
+        comfortable_calls: 64,
         ejected: false,
         unreachable: false,
         excluded: false,
@@ -52,7 +54,7 @@
     ejected_target_is_chosen_without_alternative(&[CostView { ejected: true, ..view(0) }], Some(0), None);
     excluded_targets_are_never_chosen(&[CostView { excluded: true, ..view(0) }], None, None);
     empty_pool_has_no_choice(&[], None, None);
-    cache_is_fetched_from_a_holder_without_a_free_slot(&[view(0), CostView { load: 6, slots: 6, ..holder(1, 9_000) }], Some(0), Some(1));
+    cache_is_fetched_from_a_holder_without_a_free_slot(&[view(0), CostView { load: 6, slots: 6, comfortable_calls: 6, ..holder(1, 9_000) }], Some(0), Some(1));
     engine_with_queued_prefill_is_avoided(&[CostView { queued_prefill_tokens: 60_000, ..view(0) }, CostView { load: 8, home_score: -1.0, ..view(1) }], Some(1), Some(0));
 }
 
--- a/crates/policy-targets/src/lib.rs
+++ b/crates/policy-targets/src/lib.rs
@@ -1,15 +1,19 @@
-//! Lifecycle of a target as one router sees it, the failure rate of its calls, and the limit on their
-//! rate that it names.
+//! Lifecycle of a target as one router sees it, the failure rate of its calls, the limit on their rate
+//! that it names, and the speed at which it works.
 //!
 //! Decides whether a target gets new work and what fraction of it. Load and target choice are
 //! handled elsewhere.
 
 mod life;
 mod outcomes;
+mod pace;
 mod rates;
+mod speed;
 
 pub use crate::{
     life::{TargetLifecycle, TargetPhase},
     outcomes::{FailureRate, OutcomeCount},
+    pace::{PoolPace, WorkKind, WorkSample},
     rates::{CallRate, NamedLimit, RateAllowance},
+    speed::{LoadReport, PeerSpeed, SpeedEstimate, TargetSpeed},
 };
