--- a/crates/policy-routing/tests/cost.rs
+++ b/crates/policy-routing/tests/cost.rs
@@ -58,6 +58,41 @@
     engine_with_queued_prefill_is_avoided(&[CostView { queued_prefill_tokens: 60_000, ..view(0) }, CostView { load: 8, home_score: -1.0, ..view(1) }], Some(1), Some(0));
 }
 
+const SLOW: f64 = 5.0;
+
+test_cases! {
+    check_choice:
+    slow_target_is_avoided(&[view(0), CostView { slowdown: SLOW, load: 3, ..view(1) }], Some(0), Some(1));
+    holder_that_is_slow_loses_to_a_fetch(&[view(0), CostView { slowdown: SLOW, ..holder(1, 9_000) }], Some(0), Some(1));
+    target_that_takes_few_calls_well_is_avoided(&[view(0), CostView { comfortable_calls: 3, ..view(1) }], Some(0), Some(1));
+    slow_target_is_chosen_without_alternative(&[CostView { slowdown: 8.0, comfortable_calls: 1, ..view(0) }], Some(0), None);
+}
+
+/// Calls without prompts shift away from a slow target, also while all targets are idle: of two targets
+/// that end calls in proportion to their speed, the slow one gets a share by its speed.
+#[test]
+fn plain_calls_are_shared_by_speed() {
+    let mut views = [view(0), CostView { slowdown: 3.0, ..view(1) }];
+    views.iter_mut().for_each(|view| view.load = 0);
+    for salt in 0..20 {
+        let query = CostQuery { prompt_tokens: 0, load_ratio_max: 2.0, retryable: true, salt };
+        let choice = choose_cheapest(&query, &views).expect("a target");
+        views[choice.target.0 as usize].load += 1;
+    }
+    assert!((14..=16).contains(&views[0].load), "{} of 20 to the fast target", views[0].load);
+}
+
+/// The cost without learned speeds: a call on a target that has all of its prompt to prefill.
+fn unlearned_cost(query: &CostQuery, view: &CostView, least: u32) -> f64 {
+    let failure_cost = if query.retryable { 3.0 } else { 10.0 };
+    0.001 * f64::from(query.prompt_tokens)
+        + 0.000_3 * 0.0
+        + 0.001 * view.queued_prefill_tokens as f64
+        + 0.05 * f64::from(view.load.saturating_sub(least))
+        + 4.0 * f64::from(view.load.saturating_add(1).saturating_sub(view.slots))
+        + failure_cost * (view.failure_rate - 0.08_f64).max(0.0)
+}
+
 fn any_view() -> impl Strategy<Value = CostView> {
     let counts = (0u32..6, 0u32..40, 0u64..100_000, 0u32..20_000, any::<bool>());
     let flags = (0.0f64..1.0, any::<bool>(), any::<bool>(), any::<bool>());
@@ -83,6 +118,35 @@
 }
 
 proptest! {
+    /// Fleets that do not learn speeds must choose as before, so the cost may not differ in one bit.
+    #[test]
+    fn cost_is_unchanged_at_the_usual_speed(
+        view in any_view(),
+        slots in 0u32..80,
+        prompt_tokens in 0u32..200,
+        retryable: bool,
+        salt: u64,
+    ) {
+        let view = CostView {
+            slots,
+            comfortable_calls: slots,
+            cached_tokens: 0,
+            fetchable_tokens: 0,
+            excluded: false,
+            unreachable: true,
+            ..view
+        };
+        let query = CostQuery { prompt_tokens, load_ratio_max: 2.0, retryable, salt };
+        let idle = CostView { target: TargetKey(99), load: 0, unreachable: true, slowdown: 8.0, ..view };
+        for (views, least) in [(vec![view], view.load), (vec![CostView { ejected: false, ..view }, CostView { ejected: true, excluded: false, ..idle }], 0)] {
+            let choice = choose_cheapest(&query, &views).expect("a target");
+            if choice.target == view.target {
+                let expected = unlearned_cost(&query, &view, least);
+                prop_assert_eq!(choice.cost.to_bits(), expected.to_bits());
+            }
+        }
+    }
+
     #[test]
     fn choice_respects_bound_and_ejection(
         views in prop::collection::vec(any_view(), 0..8),
--- a/crates/policy-targets/src/speed.rs
+++ b/crates/policy-targets/src/speed.rs
@@ -21,11 +21,12 @@
 const SLOWDOWN_MIN: f64 = 0.5;
 const SLOWDOWN_MAX: f64 = 8.0;
 
-/// Time in which a measurement loses half of its weight.
-const HALF_LIFE: Duration = Duration::from_millis(250);
+/// Time in which a measurement loses half of its weight. With 250 ms, noise of 600 ms is followed too
+/// late to be of use.
+const HALF_LIFE: Duration = Duration::from_millis(150);
 
 /// Weight of the assumption that a target works at the speed of its pool. It is small against one
-/// sample, and outweighs what has not been renewed for one to two seconds.
+/// sample, and outweighs what has not been renewed for about a second.
 const PRIOR_WEIGHT: f64 = 0.05;
 
 /// Largest weight of one sample in the measured level, so that one call never sets it alone.
@@ -54,11 +55,12 @@
 /// second; where it has many, they decide.
 const HINT_WEIGHT: f64 = 2.0;
 
-/// Deviations below this, as a logarithm, count as none, so that measurement noise changes no choice.
-const DEAD_BAND: f64 = 0.15;
+/// Deviations below this, as a logarithm, count as none, so that measurement noise changes no choice;
+/// from twice as much on they count fully.
+const DEAD_BAND: f64 = 0.3;
 
-/// Largest change of the logarithm of the slowdown per second; a factor of five takes 0.4 s.
-const CHANGE_PER_SECOND: f64 = 4.0;
+/// Largest change of the logarithm of the slowdown per second; a factor of five takes 0.2 s.
+const CHANGE_PER_SECOND: f64 = 8.0;
 
 /// Longest time that a bound on a change accumulates over.
 const STEP_TIME_MAX: Duration = Duration::from_millis(250);
@@ -67,15 +69,15 @@
 const COMFORTABLE_SLOWDOWN: f64 = 1.3;
 
 /// Smallest and largest gradient, the comfortable slowdown over the current one.
-const GRADIENT_MIN: f64 = 0.5;
+const GRADIENT_MIN: f64 = 0.4;
 const GRADIENT_MAX: f64 = 1.2;
 
 /// Rate per second at which the concurrency follows the gradient: from all slots to a quarter of them in
-/// 0.9 s at the smallest gradient.
-const GRADIENT_GAIN: f64 = 3.0;
+/// 2.3 s at the smallest gradient. Slowness that lasts for half a second hardly changes it.
+const GRADIENT_GAIN: f64 = 1.0;
 
 /// Share of the slots that the concurrency gains per second while the target is not slow.
-const ADDITIVE_INCREASE: f64 = 0.4;
+const ADDITIVE_INCREASE: f64 = 0.6;
 
 /// Smallest share of the slots.
 const SLOTS_SHARE_MIN: f64 = 0.25;
@@ -98,6 +100,12 @@
 /// Time after the last measurement for which a level counts in the pool's median.
 const LEVEL_TTL: Duration = Duration::from_secs(5);
 
+/// Change of the slowdown, in percent of the usual time, that is reported at once.
+const REPORTED_CHANGE_MIN: u16 = 10;
+
+/// Time after which a smaller change is reported too, within the time for which a report counts.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Usual duration of work on a machine, in the unit of [`LoadReport::work_percent`].
 const USUAL_WORK_PERCENT: u32 = 100;
 
@@ -214,6 +222,8 @@
     unreported_samples: u16,
     /// Slowdown that was last reported.
     reported_percent: u16,
+    /// Earliest time of the next report without a change.
+    next_report_at: TimePoint,
 }
 
 impl Default for TargetSpeed {
@@ -232,6 +242,7 @@
             slots_share: 1.0,
             unreported_samples: 0,
             reported_percent: USUAL_WORK_PERCENT as u16,
+            next_report_at: TimePoint(0),
         }
     }
 }
@@ -264,7 +275,10 @@
         weight: f64,
     ) {
         let previous = self.level();
-        self.measured.add(now, deviation, weight);
+        // Levels beyond the bounds of the slowdown would only take longer to return from.
+        let median = pace.median_level();
+        let level = deviation.clamp(median + SLOWDOWN_MIN.ln(), median + SLOWDOWN_MAX.ln());
+        self.measured.add(now, level, weight);
         self.is_measured = true;
         pace.move_level(previous, self.level());
         self.unreported_samples = self.unreported_samples.saturating_add(1);
@@ -361,17 +375,20 @@
         SpeedEstimate { slowdown, concurrency: concurrency.clamp(least_concurrency(slots), slots) }
     }
 
-    /// Whether this router has samples that it did not report, and by how many percent the slowdown
-    /// differs from the last report.
+    /// By how many percent the slowdown differs from the last report; `None` if no report is due.
     pub fn unreported_change(&self, now: TimePoint, pace: &PoolPace) -> Option<u16> {
-        (self.unreported_samples > 0)
-            .then(|| self.own_percent(now, pace).abs_diff(self.reported_percent))
+        if self.unreported_samples == 0 {
+            return None;
+        }
+        let change = self.own_percent(now, pace).abs_diff(self.reported_percent);
+        (change >= REPORTED_CHANGE_MIN || self.next_report_at.passed(now)).then_some(change)
     }
 
     /// Takes what this router measured itself since the last report: the slowdown in percent and the
     /// number of samples.
     pub fn take_report(&mut self, now: TimePoint, pace: &PoolPace) -> (u16, u16) {
         self.reported_percent = self.own_percent(now, pace);
+        self.next_report_at = now.after(REPORT_INTERVAL);
         (self.reported_percent, std::mem::take(&mut self.unreported_samples))
     }
 
@@ -404,7 +421,8 @@
         let elapsed = now.since(self.updated_at).min(STEP_TIME_MAX).as_secs_f64();
         let step_max = CHANGE_PER_SECOND * elapsed;
         let in_bounds = |level: f64| {
-            let level = level.signum() * (level.abs() - DEAD_BAND).max(0.0);
+            let excess = (level.abs() - DEAD_BAND).max(0.0);
+            let level = level.signum() * level.abs().min(2.0 * excess);
             level.clamp(SLOWDOWN_MIN.ln(), SLOWDOWN_MAX.ln())
         };
         let (level, weight) = self.mean(now, pace, &self.peers, true);
