Merge the learned speed of targets

Cause: all targets of a pool had the same fixed costs, though some work several times as long as others. Change: the cost of a target follows its learned slowdown and the calls that it takes well, where a target reports other work on its machine or the setting adaptive_capacity says so.

--- a/crates/core-forward/src/bounds.rs
+++ b/crates/core-forward/src/bounds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base_types::message_types;
+use base_types::{AdaptiveCapacity, message_types};
 
 message_types! {
     /// Limits for the whole fleet, set by its operator.
@@ -22,5 +22,7 @@
         pub cold_ratio: f64,
         /// Calls in one second that a cold target may get beyond `cold_ratio`.
         pub cold_slack: u32,
+        /// When the learned speed of targets is used.
+        pub adaptive_capacity: AdaptiveCapacity,
     }
 }
--- a/crates/core-forward/src/core/snapshots.rs
+++ b/crates/core-forward/src/core/snapshots.rs
@@ -96,7 +96,7 @@
                 cold_targets: self.cold_notices(now),
                 cold_rates: self.cold_rates(),
                 evacuations: self.targets.evacuations.full_report(),
-                ..SnapshotExtension::default()
+                speeds: self.speed_records(now),
             },
         }
     }
@@ -128,6 +128,7 @@
             self.list_targets(now, snapshot.targets);
             self.on_cold_notices(now, &snapshot.extension.cold_targets);
         }
+        self.restore_speeds(now, &snapshot.extension.speeds);
         for holders in snapshot.segment_holders.into_iter().rev() {
             for target_hash in holders.target_hashes {
                 self.segments.record_cached(now, holders.segment, target_hash);
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -59,4 +59,4 @@
 };
 pub use policy_retries::ContentChange;
 pub use policy_routing::{CallerKey, LoadClass, LoadSample, RouterResources};
-pub use policy_targets::CallRate;
+pub use policy_targets::{CallRate, LoadReport};
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -12,7 +12,8 @@
 use policy_retries::SuspectContent;
 use policy_routing::stable_hash;
 use policy_targets::{
-    CallRate, FailureRate, OutcomeCount, RateAllowance, TargetLifecycle, TargetPhase, UsedTurn,
+    CallRate, FailureRate, OutcomeCount, RateAllowance, SpeedEstimate, TargetLifecycle,
+    TargetPhase, TargetSpeed, UsedTurn,
 };
 
 use crate::{
@@ -88,6 +89,8 @@
         pub failure_rate: f64,
         /// Limit on the rate of calls that the target names; `None` if it names none.
         pub rate_limit: Option<CallRate>,
+        /// Learned speed of the target; `None` while it is not used.
+        pub speed: Option<SpeedEstimate>,
         /// Number of prompt segments that the target is known to cache.
         pub cached_segments: usize,
         /// Phase of the target's lifecycle.
@@ -122,6 +125,7 @@
     /// Calls within the limit that the target names.
     pub(crate) allowance: RateAllowance,
     pub(crate) limit_report: LimitReport,
+    pub(crate) speed: TargetSpeed,
     /// Outcomes not yet reported to the other routers.
     pub(crate) unreported_outcomes: OutcomeCount,
     /// Time until which the target wants no calls from this router.
@@ -182,6 +186,7 @@
             failure_rate: FailureRate::default(),
             allowance: RateAllowance::default(),
             limit_report: LimitReport::default(),
+            speed: TargetSpeed::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             paused_until: TimePoint(0),
             link: TargetLink::default(),
@@ -229,6 +234,14 @@
             && self.allowance.has_room(now)
     }
 
+    /// Speed of the target; that of its pool and all slots where routers do not adapt to it.
+    pub(crate) fn speed_estimate(&self, now: TimePoint, is_adaptive: bool) -> SpeedEstimate {
+        match is_adaptive {
+            true => self.speed.estimate(now, self.entry.slots),
+            false => SpeedEstimate::default_of(self.entry.slots),
+        }
+    }
+
     /// Whether the target is ejected after a failure.
     pub(crate) fn is_ejected(&self, now: TimePoint) -> bool {
         matches!(self.lifecycle.phase(now), TargetPhase::Held(_))
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, ops::Range, time::Duration};
 
 use base_types::{
-    ContentDigest, HostName, NotRunCode, PoolName, Refusal, RouteName, TimePoint, UnknownCode,
-    test_cases,
+    AdaptiveCapacity, ContentDigest, HostName, NotRunCode, PoolName, Refusal, RouteName, TimePoint,
+    UnknownCode, test_cases,
 };
 use core_forward::{
     AttemptOutcome, AttemptSpec, CallHead, CallKey, CallRate, CallerKey, DispatchStep,
@@ -25,6 +25,7 @@
     evacuations: false,
     cold_ratio: 1.5,
     cold_slack: 5,
+    adaptive_capacity: AdaptiveCapacity::Auto,
 };
 
 fn address(port: u16) -> SocketAddr {
--- a/crates/policy-targets/src/lib.rs
+++ b/crates/policy-targets/src/lib.rs
@@ -1,5 +1,5 @@
-//! Lifecycle of a target as one router sees it, the failure rate of its calls, the limit on their
-//! rate that it names, and what it takes while it is cold.
+//! Lifecycle of a target as one router sees it, the failure rate of its calls, the limit on their rate
+//! that it names, what it takes while it is cold, and the speed at which it works.
 //!
 //! Decides whether a target gets new work and what fraction of it. Load and target choice are
 //! handled elsewhere.
@@ -7,11 +7,15 @@
 mod cold;
 mod life;
 mod outcomes;
+mod pace;
 mod rates;
+mod speed;
 
 pub use crate::{
     cold::{ColdLimit, ColdTurns, UsedTurn},
     life::{TargetLifecycle, TargetPhase},
     outcomes::{FailureRate, OutcomeCount},
+    pace::{PoolPace, WorkKind, WorkSample},
     rates::{CallRate, NamedLimit, RateAllowance},
+    speed::{LoadReport, PeerSpeed, SpeedEstimate, TargetSpeed},
 };
