Record the format of each router, and authenticate messages between routers with an optional key

Cause: a router cannot tell whether the others read a record, and any process that reaches a heartbeat port can claim to be a router. Change: PeerRegistry keeps the format of each router's heartbeats, by start of the router; ForwardCore::every_peer_reads tells whether all live ones read a tag; gauge knapweedport_peers_by_format. Messages with a wrong MAC, without one where it is required, and authenticated heartbeats that repeat an earlier one are dropped, counted (knapweedport_peer_messages) and logged once in 10 s for each kind of fault. Without settings nothing changes.

--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -17,8 +17,8 @@
     operators::{OperatorRight, OperatorSettings, TokenDigest},
     secret::SecretValue,
     settings::{
-        FileReader, FleetSettings, GatewaySettings, LimitSettings, LogFormat, LogSettings,
-        OrderSettings, PeerSettings, PeerTlsSettings, RouterSettings, ShutdownSettings,
-        TlsSettings,
+        FileReader, FleetKeySettings, FleetSettings, GatewaySettings, LimitSettings, LogFormat,
+        LogSettings, OrderSettings, PeerSettings, PeerTlsSettings, RouterSettings,
+        ShutdownSettings, TlsSettings,
     },
 };
--- a/crates/base-settings/src/settings.rs
+++ b/crates/base-settings/src/settings.rs
@@ -17,7 +17,7 @@
 
 pub use self::{
     files::FileReader,
-    gateway::{FleetSettings, GatewaySettings},
+    gateway::{FleetKeySettings, FleetSettings, GatewaySettings},
     limits::LimitSettings,
     logs::{LogFormat, LogSettings},
     orders::OrderSettings,
--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -5,7 +5,9 @@
 use base_types::{FailureDomainName, HostName};
 use error_stack::Report;
 
-use crate::{LogSettings, SettingsError, section::SettingsSection, settings::parse_settings};
+use crate::{
+    LogSettings, SecretValue, SettingsError, section::SettingsSection, settings::parse_settings,
+};
 
 /// Keys of the addresses that the process binds over TCP.
 const LISTEN_KEYS: [&str; 4] =
@@ -22,6 +24,10 @@
 const DEFAULT_LOAD_RATIO_MAX: f64 = 2.0;
 const RATIO_MAX: f64 = 100.0;
 
+/// Lengths of a fleet key in bytes. 32 hexadecimal digits are 128 bits, beyond any search.
+const FLEET_KEY_BYTES_MIN: usize = 32;
+const FLEET_KEY_BYTES_MAX: usize = 256;
+
 /// Settings of one gateway process, with every value checked, alone and against the others.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -44,12 +50,25 @@
     /// Whether the whole fleet starts for the first time, so that nothing was served before. May stay
     /// set: it decides only while the platform keeps no record of an earlier start.
     pub first_start: bool,
+    /// Keys with which gateways authenticate what they send each other.
+    pub fleet_keys: FleetKeySettings,
     /// Bounds that apply to the fleet as a whole.
     pub fleet: FleetSettings,
     /// Level and format of the log.
     pub log: LogSettings,
 }
 
+/// Keys with which gateways authenticate what they send each other; all absent by default.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct FleetKeySettings {
+    /// Key that heartbeats and snapshots are sent with.
+    pub current: Option<SecretValue<Box<str>>>,
+    /// Further key that is accepted while the key is rotated.
+    pub previous: Option<SecretValue<Box<str>>>,
+    /// Whether messages that are not authenticated are dropped.
+    pub require_authentic_peers: bool,
+}
+
 /// Bounds that apply to the fleet as a whole; every gateway must be given the same values.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetSettings {
@@ -90,6 +109,7 @@
         let peer_listen = root.required_address("peer_listen");
         let platform = root.required_address("platform");
         let first_start = root.flag("first_start", false);
+        let fleet_keys = FleetKeySettings::read(root);
         let fleet = FleetSettings::read(root);
         let log = LogSettings::read(root);
         Some(Self {
@@ -102,12 +122,45 @@
             peer_listen: peer_listen?,
             platform: platform?,
             first_start,
+            fleet_keys,
             fleet,
             log,
         })
     }
 }
 
+impl FleetKeySettings {
+    fn read(root: &SettingsSection<'_, '_>) -> Self {
+        let current = read_fleet_key(root, "fleet_key");
+        let previous = read_fleet_key(root, "fleet_key_previous");
+        let require_authentic_peers = root.flag("require_authentic_peers", false);
+        if root.value_span("fleet_key").is_none() {
+            for name in ["fleet_key_previous", "require_authentic_peers"] {
+                let is_in_effect = name == "fleet_key_previous" || require_authentic_peers;
+                if root.value_span(name).is_some() && is_in_effect {
+                    root.report_fault(name, "needs a fleet key", "add `fleet_key`, or omit it");
+                }
+            }
+        }
+        Self { current, previous, require_authentic_peers }
+    }
+}
+
+/// Reads a key; a fault does not show it.
+fn read_fleet_key(
+    root: &SettingsSection<'_, '_>,
+    name: &'static str,
+) -> Option<SecretValue<Box<str>>> {
+    let text = root.string(name)?;
+    if !(FLEET_KEY_BYTES_MIN..=FLEET_KEY_BYTES_MAX).contains(&text.len()) {
+        let remedy =
+            format!("use {FLEET_KEY_BYTES_MIN} to {FLEET_KEY_BYTES_MAX} random characters");
+        root.report_fault(name, format!("has {} bytes", text.len()), remedy);
+        return None;
+    }
+    Some(SecretValue::new(text.into()))
+}
+
 impl FleetSettings {
     fn read(root: &SettingsSection<'_, '_>) -> Self {
         let Some(section) = root.section("fleet") else { return Self::default() };
--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -53,6 +53,35 @@
     two_keys_may_not_bind_one_address("10.1.0.40:8224", "10.1.0.40:8227", &["entry_listen"]);
 }
 
+test_cases! {
+    check_fault_keys:
+    fleet_keys_may_be_stated(
+        "platform =",
+        "fleet_key = \"0123456789abcdef0123456789abcdef\"\nfleet_key_previous = \"0123456789abcdef0123456789abcdeF\"\nrequire_authentic_peers = true\nplatform =",
+        &[],
+    );
+    a_short_fleet_key_is_refused("platform =", "fleet_key = \"secret\"\nplatform =", &["fleet_key"]);
+    a_previous_fleet_key_needs_a_current_one(
+        "platform =", "fleet_key_previous = \"0123456789abcdef0123456789abcdef\"\nplatform =",
+        &["fleet_key_previous"],
+    );
+    authentic_peers_need_a_key(
+        "platform =", "require_authentic_peers = true\nplatform =", &["require_authentic_peers"],
+    );
+    authentic_peers_may_be_declined("platform =", "require_authentic_peers = false\nplatform =", &[]);
+}
+
+/// Guards against a fleet key in a log line or in the message of a fault.
+#[test]
+fn fleet_keys_are_not_shown() {
+    const KEY: &str = "0123456789abcdef0123456789abcdef";
+    for key in [KEY, &KEY[..31]] {
+        let text = VALID.replace("platform =", &format!("fleet_key = \"{key}\"\nplatform ="));
+        let shown = format!("{:?}", GatewaySettings::parse(&text));
+        assert!(!shown.contains(&KEY[..31]), "{shown}");
+    }
+}
+
 test_cases! {
     check_fault_keys:
     the_first_start_may_be_stated("platform =", "first_start = true\nplatform =", &[]);
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -25,7 +25,8 @@
 use state_config::{CallerLimits, ConfigVersion, FleetConfig};
 
 use crate::{
-    CallHead, CallKey, ForwardBounds, PromptHead, RouterEntry, StreamResumption, TargetStatus,
+    CallHead, CallKey, ForwardBounds, PeerFormat, PromptHead, RouterEntry, StreamResumption,
+    TargetStatus,
     call::CallState,
     crashes::CrashReporter,
     detours::CallDetour,
@@ -51,6 +52,8 @@
         pub calls_in_flight: usize,
         /// Other routers that serve callers and sent a heartbeat recently.
         pub serving_peers: usize,
+        /// Other routers that sent a heartbeat recently, by the format that they read.
+        pub peer_formats: Vec<(PeerFormat, usize)>,
         /// Prompt segments in the directory of holders.
         pub segments: usize,
         /// Pieces of content that are refused because targets crashed while they ran them.
@@ -326,6 +329,7 @@
             config_adopted_at: self.config_adopted_at,
             calls_in_flight: self.calls.len(),
             serving_peers: self.peers.serving(now).count(),
+            peer_formats: self.peers.by_format(now).into_iter().collect(),
             segments: self.segments.len(),
             blocked_content: self.crashes.tracker.blocks().count(),
             unreachable_pools: self.unreachable_pools.len(),
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -8,8 +8,8 @@
 use policy_targets::OutcomeCount;
 
 use crate::{
-    ForwardCore, HeartbeatExtension, LimitNotice, PeerHeartbeat, RouterEntry, TargetOutcomes,
-    detours::pool_hash,
+    DecodedHeartbeat, ForwardCore, HeartbeatExtension, LimitNotice, PeerHeartbeat, RecordTag,
+    RouterEntry, TargetOutcomes, detours::pool_hash, peers::HeartbeatEnvelope,
 };
 
 /// Largest number of segment holders in one heartbeat, so that it fits into a datagram.
@@ -169,7 +169,28 @@
         }
     }
 
-    /// Handles a heartbeat of another router; a heartbeat of this one is ignored.
+    /// Handles a received heartbeat, and records which format its sender reads. Returns false if it was
+    /// dropped, as its MAC verified but it repeats an earlier heartbeat or is older than one.
+    pub fn on_decoded_heartbeat(&mut self, now: TimePoint, decoded: DecodedHeartbeat) -> bool {
+        if self.peers.is_replay(&decoded) {
+            return false;
+        }
+        let envelope = HeartbeatEnvelope::new(&decoded);
+        self.on_heartbeat(now, decoded.message);
+        self.peers.record_envelope(envelope);
+        true
+    }
+
+    /// Whether every other router that is alive reads the records of a tag, by its own heartbeats. Where this
+    /// is false, a decision that needs all routers to know the record's fact must take the safe side.
+    ///
+    /// Routers without a recent heartbeat do not count: they may have ended. Without live routers it is true.
+    pub fn every_peer_reads(&self, now: TimePoint, tag: RecordTag) -> bool {
+        self.peers.all_read(now, tag)
+    }
+
+    /// Handles a heartbeat of another router; a heartbeat of this one is ignored. Its sender counts as one
+    /// that has the frozen layout only, unless [`Self::on_decoded_heartbeat`] recorded another format.
     pub fn on_heartbeat(&mut self, now: TimePoint, heartbeat: PeerHeartbeat) {
         if heartbeat.entry.name == self.entry.name {
             return;
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod origin_record;
 mod origins;
 mod peers;
+mod replays;
 mod reports;
 mod software;
 mod target_news;
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -6,7 +6,8 @@
 use policy_targets::OutcomeCount;
 
 use crate::{
-    ContentReport, HeartbeatExtension, LimitNotice, OriginNotice, SoftwareNotice, TargetNotice,
+    ContentReport, DecodedHeartbeat, HeartbeatExtension, LimitNotice, MessageAuthenticity,
+    OriginNotice, PeerFormat, RecordTag, SoftwareNotice, TargetNotice, replays::ReplayGuard,
 };
 
 /// Time for which a router counts as alive after its last heartbeat.
@@ -86,6 +87,27 @@
     }
 }
 
+/// What a heartbeat says of its sender beside its fields.
+#[derive(Debug)]
+pub(crate) struct HeartbeatEnvelope {
+    sender: HostName,
+    format: PeerFormat,
+    /// Incarnation and sequence, if the MAC verified.
+    verified: Option<(u64, u64)>,
+}
+
+impl HeartbeatEnvelope {
+    pub(crate) fn new(decoded: &DecodedHeartbeat) -> Self {
+        let PeerHeartbeat { entry, load_share, .. } = &decoded.message;
+        let is_verified = decoded.authenticity == MessageAuthenticity::Verified;
+        Self {
+            sender: entry.name.clone(),
+            format: decoded.format,
+            verified: is_verified.then_some((entry.incarnation, load_share.sequence)),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct PeerRecord {
     pub(crate) entry: RouterEntry,
@@ -100,6 +122,10 @@
     refusing_until: TimePoint,
     unreachable_pools: Vec<u64>,
     cut_off: bool,
+    /// Latest format of the heartbeats of its current start; that of the frozen layout until one was
+    /// received.
+    format: PeerFormat,
+    replay_guard: ReplayGuard,
 }
 
 impl PeerRecord {
@@ -114,6 +140,8 @@
             refusing_until: TimePoint(0),
             unreachable_pools: Vec::new(),
             cut_off: false,
+            format: PeerFormat::default(),
+            replay_guard: ReplayGuard::default(),
         }
     }
 
@@ -155,6 +183,7 @@
                 if record.entry != entry {
                     record.entry = entry;
                     record.alive_until = TimePoint(0);
+                    record.format = PeerFormat::default();
                 }
             }
             None => {
@@ -178,6 +207,7 @@
         let is_restarted = record.entry.incarnation != heartbeat.entry.incarnation;
         if is_restarted {
             record.entry = heartbeat.entry.clone();
+            record.format = PeerFormat::default();
         }
         record.alive_until = now.after(HEARTBEAT_TTL);
         record.serving = heartbeat.ready && !heartbeat.shutting_down;
@@ -188,6 +218,45 @@
         is_restarted
     }
 
+    /// Whether an authenticated heartbeat repeats an earlier one.
+    pub(crate) fn is_replay(&self, decoded: &DecodedHeartbeat) -> bool {
+        let PeerHeartbeat { entry, load_share, .. } = &decoded.message;
+        let record = self.records.get(&entry.name);
+        decoded.authenticity == MessageAuthenticity::Verified
+            && record.is_some_and(|record| {
+                record.replay_guard.is_replay(entry.incarnation, load_share.sequence)
+            })
+    }
+
+    /// Records what the envelope of a heartbeat says, after the heartbeat itself.
+    pub(crate) fn record_envelope(&mut self, envelope: HeartbeatEnvelope) {
+        let Some(record) = self.records.get_mut(&envelope.sender) else { return };
+        // A start of a router is of one build: a heartbeat whose extension was dropped does not say that
+        // the router reads less.
+        record.format = record.format.max(envelope.format);
+        if let Some((incarnation, sequence)) = envelope.verified {
+            record.replay_guard.record(incarnation, sequence);
+        }
+    }
+
+    /// Whether all live routers read records of a tag.
+    pub(crate) fn all_read(&self, now: TimePoint, tag: RecordTag) -> bool {
+        self.live(now).all(|record| record.format.reads(tag))
+    }
+
+    /// Returns the number of live routers by their format.
+    pub(crate) fn by_format(&self, now: TimePoint) -> BTreeMap<PeerFormat, usize> {
+        let mut counts = BTreeMap::new();
+        for record in self.live(now) {
+            *counts.entry(record.format).or_default() += 1;
+        }
+        counts
+    }
+
+    fn live(&self, now: TimePoint) -> impl Iterator<Item = &PeerRecord> {
+        self.records.values().filter(move |record| !record.alive_until.passed(now))
+    }
+
     /// Returns the routers that are alive and serve callers.
     pub(crate) fn serving(&self, now: TimePoint) -> impl Iterator<Item = &RouterEntry> {
         let serving = self.records.values().filter(move |record| record.is_serving(now));
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod front;
 mod hop;
 mod log_lines;
+mod peer_faults;
 mod peers;
 mod relay;
 mod snapshots;
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -1,14 +1,20 @@
 //! Heartbeats between routers, sent as UDP datagrams.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use core_forward::{
-    ContentChange, HEARTBEAT_BYTES_MAX, PeerKeys, decode_heartbeat, encode_heartbeat,
-    heartbeat_interval,
+    ContentChange, DecodedHeartbeat, HEARTBEAT_BYTES_MAX, PeerKeys, decode_heartbeat,
+    encode_heartbeat, heartbeat_interval,
 };
 use tokio::{net::UdpSocket, time::Instant};
 
-use crate::ForwardState;
+use crate::{
+    ForwardState,
+    peer_faults::{FaultLog, MessageOutcome},
+};
+
+/// Kind of the messages in metrics and logs.
+const KIND: &str = "heartbeat";
 
 /// Divisor of the interval after a wakeup (a new attempt or fetched segments).
 const URGENT_DIVISOR: u32 = 4;
@@ -16,12 +22,19 @@
 /// Size of the receive buffer; a longer heartbeat would be cut off.
 const DATAGRAM_MAX: usize = HEARTBEAT_BYTES_MAX + 1;
 
-/// Sends this router's heartbeats and receives those of its peers until the process ends.
+/// Sends this router's heartbeats and receives those of its peers until the process ends; with a key,
+/// heartbeats are authenticated.
 ///
 /// # Errors
 ///
 /// Fails when the address cannot be bound.
-pub async fn exchange_heartbeats(state: ForwardState, address: SocketAddr) -> std::io::Result<()> {
+pub async fn exchange_heartbeats(
+    state: ForwardState,
+    address: SocketAddr,
+    keys: Rc<PeerKeys>,
+) -> std::io::Result<()> {
+    let mut receiver =
+        HeartbeatReceiver { state: &state, keys: &keys, faults: FaultLog::default() };
     let socket = UdpSocket::bind(address).await?;
     let mut datagram = vec![0; DATAGRAM_MAX];
     let mut schedule = HeartbeatSchedule {
@@ -32,7 +45,7 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut datagram) => match received {
-                Ok((length, _)) => receive_heartbeat(&state, &datagram[..length]),
+                Ok((length, _)) => receiver.receive(&datagram[..length]),
                 Err(error) => {
                     log::debug!(error = error.to_string().as_str(); "receiving a heartbeat failed");
                 }
@@ -41,7 +54,7 @@
                 schedule.urgent = state.with_core(|core, now| core.has_urgent_news(now));
             }
             () = tokio::time::sleep_until(schedule.next_at()) => {
-                let peer_count = send_heartbeat(&state, &socket).await;
+                let peer_count = send_heartbeat(&state, &socket, &keys).await;
                 let interval = heartbeat_interval(peer_count as u32);
                 schedule =
                     HeartbeatSchedule { last_sent_at: Instant::now(), interval, urgent: false };
@@ -65,26 +78,43 @@
     }
 }
 
-fn receive_heartbeat(state: &ForwardState, datagram: &[u8]) {
-    match decode_heartbeat(datagram, &PeerKeys::default()) {
-        Ok(decoded) => {
-            let heartbeat = decoded.message;
-            let has_origins = !heartbeat.stream_origins.is_empty();
-            let (leaving, changed) = state.with_core(|core, now| {
-                core.on_heartbeat(now, heartbeat);
-                (core.take_leaving_heard(), core.take_reported_changes())
-            });
-            for target in changed {
-                log::info!(target = target.as_str(); "change of a target reported by another router");
-            }
-            for target in leaving {
-                log::info!(target = target.as_str(); "target announced to another router that it leaves");
-            }
-            if has_origins {
-                state.notify_origins();
-            }
+/// Receives heartbeats; counts and logs those that are dropped.
+struct HeartbeatReceiver<'a> {
+    state: &'a ForwardState,
+    keys: &'a PeerKeys,
+    faults: FaultLog,
+}
+
+impl HeartbeatReceiver<'_> {
+    fn receive(&mut self, datagram: &[u8]) {
+        let decoded = decode_heartbeat(datagram, self.keys);
+        let mut outcome = MessageOutcome::of(&decoded);
+        if let Ok(decoded) = decoded
+            && !self.handle(decoded)
+        {
+            outcome = MessageOutcome::REPLAYED;
+        }
+        outcome.count(self.state, KIND);
+        self.faults.record(KIND, outcome);
+    }
+
+    /// Returns false if the heartbeat repeats an earlier one.
+    fn handle(&self, decoded: DecodedHeartbeat) -> bool {
+        let has_origins = !decoded.message.stream_origins.is_empty();
+        let (is_used, leaving, changed) = self.state.with_core(|core, now| {
+            let is_used = core.on_decoded_heartbeat(now, decoded);
+            (is_used, core.take_leaving_heard(), core.take_reported_changes())
+        });
+        for target in changed {
+            log::info!(target = target.as_str(); "change of a target reported by another router");
+        }
+        for target in leaving {
+            log::info!(target = target.as_str(); "target announced to another router that it leaves");
+        }
+        if has_origins && is_used {
+            self.state.notify_origins();
         }
-        Err(error) => log::debug!(error = error.to_string().as_str(); "malformed heartbeat"),
+        is_used
     }
 }
 
@@ -114,11 +144,11 @@
 }
 
 /// Sends one heartbeat to every peer and returns the number of peers.
-async fn send_heartbeat(state: &ForwardState, socket: &UdpSocket) -> usize {
+async fn send_heartbeat(state: &ForwardState, socket: &UdpSocket, keys: &PeerKeys) -> usize {
     let (heartbeat, addresses) =
         state.with_core(|core, now| (core.next_heartbeat(now), core.heartbeat_addresses()));
     log_content_changes(state);
-    let encoded = match encode_heartbeat(&heartbeat, None) {
+    let encoded = match encode_heartbeat(&heartbeat, keys.current.as_ref()) {
         Ok(encoded) => encoded,
         Err(error) => {
             log::error!(error = error.to_string().as_str(); "encoding a heartbeat failed");
--- a/crates/io-forward/src/snapshots.rs
+++ b/crates/io-forward/src/snapshots.rs
@@ -1,6 +1,6 @@
 //! Snapshots of a router's state, which a starting router copies from a peer.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use core_forward::{PeerKeys, PeerSnapshot, SNAPSHOT_BYTES_MAX, decode_snapshot, encode_snapshot};
 use tokio::{
@@ -9,7 +9,14 @@
     time::timeout,
 };
 
-use crate::{ForwardState, contents::fetch_cached_segments};
+use crate::{
+    ForwardState,
+    contents::fetch_cached_segments,
+    peer_faults::{FaultLog, MessageOutcome},
+};
+
+/// Kind of the messages in metrics.
+const KIND: &str = "snapshot";
 
 /// Timeout for sending or reading one snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -31,7 +38,11 @@
 /// # Errors
 ///
 /// Fails when the address cannot be bound.
-pub async fn serve_snapshots(state: ForwardState, address: SocketAddr) -> io::Result<()> {
+pub async fn serve_snapshots(
+    state: ForwardState,
+    address: SocketAddr,
+    keys: Rc<PeerKeys>,
+) -> io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     loop {
         let stream = match listener.accept().await {
@@ -46,8 +57,9 @@
             }
         };
         let snapshot = state.with_core(|core, now| core.snapshot(now));
+        let keys = keys.clone();
         tokio::task::spawn_local(async move {
-            if let Err(error) = send_snapshot(stream, &snapshot).await {
+            if let Err(error) = send_snapshot(stream, &snapshot, &keys).await {
                 log::debug!(error = error.to_string().as_str(); "sending a snapshot failed");
             }
         });
@@ -56,13 +68,13 @@
 
 /// Restores state from a peer's snapshot; if no peer knows the cached segments of the engines,
 /// fetches them from the engines.
-pub async fn bootstrap_from_peers(state: ForwardState) {
+pub async fn bootstrap_from_peers(state: ForwardState, keys: Rc<PeerKeys>) {
     // Waits until a peer is known: a router without peers takes every engine as assigned to it, and
     // several starting routers would query the same engines.
     let sources = timeout(PEERS_TIMEOUT, wait_for_peers(&state)).await;
     let sources = sources.unwrap_or_default();
     for source in sources.into_iter().take(SOURCES_MAX) {
-        if restore_snapshot(&state, source).await {
+        if restore_snapshot(&state, source, &keys).await {
             return;
         }
     }
@@ -70,9 +82,9 @@
 }
 
 /// Restores one peer's snapshot; returns whether that peer knows the engines' cached segments.
-async fn restore_snapshot(state: &ForwardState, source: SocketAddr) -> bool {
+async fn restore_snapshot(state: &ForwardState, source: SocketAddr, keys: &PeerKeys) -> bool {
     let peer = source.to_string();
-    match read_snapshot(source).await {
+    match read_snapshot(state, source, keys).await {
         Ok(snapshot) => {
             let (settled, parts) = (snapshot.settled, snapshot.segment_holders.len());
             let targets = snapshot.targets.len();
@@ -99,8 +111,12 @@
     }
 }
 
-async fn send_snapshot(mut stream: TcpStream, snapshot: &PeerSnapshot) -> io::Result<()> {
-    let encoded = encode_snapshot(snapshot, None).map_err(io::Error::other)?;
+async fn send_snapshot(
+    mut stream: TcpStream,
+    snapshot: &PeerSnapshot,
+    keys: &PeerKeys,
+) -> io::Result<()> {
+    let encoded = encode_snapshot(snapshot, keys.current.as_ref()).map_err(io::Error::other)?;
     if !encoded.omitted.is_empty() {
         let records = format!("{:?}", encoded.omitted);
         log::debug!(records = records.as_str(); "records left out of a snapshot");
@@ -112,14 +128,21 @@
     timeout(SNAPSHOT_TIMEOUT, sending).await?
 }
 
-async fn read_snapshot(source: SocketAddr) -> io::Result<PeerSnapshot> {
+async fn read_snapshot(
+    state: &ForwardState,
+    source: SocketAddr,
+    keys: &PeerKeys,
+) -> io::Result<PeerSnapshot> {
     let reading = async {
         let stream = TcpStream::connect(source).await?;
         let mut bytes = Vec::new();
         // A longer snapshot is cut off.
         stream.take(SNAPSHOT_BYTES_MAX as u64 + 1).read_to_end(&mut bytes).await?;
-        let decoded = decode_snapshot(&bytes, &PeerKeys::default()).map_err(io::Error::other)?;
-        Ok(decoded.message)
+        let decoded = decode_snapshot(&bytes, keys);
+        let outcome = MessageOutcome::of(&decoded);
+        outcome.count(state, KIND);
+        FaultLog::default().record(KIND, outcome);
+        Ok(decoded.map_err(io::Error::other)?.message)
     };
     timeout(SNAPSHOT_TIMEOUT, reading).await?
 }
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -24,8 +24,8 @@
     pub struct GaugeSample {
         /// Gauge that the value belongs to.
         pub gauge: GatewayGauge,
-        /// Target or pool that the value is about, exported as the label `target`; empty when the
-        /// value is about the router.
+        /// Target or pool that the value is about, exported as the label `target`, or format of routers,
+        /// exported as the label `format`; empty when the value is about the router.
         pub subject: Box<str>,
         /// Value in the unit of the exported metric.
         pub value: f64,
@@ -43,6 +43,8 @@
     CallerConnections,
     /// Number of other routers whose heartbeats were received recently.
     Peers,
+    /// Number of other routers whose heartbeats were received recently, by the format that they read.
+    PeersByFormat,
     /// Version of the configuration in force.
     ConfigVersion,
     /// Seconds since the configuration in force was adopted.
@@ -82,11 +84,12 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 23] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
         Self::Peers,
+        Self::PeersByFormat,
         Self::ConfigVersion,
         Self::ConfigAge,
         Self::PromptSegments,
@@ -113,6 +116,7 @@
             Self::Ready => "knapweedport_ready",
             Self::CallerConnections => "knapweedport_caller_connections",
             Self::Peers => "knapweedport_peers",
+            Self::PeersByFormat => "knapweedport_peers_by_format",
             Self::ConfigVersion => "knapweedport_config_version",
             Self::ConfigAge => "knapweedport_config_age_seconds",
             Self::PromptSegments => "knapweedport_prompt_parts",
@@ -133,6 +137,14 @@
             Self::ResidentMemory => "knapweedport_resident_memory_bytes",
         }
     }
+
+    /// Label under which the subjects of the gauge's samples are exported.
+    fn subject_label(self) -> &'static str {
+        match self {
+            Self::PeersByFormat => "format",
+            _ => "target",
+        }
+    }
 }
 
 type SharedSamples = Arc<Mutex<Vec<GaugeSample>>>;
@@ -149,6 +161,8 @@
     attempts: Counter<u64>,
     detours: Counter<u64>,
     response_ends: Counter<u64>,
+    peer_messages: Counter<u64>,
+    unknown_records: Counter<u64>,
     platform_seconds: Histogram<f64>,
 }
 
@@ -187,6 +201,14 @@
                     "Responses of targets whose body ended, by framing, end and position.",
                 )
                 .build(),
+            peer_messages: meter
+                .u64_counter("knapweedport_peer_messages")
+                .with_description("Messages received from other routers, by kind and end.")
+                .build(),
+            unknown_records: meter
+                .u64_counter("knapweedport_peer_unknown_records")
+                .with_description("Records of unknown kinds in messages of other routers.")
+                .build(),
             platform_seconds: histogram(&meter, "knapweedport_platform_call_seconds"),
             _provider: provider,
         })
@@ -228,6 +250,20 @@
         self.response_ends.add(1, &labels);
     }
 
+    /// Counts a message received from another router, and its records of unknown kinds.
+    pub fn count_peer_message(
+        &self,
+        kind: &'static str,
+        outcome: &'static str,
+        unknown_records: usize,
+    ) {
+        let kind = KeyValue::new("kind", kind);
+        if unknown_records > 0 {
+            self.unknown_records.add(unknown_records as u64, std::slice::from_ref(&kind));
+        }
+        self.peer_messages.add(1, &[kind, KeyValue::new("end", outcome)]);
+    }
+
     /// Counts a call to the platform; `succeeded` is the value of its label `answered`.
     pub fn count_platform_call(&self, kind: &'static str, succeeded: bool, elapsed: Duration) {
         let attributes = [KeyValue::new("kind", kind), KeyValue::new("answered", succeeded)];
@@ -261,7 +297,7 @@
         let samples = samples.lock().unwrap_or_else(PoisonError::into_inner);
         for sample in samples.iter().filter(|sample| sample.gauge == gauge) {
             let subject = (!sample.subject.is_empty())
-                .then(|| KeyValue::new("target", sample.subject.to_string()));
+                .then(|| KeyValue::new(gauge.subject_label(), sample.subject.to_string()));
             observer.observe(sample.value, subject.as_slice());
         }
     };
