--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -205,6 +205,7 @@
             self.segments.remove_target(target_hash);
         }
         self.peer_loads.expire(now);
+        self.peers.sweep(now);
         self.clear_content_of_long_answers(now);
         self.crashes.tracker.sweep(now);
         self.origins.sweep(now);
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -177,7 +177,7 @@
         }
         let envelope = HeartbeatEnvelope::new(&decoded);
         self.on_heartbeat(now, decoded.message);
-        self.peers.record_envelope(envelope);
+        self.peers.record_envelope(now, envelope);
         true
     }
 
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -125,7 +125,6 @@
     /// Latest format of the heartbeats of its current start; that of the frozen layout until one was
     /// received.
     format: PeerFormat,
-    replay_guard: ReplayGuard,
 }
 
 impl PeerRecord {
@@ -141,7 +140,6 @@
             unreachable_pools: Vec::new(),
             cut_off: false,
             format: PeerFormat::default(),
-            replay_guard: ReplayGuard::default(),
         }
     }
 
@@ -159,6 +157,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PeerRegistry {
     records: BTreeMap<HostName, PeerRecord>,
+    replay_guard: ReplayGuard,
 }
 
 impl PeerRegistry {
@@ -221,24 +220,27 @@
     /// Whether an authenticated heartbeat repeats an earlier one.
     pub(crate) fn is_replay(&self, decoded: &DecodedHeartbeat) -> bool {
         let PeerHeartbeat { entry, load_share, .. } = &decoded.message;
-        let record = self.records.get(&entry.name);
+        let (incarnation, sequence) = (entry.incarnation, load_share.sequence);
         decoded.authenticity == MessageAuthenticity::Verified
-            && record.is_some_and(|record| {
-                record.replay_guard.is_replay(entry.incarnation, load_share.sequence)
-            })
+            && self.replay_guard.is_replay(&entry.name, incarnation, sequence)
     }
 
     /// Records what the envelope of a heartbeat says, after the heartbeat itself.
-    pub(crate) fn record_envelope(&mut self, envelope: HeartbeatEnvelope) {
+    pub(crate) fn record_envelope(&mut self, now: TimePoint, envelope: HeartbeatEnvelope) {
         let Some(record) = self.records.get_mut(&envelope.sender) else { return };
         // A start of a router is of one build: a heartbeat whose extension was dropped does not say that
         // the router reads less.
         record.format = record.format.max(envelope.format);
         if let Some((incarnation, sequence)) = envelope.verified {
-            record.replay_guard.record(incarnation, sequence);
+            self.replay_guard.record(now, envelope.sender, incarnation, sequence);
         }
     }
 
+    /// Forgets what is too old to matter.
+    pub(crate) fn sweep(&mut self, now: TimePoint) {
+        self.replay_guard.sweep(now);
+    }
+
     /// Whether all live routers read records of a tag.
     pub(crate) fn all_read(&self, now: TimePoint, tag: RecordTag) -> bool {
         self.live(now).all(|record| record.format.reads(tag))
--- a/crates/core-forward/tests/authenticity.rs
+++ b/crates/core-forward/tests/authenticity.rs
@@ -99,6 +99,8 @@
         let decoded = decode_heartbeat(&sent.bytes, &keys).expect("decoded");
         let used = receiver.on_decoded_heartbeat(NOW, decoded);
         assert_eq!(used, *is_used, "{incarnation} {sequence}");
+        // The platform's list lacks the router.
+        receiver.list_routers(Vec::new());
     }
 }
 
