--- a/crates/base-settings/src/lib.rs
+++ b/crates/base-settings/src/lib.rs
@@ -17,8 +17,8 @@
     operators::{OperatorRight, OperatorSettings, TokenDigest},
     secret::SecretValue,
     settings::{
-        CapacitySettings, FileReader, FleetSettings, GatewaySettings, LimitSettings, LogFormat,
-        LogSettings, OrderSettings, PeerSettings, PeerTlsSettings, RouterSettings,
-        ShutdownSettings, TlsSettings,
+        CapacitySettings, FileReader, FleetKeySettings, FleetSettings, GatewaySettings,
+        LimitSettings, LogFormat, LogSettings, OrderSettings, PeerSettings, PeerTlsSettings,
+        RouterSettings, ShutdownSettings, TlsSettings,
     },
 };
--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -59,6 +59,31 @@
     adaptive_capacity_may_be_on("load_ratio_max = 2", "adaptive_capacity = \"on\"", &[]);
     adaptive_capacity_may_be_automatic("load_ratio_max = 2", "adaptive_capacity = \"auto\"", &[]);
     another_adaptive_capacity_is_refused("load_ratio_max = 2", "adaptive_capacity = \"yes\"", &["fleet.adaptive_capacity"]);
+    fleet_keys_may_be_stated(
+        "platform =",
+        "fleet_key = \"0123456789abcdef0123456789abcdef\"\nfleet_key_previous = \"0123456789abcdef0123456789abcdeF\"\nrequire_authentic_peers = true\nplatform =",
+        &[],
+    );
+    a_short_fleet_key_is_refused("platform =", "fleet_key = \"secret\"\nplatform =", &["fleet_key"]);
+    a_previous_fleet_key_needs_a_current_one(
+        "platform =", "fleet_key_previous = \"0123456789abcdef0123456789abcdef\"\nplatform =",
+        &["fleet_key_previous"],
+    );
+    authentic_peers_need_a_key(
+        "platform =", "require_authentic_peers = true\nplatform =", &["require_authentic_peers"],
+    );
+    authentic_peers_may_be_declined("platform =", "require_authentic_peers = false\nplatform =", &[]);
+}
+
+/// Guards against a fleet key in a log line or in the message of a fault.
+#[test]
+fn fleet_keys_are_not_shown() {
+    const KEY: &str = "0123456789abcdef0123456789abcdef";
+    for key in [KEY, &KEY[..31]] {
+        let text = VALID.replace("platform =", &format!("fleet_key = \"{key}\"\nplatform ="));
+        let shown = format!("{:?}", GatewaySettings::parse(&text));
+        assert!(!shown.contains(&KEY[..31]), "{shown}");
+    }
 }
 
 test_cases! {
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -31,8 +31,8 @@
 
 use self::callers::OwnCapacity;
 use crate::{
-    CallHead, CallKey, EvacuationChange, ForwardBounds, PromptHead, RouterCapacity, RouterEntry,
-    StreamResumption, TargetStatus,
+    CallHead, CallKey, EvacuationChange, ForwardBounds, PeerFormat, PromptHead, RouterCapacity,
+    RouterEntry, StreamResumption, TargetStatus,
     call::CallState,
     crashes::CrashReporter,
     detours::CallDetour,
@@ -59,6 +59,8 @@
         pub calls_in_flight: usize,
         /// Other routers that serve callers and sent a heartbeat recently.
         pub serving_peers: usize,
+        /// Other routers that sent a heartbeat recently, by the format that they read.
+        pub peer_formats: Vec<(PeerFormat, usize)>,
         /// Prompt segments in the directory of holders.
         pub segments: usize,
         /// Pieces of content that are refused because targets crashed while they ran them.
@@ -245,6 +247,7 @@
         }
         self.peer_loads.expire(now);
         self.sweep_speeds(now);
+        self.peers.sweep(now);
         self.clear_content_of_long_answers(now);
         self.crashes.tracker.sweep(now);
         self.origins.sweep(now);
@@ -374,6 +377,7 @@
             config_adopted_at: self.config_adopted_at,
             calls_in_flight: self.calls.len(),
             serving_peers: self.peers.serving(now).count(),
+            peer_formats: self.peers.by_format(now).into_iter().collect(),
             segments: self.segments.len(),
             blocked_content: self.crashes.tracker.blocks().count(),
             unreachable_pools: self.unreachable_pools.len(),
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -16,6 +16,7 @@
 mod hop;
 mod load;
 mod log_lines;
+mod peer_faults;
 mod peers;
 mod relay;
 mod snapshots;
