--- a/crates/policy-admission/src/queue.rs
+++ b/crates/policy-admission/src/queue.rs
@@ -30,8 +30,10 @@
 }
 
 /// Queued requests of one pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FairQueue {
+    account_max: usize,
+    queue_max: usize,
     accounts: BTreeMap<AccountName, AccountQueue>,
     heads: BTreeSet<(u64, AccountName)>,
     deadlines: BTreeSet<(TimePoint, RequestKey)>,
@@ -51,7 +53,26 @@
     finish_tag: u64,
 }
 
+impl Default for FairQueue {
+    fn default() -> Self {
+        Self::with_bounds(ACCOUNT_QUEUE_MAX, QUEUE_MAX)
+    }
+}
+
 impl FairQueue {
+    /// A queue that holds at most `account_max` requests of each account and `queue_max` in all.
+    pub fn with_bounds(account_max: usize, queue_max: usize) -> Self {
+        Self {
+            account_max,
+            queue_max,
+            accounts: BTreeMap::new(),
+            heads: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            accounts_by_request: BTreeMap::new(),
+            virtual_time: 0,
+        }
+    }
+
     /// Queues a request. Returns the request as an error if its account's queue or the pool's queue
     /// is full, or if its key is already queued.
     pub fn push(&mut self, queued: QueuedRequest) -> Result<(), QueuedRequest> {
@@ -59,8 +80,8 @@
             self.accounts.get(&queued.account).map_or(0, |queue| queue.waiting.len());
         let is_duplicate = self.accounts_by_request.contains_key(&queued.request);
         if is_duplicate
-            || queued_count >= ACCOUNT_QUEUE_MAX
-            || self.accounts_by_request.len() >= QUEUE_MAX
+            || queued_count >= self.account_max
+            || self.accounts_by_request.len() >= self.queue_max
         {
             return Err(queued);
         }
@@ -114,6 +135,47 @@
         Some(tagged.queued)
     }
 
+    /// Removes a request that is not going to be dispatched, without charging its account for its
+    /// work: later requests of the account move forward.
+    pub fn withdraw(&mut self, request: RequestKey) -> Option<QueuedRequest> {
+        let account = self.accounts_by_request.get(&request)?.clone();
+        let queue = self.accounts.get_mut(&account)?;
+        let index = queue.waiting.iter().position(|tagged| tagged.queued.request == request)?;
+        let tagged = queue.waiting.remove(index)?;
+        let work = u64::from(tagged.queued.tokens.max(1));
+        for later in queue.waiting.iter_mut().skip(index) {
+            later.finish_tag -= work;
+        }
+        queue.last_finish_tag -= work;
+        self.remove_from_indexes(&tagged.queued);
+        self.heads.remove(&(tagged.finish_tag, account.clone()));
+        self.update_account(account);
+        Some(tagged.queued)
+    }
+
+    /// Number of queued requests that are dispatched before a request that is queued now; counts no
+    /// further than `count_max`.
+    pub fn count_ahead(&self, account: &AccountName, tokens: u32, count_max: usize) -> usize {
+        let last_tag = self.accounts.get(account).map_or(0, |queue| queue.last_finish_tag);
+        let finish_tag = last_tag.max(self.virtual_time) + u64::from(tokens.max(1));
+        let mut count = 0;
+        // An account whose first request comes later has none that comes before.
+        for (_, account) in self.heads.range(..=(finish_tag, account.clone())) {
+            let Some(queue) = self.accounts.get(account) else { continue };
+            count += queue.waiting.partition_point(|tagged| tagged.finish_tag <= finish_tag);
+            if count >= count_max {
+                return count_max;
+            }
+        }
+        count
+    }
+
+    /// The request that would be dispatched last.
+    pub fn peek_last(&self) -> Option<&QueuedRequest> {
+        let tails = self.accounts.values().filter_map(|queue| queue.waiting.back());
+        tails.max_by_key(|tagged| tagged.finish_tag).map(|tagged| &tagged.queued)
+    }
+
     /// The earliest deadline of a queued request.
     pub fn next_deadline(&self) -> TimePoint {
         self.deadlines.first().map_or(TimePoint::NEVER, |(at, _)| *at)
--- a/crates/policy-routing/src/shares.rs
+++ b/crates/policy-routing/src/shares.rs
@@ -83,6 +83,11 @@
         u32::try_from(sum).unwrap_or(u32::MAX)
     }
 
+    /// Number of routers with a valid share.
+    pub fn routers(&self) -> usize {
+        self.shares.len()
+    }
+
     /// Whether there are no shares.
     pub fn is_empty(&self) -> bool {
         self.shares.is_empty()
