Have calls wait in the router while no target has room

Cause: the calls of all routers can exceed what targets run at once, and each router knows the others' calls only from heartbeats. Change: DispatchStep::Wait, ForwardCore::take_startable and wait_inputs, behind ForwardBounds::queueing (off). From half of the places on, a router takes back the places that its own calls left, and its part of those that all know to be free, target by target.

--- a/crates/core-forward/src/bounds.rs
+++ b/crates/core-forward/src/bounds.rs
@@ -16,5 +16,7 @@
         pub retry_window: Duration,
         /// Multiple of the pool's mean load above which other reachable targets are preferred.
         pub load_ratio_max: f64,
+        /// Whether calls that find no target with room wait in the router.
+        pub queueing: bool,
     }
 }
--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -11,6 +11,7 @@
 use crate::{
     detours::{CallDetour, DetourClaim, DetourSpec},
     origins::StreamSoftware,
+    waiting::{CallWait, WaitInputs},
 };
 
 key_types! {
@@ -144,6 +145,9 @@
         Send(AttemptSpec),
         /// Send the call through another router.
         Detour(DetourSpec),
+        /// Dispatch the call again when [`ForwardCore::take_startable`](crate::ForwardCore::take_startable)
+        /// names it, and at this time at the latest.
+        Wait(TimePoint),
         /// Refuse the call; it is not attempted again.
         Refuse(Refusal),
     }
@@ -193,6 +197,10 @@
     pub(crate) unsent_attempts: u32,
     pub(crate) current_attempt: Option<CurrentAttempt>,
     pub(crate) detour: CallDetour,
+    /// The wait in progress for a target with room.
+    pub(crate) wait: Option<CallWait>,
+    /// Inputs of the latest decision to have the call wait or to refuse it instead.
+    pub(crate) wait_inputs: Option<WaitInputs>,
     /// Set once an attempt may have run the call.
     pub(crate) may_have_run: bool,
 }
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -10,6 +10,7 @@
 mod refusals;
 mod resumption;
 mod snapshots;
+mod waiting;
 
 pub use self::beats::heartbeat_interval;
 pub use self::snapshots::{EngineAddress, PeerSnapshot, SegmentHolders};
@@ -35,6 +36,7 @@
     peers::PeerRegistry,
     reports::ReportQueue,
     targets::TargetTable,
+    waiting::{PoolWaiting, PoolWaits},
 };
 
 /// Prompt segments whose holders are kept; each takes about 300 bytes.
@@ -67,6 +69,8 @@
         pub shutting_down: bool,
         /// Retries left in this router's share of the retry budget, by pool.
         pub retries_left: Vec<(PoolName, u64)>,
+        /// Calls that wait for room, by pool and rank.
+        pub waits: Vec<PoolWaits>,
         /// Status of each target.
         pub targets: Vec<TargetStatus>,
     }
@@ -113,6 +117,8 @@
     segments: SegmentDirectory,
     crashes: CrashReporter,
     return_queues: BTreeMap<PoolName, ReturnQueue>,
+    /// Calls that wait for room, by pool; empty unless [`Self::is_adaptive`].
+    waiting: BTreeMap<PoolName, PoolWaiting>,
     /// Pairs of a prompt segment and a target hash that the other routers do not know yet.
     unreported_holders: Vec<(u64, u64)>,
     /// Pools none of whose targets accepts connections of this router.
@@ -156,6 +162,7 @@
             segments: SegmentDirectory::new(DIRECTORY_SEGMENTS_MAX),
             crashes: CrashReporter::default(),
             return_queues: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             unreported_holders: Vec::new(),
             unreachable_pools: BTreeSet::new(),
             link_changes: Vec::new(),
@@ -202,6 +209,7 @@
             self.segments.remove_target(target_hash);
         }
         self.peer_loads.expire(now);
+        self.sweep_waiting();
         self.clear_content_of_long_answers(now);
         self.crashes.tracker.sweep(now);
         self.origins.sweep(now);
@@ -284,6 +292,8 @@
             unsent_attempts: 0,
             current_attempt: None,
             detour: CallDetour::new(detour.is_some()),
+            wait: None,
+            wait_inputs: None,
             may_have_run: false,
         };
         let admitted = AdmittedCall {
@@ -334,6 +344,7 @@
             dropped_origins: self.origins.dropped(),
             shutting_down: self.shutting_down,
             retries_left: retries_left.collect(),
+            waits: self.waits(),
             targets: targets.collect(),
         }
     }
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -59,7 +59,7 @@
 
 /// Largest fleet in which a call to an engine alone sends a heartbeat early. In a larger one a router has
 /// few of the calls, and each heartbeat is sent to more routers.
-const LOAD_NEWS_ROUTERS_MAX: u32 = 100;
+pub(super) const LOAD_NEWS_ROUTERS_MAX: u32 = 100;
 
 impl ForwardCore {
     /// Whether the next heartbeat is to be sent early, as it has news that the others need soon.
@@ -100,6 +100,7 @@
     pub fn next_heartbeat(&mut self, now: TimePoint) -> PeerHeartbeat {
         self.heartbeat_sequence += 1;
         self.has_plain_call = false;
+        self.targets.iter_mut().for_each(|(_, record)| record.place_use.freed = 0);
         let loads = self.targets.iter().filter(|(_, record)| record.own_in_flight > 0);
         let loads = loads.map(|(_, record)| TargetLoad {
             target_hash: record.target_hash,
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -52,12 +52,20 @@
         let Some(mut state) = self.calls.remove(&key) else {
             return DispatchStep::Refuse(Refusal::Unknown(UnknownCode::TargetLost));
         };
-        let step = self.next_step(now, &mut state);
+        let step = self.next_step(now, key, &mut state);
         self.calls.insert(key, state);
         step
     }
 
-    fn next_step(&mut self, now: TimePoint, state: &mut CallState) -> DispatchStep {
+    fn next_step(&mut self, now: TimePoint, key: CallKey, state: &mut CallState) -> DispatchStep {
+        let step = self.decide_step(now, key, state);
+        if !matches!(step, DispatchStep::Wait(_)) {
+            self.leave_queue(key, state);
+        }
+        step
+    }
+
+    fn decide_step(&mut self, now: TimePoint, key: CallKey, state: &mut CallState) -> DispatchStep {
         if state.deadline.passed(now) {
             return refuse(now, state, NotRunCode::DeadlinePassed, UnknownCode::DeadlineAfterSend);
         }
@@ -81,6 +89,9 @@
         if state.unsent_attempts >= UNSENT_ATTEMPTS_MAX {
             return self.refuse_spent(now, state);
         }
+        if let Some(step) = self.waiting_step(now, key, state) {
+            return step;
+        }
         let Some(choice) = self.choose_target(now, state) else {
             return self.refuse_without_target(now, state);
         };
@@ -186,7 +197,10 @@
     }
 
     fn choose_target(&self, now: TimePoint, state: &CallState) -> Option<CostChoice> {
-        let views = self.cost_views(now, state);
+        let mut views = self.cost_views(now, state);
+        if self.is_adaptive(now) {
+            self.prefer_room(now, &state.pool, &mut views);
+        }
         let prompt_tokens = state.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens);
         let salt = state.content.0 as u64 ^ stable_hash(&now.0.to_le_bytes());
         let query = CostQuery {
@@ -261,6 +275,8 @@
         record.limit_report.on_send(&record.allowance);
         record.prefill_tokens += u64::from(choice.prefill_tokens);
         let target_hash = record.target_hash;
+        self.count_start(now, choice.target);
+        let record = self.targets.get(choice.target)?;
         let attempt = AttemptSpec {
             target: choice.target,
             name: record.entry.name.as_str().into(),
@@ -318,6 +334,7 @@
             record.prefill_tokens =
                 record.prefill_tokens.saturating_sub(u64::from(attempt.prefill_tokens));
         }
+        self.count_freed_place(state, attempt.target);
         Some(attempt.target)
     }
 }
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -22,6 +22,9 @@
             record.prefill_tokens.saturating_sub(u64::from(attempt.prefill_tokens));
         attempt.prefill_tokens = 0;
         attempt.response_started_at = Some(now);
+        if let Some(pool) = self.waiting.get_mut(&state.pool) {
+            pool.first_answer_time.record(now.since(attempt.sent_at));
+        }
     }
 
     /// Records that the target of the attempt in progress answered, whatever the answer.
@@ -127,6 +130,7 @@
     /// Removes a call that is over for its caller; ends an attempt in progress.
     pub fn finish(&mut self, key: CallKey) {
         let Some(mut state) = self.calls.remove(&key) else { return };
+        self.leave_queue(key, &mut state);
         self.end_attempt(&mut state);
         self.end_detour(&mut state);
     }
@@ -184,6 +188,9 @@
             AttemptOutcome::Completed => {
                 state.may_have_run = true;
                 record.record_outcome(now, false);
+                if let Some(pool) = self.waiting.get_mut(&state.pool) {
+                    pool.service_time.record(now.since(sent_at));
+                }
             }
             AttemptOutcome::Abandoned | AttemptOutcome::Expired => state.may_have_run = true,
         }
--- a/crates/core-forward/src/core/refusals.rs
+++ b/crates/core-forward/src/core/refusals.rs
@@ -11,9 +11,9 @@
 
 /// Room for calls at several targets together.
 #[derive(Debug, Clone, Copy)]
-struct PoolRoom {
+pub(super) struct ReturnRoom {
     /// Time at which the first of them has room.
-    at: TimePoint,
+    pub(super) at: TimePoint,
     /// Calls a second that they take.
     calls_per_s: f64,
 }
@@ -46,12 +46,12 @@
 
     /// Room for a call at those of its pool's targets that are selected; `None` if there is no such
     /// target.
-    fn next_room(
+    pub(super) fn next_room(
         &self,
         now: TimePoint,
         state: &CallState,
         selects: impl Fn(TargetKey) -> bool,
-    ) -> Option<PoolRoom> {
+    ) -> Option<ReturnRoom> {
         let turn = heartbeat_interval(self.router_count());
         let responding = self.targets.responding(now, &state.pool);
         let candidates = responding.filter(|(target, record)| {
@@ -62,16 +62,16 @@
             let at = record.allowance.room_at(now).max(turn_at).max(record.paused_until);
             // Without a limit, a target takes about as many calls a second as it runs at once.
             let rate = record.allowance.rate().unwrap_or(f64::from(record.entry.slots.max(1)));
-            PoolRoom { at, calls_per_s: rate }
+            ReturnRoom { at, calls_per_s: rate }
         });
-        rooms.reduce(|sum, room| PoolRoom {
+        rooms.reduce(|sum, room| ReturnRoom {
             at: sum.at.min(room.at),
             calls_per_s: sum.calls_per_s + room.calls_per_s,
         })
     }
 
     /// Returns when the caller of a refused call may return; callers are told different times.
-    fn queue_return(&mut self, now: TimePoint, state: &CallState, room: PoolRoom) -> TimePoint {
+    fn queue_return(&mut self, now: TimePoint, state: &CallState, room: ReturnRoom) -> TimePoint {
         let routers = f64::from(self.router_count());
         let interval = Duration::from_secs_f64(routers / room.calls_per_s);
         let queue = self.return_queues.entry(state.pool.clone()).or_default();
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -20,6 +20,7 @@
 mod software;
 mod target_news;
 mod targets;
+mod waiting;
 
 pub use crate::{
     bounds::ForwardBounds,
@@ -45,6 +46,8 @@
     software::{SoftwareKey, SoftwareNotice},
     target_news::TargetNotice,
     targets::{LeavingNotice, TargetEntry, TargetStatus},
+    waiting::{PoolWaits, WaitInputs},
 };
+pub use policy_admission::ShedReason;
 pub use policy_retries::ContentChange;
 pub use policy_targets::CallRate;
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -20,6 +20,7 @@
     links::TargetLink,
     software::{SoftwareHistory, SoftwareKey},
     target_news::TargetNews,
+    waiting::PlaceUse,
 };
 
 /// Time for which other engines may still fetch cached segments from a target that is draining,
@@ -121,6 +122,7 @@
     pub(crate) unreported_outcomes: OutcomeCount,
     /// Time until which the target wants no calls from this router.
     pub(crate) paused_until: TimePoint,
+    pub(crate) place_use: PlaceUse,
     pub(crate) link: TargetLink,
     /// Time until which the target is assumed to accept no connections.
     unreachable_until: TimePoint,
@@ -172,6 +174,7 @@
             limit_report: LimitReport::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             paused_until: TimePoint(0),
+            place_use: PlaceUse::default(),
             link: TargetLink::default(),
             unreachable_until: TimePoint(0),
             next_probe_at: TimePoint(0),
@@ -185,6 +188,11 @@
         }
     }
 
+    /// Calls that the target runs at once without slowing down; `None` if its entry does not say.
+    pub(crate) fn comfortable_calls(&self) -> Option<u32> {
+        (self.entry.slots > 0).then_some(self.entry.slots)
+    }
+
     /// Limits the time in which other engines may fetch from a target that is draining, missing or
     /// replaced.
     fn limit_fetching(&mut self, now: TimePoint) {
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -272,6 +272,7 @@
                     }
                     return self.routers[router].finish(call);
                 }
+                DispatchStep::Wait(until) => panic!("waits until {until:?} without queueing"),
                 DispatchStep::Detour(detour) => {
                     let core = &mut self.routers[router];
                     core.on_detour_finished(self.now, call, DetourOutcome::Answered);
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -22,6 +22,7 @@
     retry_slack: 100,
     retry_window: Duration::from_secs(10),
     load_ratio_max: 2.0,
+    queueing: false,
 };
 
 fn address(port: u16) -> SocketAddr {
@@ -106,7 +107,7 @@
     match core.dispatch(now, call) {
         DispatchStep::Send(attempt) => Some(attempt),
         DispatchStep::Refuse(_) => None,
-        DispatchStep::Detour(detour) => panic!("{detour:?}"),
+        step => panic!("{step:?}"),
     }
 }
 
@@ -445,7 +446,7 @@
                         }
                         DispatchStep::Refuse(Refusal::NotRun(..)) => prop_assert!(!call.may_have_run),
                         DispatchStep::Refuse(Refusal::Unknown(_)) => prop_assert!(call.may_have_run),
-                        DispatchStep::Detour(detour) => prop_assert!(false, "{detour:?}"),
+                        step => prop_assert!(false, "{step:?}"),
                     }
                 }
                 Operation::End(index, outcome) => {
--- a/crates/core-forward/tests/limits.rs
+++ b/crates/core-forward/tests/limits.rs
@@ -236,7 +236,7 @@
         match step {
             DispatchStep::Send(attempt) => Some(attempt.target),
             DispatchStep::Refuse(_) => None,
-            DispatchStep::Detour(detour) => panic!("{detour:?}"),
+            step => panic!("{step:?}"),
         }
     };
     // Routers take turns in using the allowance.
