Wake waiting calls, log and count their waits and refusals

Change: io-forward awaits a wakeup of the call or the time that the core gives, and dispatches again. Targets that get room, heartbeats, lists of targets and the shutdown wake the next call. Not run against processes: no setting switches queueing on yet.

--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -1,6 +1,8 @@
 //! Serves one call, from reading the request head to returning the response.
 
-use base_types::{ContentDigest, NotRunCode, Refusal};
+use std::time::Duration;
+
+use base_types::{ContentDigest, NotRunCode, Refusal, TimePoint};
 use bytes::Bytes;
 use core_forward::{AdmittedCall, AttemptOutcome, AttemptSpec, CallHead, CallRate, DispatchStep};
 use http::{Request, Response, StatusCode, Uri, header, request};
@@ -14,6 +16,7 @@
     hop::{end_to_end_parts, strip_hop_by_hop_headers},
     log_lines::CallLog,
     relay::relay_stream,
+    state::RoomWaiter,
     upstream::{SendError, TargetConnection, open_connection, probe_for_crash, probe_target},
 };
 
@@ -148,6 +151,7 @@
             self.record_call_outcome(0, "caller left");
         }
         self.state.with_core(|core, _| core.finish(call));
+        self.state.wake_waiting();
     }
 }
 
@@ -224,6 +228,7 @@
         last_event_id: Option<&str>,
     ) -> DispatchOutcome {
         let mut last_failure = None;
+        let mut wait = None;
         loop {
             let call = self.admitted.call;
             let attempt = match self.state.with_core(|core, now| core.dispatch(now, call)) {
@@ -232,11 +237,22 @@
                     Some(started) => return DispatchOutcome::Detoured(Box::new(started)),
                     None => continue,
                 },
+                DispatchStep::Wait(until) => {
+                    let (waiter, _) = wait.get_or_insert_with(|| self.start_wait());
+                    waiter.wait_until(until).await;
+                    continue;
+                }
                 DispatchStep::Refuse(refusal) => {
+                    self.record_shed(wait.as_ref().map(|(_, waiting_since)| *waiting_since));
                     return last_failure
                         .map_or(DispatchOutcome::GivenUp(refusal), DispatchOutcome::TargetFailed);
                 }
             };
+            if let Some((_, waiting_since)) = wait.take() {
+                self.record_wait_end(waiting_since, &attempt);
+            }
+            // The next call in the order may have room as well.
+            self.state.wake_waiting();
             self.state.heartbeat_wakeup().notify_one();
             self.log.attempt_sent(self.state.now(), &self.admitted, &attempt);
             let Some(started) = self.send_attempt(attempt, last_event_id).await else { continue };
@@ -249,6 +265,38 @@
         }
     }
 
+    /// Registers the call for a wakeup, and logs why it waits.
+    fn start_wait(&self) -> (RoomWaiter, TimePoint) {
+        let (call, now) = (self.admitted.call, self.state.now());
+        if let Some(inputs) = self.state.with_core(|core, _| core.wait_inputs(call)) {
+            self.log.wait_started(now, &self.admitted, &inputs);
+        }
+        (self.state.add_room_waiter(call), now)
+    }
+
+    fn record_wait_end(&self, waiting_since: TimePoint, attempt: &AttemptSpec) {
+        let now = self.state.now();
+        self.log.wait_ended(now, waiting_since, attempt);
+        let waited = now.since(waiting_since);
+        self.state.metrics().count_wait(self.admitted.pool.as_str(), attempt.rank, "sent", waited);
+    }
+
+    /// Logs and counts a refusal that a decision on waiting gave, if this one is.
+    fn record_shed(&self, waiting_since: Option<TimePoint>) {
+        let (call, now) = (self.admitted.call, self.state.now());
+        let inputs = self.state.with_core(|core, _| core.wait_inputs(call));
+        let Some((inputs, reason)) = inputs.and_then(|inputs| Some((inputs, inputs.shed?))) else {
+            return;
+        };
+        let waited = waiting_since.map_or(Duration::ZERO, |since| now.since(since));
+        self.log.shed(now, &self.admitted, &inputs, reason, waited);
+        let (pool, reason) = (self.admitted.pool.as_str(), reason.as_str());
+        self.state.metrics().count_shed(pool, inputs.rank, reason);
+        if waiting_since.is_some() {
+            self.state.metrics().count_wait(pool, inputs.rank, "refused", waited);
+        }
+    }
+
     /// Makes one attempt; reports a failed one to the core and returns `None`.
     async fn send_attempt(
         &mut self,
@@ -515,6 +563,7 @@
     pub(crate) fn record_attempt_outcome(&self, attempt: &AttemptSpec, outcome: AttemptOutcome) {
         let call = self.admitted.call;
         self.state.with_core(|core, now| core.on_attempt_finished(now, call, outcome));
+        self.state.wake_waiting();
         let target = attempt.target;
         if outcome == AttemptOutcome::Lost
             && self.state.with_core(|core, now| core.take_crash_probe(now, target))
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base_types::{ContentKey, NotRunCode, Refusal, TimePoint};
-use core_forward::{AdmittedCall, AttemptSpec, DetourSpec};
+use core_forward::{AdmittedCall, AttemptSpec, DetourSpec, ShedReason, WaitInputs};
 
 use crate::framing::BodyProgress;
 
@@ -67,6 +67,69 @@
         );
     }
 
+    /// Logs a call that waits for a target with room, with the inputs of the decision.
+    pub(crate) fn wait_started(&self, now: TimePoint, call: &AdmittedCall, inputs: &WaitInputs) {
+        log::info!(
+            call = &*self.id,
+            age_ms = self.age_ms(now),
+            pool = call.pool.as_str(),
+            rank = inputs.rank,
+            repeat = inputs.is_retry,
+            waiting = inputs.waiting,
+            ahead = inputs.estimate.map(|estimate| estimate.ahead),
+            expected_ms =
+                inputs.estimate.map(|estimate| estimate.start_at.since(now).as_millis() as u64),
+            limit_ms = inputs.start_by.since(now).as_millis() as u64,
+            places = inputs.room.places,
+            taken = inputs.room.taken,
+            open = inputs.room.open,
+            starts_per_s = format!("{:.1}", inputs.room.starts_per_s).as_str();
+            "call waits"
+        );
+    }
+
+    /// Logs a call that waited and is sent.
+    pub(crate) fn wait_ended(&self, now: TimePoint, since: TimePoint, attempt: &AttemptSpec) {
+        log::info!(
+            call = &*self.id,
+            age_ms = self.age_ms(now),
+            target = &*attempt.name,
+            rank = attempt.rank,
+            waited_ms = now.since(since).as_millis() as u64;
+            "call waited"
+        );
+    }
+
+    /// Logs a call that is refused because waiting does not serve it, with the inputs of the
+    /// decision.
+    pub(crate) fn shed(
+        &self,
+        now: TimePoint,
+        call: &AdmittedCall,
+        inputs: &WaitInputs,
+        reason: ShedReason,
+        waited: Duration,
+    ) {
+        log::info!(
+            call = &*self.id,
+            age_ms = self.age_ms(now),
+            pool = call.pool.as_str(),
+            reason = reason.as_str(),
+            rank = inputs.rank,
+            waited_ms = waited.as_millis() as u64,
+            waiting = inputs.waiting,
+            ahead = inputs.estimate.map(|estimate| estimate.ahead),
+            expected_ms =
+                inputs.estimate.map(|estimate| estimate.start_at.since(now).as_millis() as u64),
+            limit_ms = inputs.start_by.since(now).as_millis() as u64,
+            places = inputs.room.places,
+            taken = inputs.room.taken,
+            open = inputs.room.open,
+            starts_per_s = format!("{:.1}", inputs.room.starts_per_s).as_str();
+            "call not queued"
+        );
+    }
+
     /// Logs a call whose stream began in a call that no router reported.
     pub(crate) fn origin_unknown(&self, now: TimePoint, call: &AdmittedCall) {
         log::info!(
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -76,6 +76,7 @@
             for target in leaving {
                 log::info!(target = target.as_str(); "target announced to another router that it leaves");
             }
+            state.wake_waiting();
             if has_origins {
                 state.notify_origins();
             }
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -1,9 +1,9 @@
 //! State shared by the tasks of one router.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 use base_types::TimePoint;
-use core_forward::ForwardCore;
+use core_forward::{CallKey, ForwardCore};
 use io_clock::MonotonicClock;
 use io_telemetry::GatewayMetrics;
 use tokio::sync::{Notify, watch};
@@ -26,6 +26,31 @@
     shutting_down: watch::Sender<bool>,
     heartbeat_wakeup: Notify,
     origins_received: Notify,
+    /// Wakeups of the calls that wait for a target with room.
+    room_waiters: RefCell<BTreeMap<CallKey, Rc<Notify>>>,
+}
+
+/// The wakeup of a call that waits for a target with room; dropping it ends the wait.
+#[derive(Debug)]
+pub(crate) struct RoomWaiter {
+    state: ForwardState,
+    call: CallKey,
+    wakeup: Rc<Notify>,
+}
+
+impl RoomWaiter {
+    /// Returns when the call is to be dispatched again.
+    pub(crate) async fn wait_until(&self, until: TimePoint) {
+        let deadline = self.state.clock().instant(until);
+        // Both ends of the wait have the same consequence.
+        let _ = tokio::time::timeout_at(deadline, self.wakeup.notified()).await;
+    }
+}
+
+impl Drop for RoomWaiter {
+    fn drop(&mut self) {
+        self.state.inner.room_waiters.borrow_mut().remove(&self.call);
+    }
 }
 
 impl ForwardState {
@@ -46,6 +71,7 @@
             shutting_down,
             heartbeat_wakeup: Notify::new(),
             origins_received: Notify::new(),
+            room_waiters: RefCell::default(),
         };
         Self { inner: Rc::new(shared) }
     }
@@ -72,6 +98,8 @@
     pub fn start_shutdown(&self) {
         self.with_core(|core, _| core.start_shutdown());
         self.inner.shutting_down.send_replace(true);
+        // Each is sent or refused, which wakes the next one.
+        self.wake_waiting();
     }
 
     /// Number of connections to targets attempted for calls and probes since the process started.
@@ -84,6 +112,7 @@
         self.with_core(|core, now| core.sweep(now));
         let now = self.now();
         self.inner.upstream.borrow_mut().sweep(now);
+        self.wake_waiting();
     }
 
     /// Metrics that calls and attempts are counted in.
@@ -123,6 +152,23 @@
         &self.inner.origins_received
     }
 
+    /// Has the calls dispatched again that can start now; to be called after each change of the
+    /// room at targets.
+    pub fn wake_waiting(&self) {
+        let startable = self.with_core(|core, now| core.take_startable(now));
+        let waiters = self.inner.room_waiters.borrow();
+        for wakeup in startable.iter().filter_map(|call| waiters.get(call)) {
+            wakeup.notify_one();
+        }
+    }
+
+    /// Registers a call that waits for a target with room.
+    pub(crate) fn add_room_waiter(&self, call: CallKey) -> RoomWaiter {
+        let wakeup = Rc::new(Notify::new());
+        self.inner.room_waiters.borrow_mut().insert(call, wakeup.clone());
+        RoomWaiter { state: self.clone(), call, wakeup }
+    }
+
     pub(crate) fn shutting_down(&self) -> watch::Receiver<bool> {
         self.inner.shutting_down.subscribe()
     }
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -69,6 +69,8 @@
     TargetRateLimit,
     /// Number of prompt segments that a target is known to have cached.
     TargetSegments,
+    /// Calls of a pool and rank that wait for a target with room; the label is `pool/rank`.
+    WaitingCalls,
     /// Retries left in this router's part of a pool's retry budget.
     RetriesLeft,
     /// Connections opened to targets since the process started.
@@ -82,7 +84,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 23] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -100,6 +102,7 @@
         Self::TargetFailureRate,
         Self::TargetRateLimit,
         Self::TargetSegments,
+        Self::WaitingCalls,
         Self::RetriesLeft,
         Self::ConnectionsOpened,
         Self::PlatformCalls,
@@ -126,6 +129,7 @@
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
             Self::TargetRateLimit => "knapweedport_target_rate_limit",
             Self::TargetSegments => "knapweedport_target_prompt_parts",
+            Self::WaitingCalls => "knapweedport_waiting_calls",
             Self::RetriesLeft => "knapweedport_retry_room",
             Self::ConnectionsOpened => "knapweedport_target_connections_opened",
             Self::PlatformCalls => "knapweedport_platform_calls",
@@ -148,6 +152,8 @@
     call_seconds: Histogram<f64>,
     attempts: Counter<u64>,
     detours: Counter<u64>,
+    wait_seconds: Histogram<f64>,
+    sheds: Counter<u64>,
     response_ends: Counter<u64>,
     platform_seconds: Histogram<f64>,
 }
@@ -181,6 +187,13 @@
                 .u64_counter("knapweedport_detours")
                 .with_description("Calls sent through another router, by pool and end.")
                 .build(),
+            wait_seconds: histogram(&meter, "knapweedport_wait_seconds"),
+            sheds: meter
+                .u64_counter("knapweedport_calls_shed")
+                .with_description(
+                    "Calls refused as waiting would not serve them, by pool, rank and reason.",
+                )
+                .build(),
             response_ends: meter
                 .u64_counter("knapweedport_response_ends")
                 .with_description(
@@ -213,6 +226,26 @@
         self.detours.add(1, &[pool, KeyValue::new("end", outcome)]);
     }
 
+    /// Counts a call that waited for a target with room, when the wait has ended.
+    pub fn count_wait(&self, pool: &str, rank: u8, outcome: &'static str, waited: Duration) {
+        let labels = [
+            KeyValue::new("pool", pool.to_owned()),
+            KeyValue::new("rank", i64::from(rank)),
+            KeyValue::new("end", outcome),
+        ];
+        self.wait_seconds.record(waited.as_secs_f64(), &labels);
+    }
+
+    /// Counts a call that was refused because waiting would not serve it.
+    pub fn count_shed(&self, pool: &str, rank: u8, reason: &'static str) {
+        let labels = [
+            KeyValue::new("pool", pool.to_owned()),
+            KeyValue::new("rank", i64::from(rank)),
+            KeyValue::new("reason", reason),
+        ];
+        self.sheds.add(1, &labels);
+    }
+
     /// Counts a response of a target when its body has ended, completely or not.
     pub fn count_response_end(
         &self,
