Merge the queue of calls that wait for a target with room

Cause: each admitted call was sent at once, so that urgent calls waited behind others at full targets. Change: where the setting queueing and learned speeds are on, calls wait in the router by rank and fair shares, and are refused at once where they cannot start in time. Off by default.

--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -109,6 +109,8 @@
     pub load_ratio_max: f64,
     /// When the learned speed of targets is used.
     pub adaptive_capacity: AdaptiveCapacity,
+    /// Whether calls wait in the gateway, in an order, while no target has room and learned speeds are used.
+    pub queueing: bool,
     /// Time for which a draining target continues to serve.
     pub target_drain: Duration,
     /// Time from the stop signal until the platform kills the process.
@@ -225,6 +227,7 @@
             ) as u32,
             retry_window: duration("retry_window_ms", DEFAULT_RETRY_WINDOW_MS),
             load_ratio_max: section.ratio("load_ratio_max", DEFAULT_LOAD_RATIO_MAX, RATIO_MAX),
+            queueing: section.flag("queueing", false),
             adaptive_capacity: section.choice(
                 "adaptive_capacity",
                 AdaptiveCapacity::default(),
@@ -251,6 +254,7 @@
             retry_window: Duration::from_millis(DEFAULT_RETRY_WINDOW_MS),
             load_ratio_max: DEFAULT_LOAD_RATIO_MAX,
             adaptive_capacity: AdaptiveCapacity::default(),
+            queueing: false,
             target_drain: Duration::from_millis(DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: Duration::from_millis(DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: Duration::from_millis(DEFAULT_ENTRY_TTL_MAX_MS),
--- a/crates/core-forward/src/bounds.rs
+++ b/crates/core-forward/src/bounds.rs
@@ -24,5 +24,7 @@
         pub cold_slack: u32,
         /// When the learned speed of targets is used.
         pub adaptive_capacity: AdaptiveCapacity,
+        /// Whether calls that find no target with room wait in the router.
+        pub queueing: bool,
     }
 }
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -14,6 +14,7 @@
 mod resumption;
 mod snapshots;
 mod speeds;
+mod waiting;
 
 pub use self::beats::heartbeat_interval;
 pub use self::snapshots::{EngineAddress, PeerSnapshot, SegmentHolders};
@@ -43,6 +44,7 @@
     peers::PeerRegistry,
     reports::ReportQueue,
     targets::TargetTable,
+    waiting::{PoolWaiting, PoolWaits},
 };
 
 /// Prompt segments whose holders are kept; each takes about 300 bytes.
@@ -83,6 +85,8 @@
         pub last_named: usize,
         /// Retries left in this router's share of the retry budget, by pool.
         pub retries_left: Vec<(PoolName, u64)>,
+        /// Calls that wait for room, by pool and rank.
+        pub waits: Vec<PoolWaits>,
         /// Status of each target.
         pub targets: Vec<TargetStatus>,
     }
@@ -139,6 +143,8 @@
     segments: SegmentDirectory,
     crashes: CrashReporter,
     return_queues: BTreeMap<PoolName, ReturnQueue>,
+    /// Calls that wait for room, by pool; empty unless [`Self::is_queueing`].
+    waiting: BTreeMap<PoolName, PoolWaiting>,
     /// Pairs of a prompt segment and a target hash that the other routers do not know yet.
     unreported_holders: Vec<(u64, u64)>,
     /// Pools none of whose targets accepts connections of this router.
@@ -192,6 +198,7 @@
             segments: SegmentDirectory::new(DIRECTORY_SEGMENTS_MAX),
             crashes: CrashReporter::default(),
             return_queues: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             unreported_holders: Vec::new(),
             unreachable_pools: BTreeSet::new(),
             link_changes: Vec::new(),
@@ -248,6 +255,7 @@
         self.peer_loads.expire(now);
         self.sweep_speeds(now);
         self.peers.sweep(now);
+        self.sweep_waiting();
         self.clear_content_of_long_answers(now);
         self.crashes.tracker.sweep(now);
         self.origins.sweep(now);
@@ -331,6 +339,8 @@
             unsent_attempts: 0,
             current_attempt: None,
             detour: CallDetour::new(detour.is_some()),
+            wait: None,
+            wait_inputs: None,
             may_have_run: false,
         };
         let admitted = AdmittedCall {
@@ -389,6 +399,7 @@
             capacity: self.own_capacity(),
             last_named: self.capacity.last_named,
             retries_left: retries_left.collect(),
+            waits: self.waits(),
             targets: targets.collect(),
         }
     }
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -24,6 +24,7 @@
 mod software;
 mod target_news;
 mod targets;
+mod waiting;
 
 pub use crate::{
     bounds::ForwardBounds,
@@ -57,7 +58,9 @@
     software::{SoftwareKey, SoftwareNotice},
     target_news::TargetNotice,
     targets::{LeavingNotice, TargetEntry, TargetStatus},
+    waiting::{PoolWaits, WaitInputs},
 };
+pub use policy_admission::ShedReason;
 pub use policy_retries::ContentChange;
 pub use policy_routing::{CallerKey, LoadClass, LoadSample, RouterResources};
 pub use policy_targets::{CallRate, LoadReport};
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -22,6 +22,7 @@
     links::TargetLink,
     software::{SoftwareHistory, SoftwareKey},
     target_news::TargetNews,
+    waiting::PlaceUse,
 };
 
 /// Time for which other engines may still fetch cached segments from a target that is draining,
@@ -130,6 +131,7 @@
     pub(crate) unreported_outcomes: OutcomeCount,
     /// Time until which the target wants no calls from this router.
     pub(crate) paused_until: TimePoint,
+    pub(crate) place_use: PlaceUse,
     pub(crate) link: TargetLink,
     /// Time until which the target is assumed to accept no connections.
     unreachable_until: TimePoint,
@@ -189,6 +191,7 @@
             speed: TargetSpeed::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             paused_until: TimePoint(0),
+            place_use: PlaceUse::default(),
             link: TargetLink::default(),
             unreachable_until: TimePoint(0),
             next_probe_at: TimePoint(0),
@@ -206,6 +209,11 @@
         }
     }
 
+    /// Calls that the target runs at once without slowing down, as learned; `None` if its entry states no slots.
+    pub(crate) fn comfortable_calls(&self, now: TimePoint) -> Option<u32> {
+        (self.entry.slots > 0).then(|| self.speed.estimate(now, self.entry.slots).concurrency)
+    }
+
     /// Limits the time in which other engines may fetch from a target that is draining, missing or
     /// replaced.
     fn limit_fetching(&mut self, now: TimePoint) {
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -26,6 +26,7 @@
     cold_ratio: 1.5,
     cold_slack: 5,
     adaptive_capacity: AdaptiveCapacity::Auto,
+    queueing: false,
 };
 
 fn address(port: u16) -> SocketAddr {
@@ -115,7 +116,7 @@
     match core.dispatch(now, call) {
         DispatchStep::Send(attempt) => Some(attempt),
         DispatchStep::Refuse(_) => None,
-        DispatchStep::Detour(detour) => panic!("{detour:?}"),
+        step => panic!("{step:?}"),
     }
 }
 
@@ -457,7 +458,7 @@
                         }
                         DispatchStep::Refuse(Refusal::NotRun(..)) => prop_assert!(!call.may_have_run),
                         DispatchStep::Refuse(Refusal::Unknown(_)) => prop_assert!(call.may_have_run),
-                        DispatchStep::Detour(detour) => prop_assert!(false, "{detour:?}"),
+                        step => prop_assert!(false, "{step:?}"),
                     }
                 }
                 Operation::End(index, outcome) => {
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -112,6 +112,7 @@
         for target in leaving {
             log::info!(target = target.as_str(); "target announced to another router that it leaves");
         }
+        self.state.wake_waiting();
         if has_origins && is_used {
             self.state.notify_origins();
         }
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -80,6 +80,8 @@
     TargetConcurrency,
     /// Number of prompt segments that a target is known to have cached.
     TargetSegments,
+    /// Calls of a pool and rank that wait for a target with room; the label is `pool/rank`.
+    WaitingCalls,
     /// Retries left in this router's part of a pool's retry budget.
     RetriesLeft,
     /// Connections opened to targets since the process started.
@@ -99,7 +101,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 30] = [
+    const ALL: [Self; 31] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -122,6 +124,7 @@
         Self::TargetSlowdown,
         Self::TargetConcurrency,
         Self::TargetSegments,
+        Self::WaitingCalls,
         Self::RetriesLeft,
         Self::ConnectionsOpened,
         Self::PlatformCalls,
@@ -156,6 +159,7 @@
             Self::TargetSlowdown => "knapweedport_target_slowdown",
             Self::TargetConcurrency => "knapweedport_target_concurrency",
             Self::TargetSegments => "knapweedport_target_prompt_parts",
+            Self::WaitingCalls => "knapweedport_waiting_calls",
             Self::RetriesLeft => "knapweedport_retry_room",
             Self::ConnectionsOpened => "knapweedport_target_connections_opened",
             Self::PlatformCalls => "knapweedport_platform_calls",
@@ -189,6 +193,8 @@
     call_seconds: Histogram<f64>,
     attempts: Counter<u64>,
     detours: Counter<u64>,
+    wait_seconds: Histogram<f64>,
+    sheds: Counter<u64>,
     response_ends: Counter<u64>,
     peer_messages: Counter<u64>,
     unknown_records: Counter<u64>,
@@ -224,6 +230,13 @@
                 .u64_counter("knapweedport_detours")
                 .with_description("Calls sent through another router, by pool and end.")
                 .build(),
+            wait_seconds: histogram(&meter, "knapweedport_wait_seconds"),
+            sheds: meter
+                .u64_counter("knapweedport_calls_shed")
+                .with_description(
+                    "Calls refused as waiting would not serve them, by pool, rank and reason.",
+                )
+                .build(),
             response_ends: meter
                 .u64_counter("knapweedport_response_ends")
                 .with_description(
@@ -264,6 +277,26 @@
         self.detours.add(1, &[pool, KeyValue::new("end", outcome)]);
     }
 
+    /// Counts a call that waited for a target with room, when the wait has ended.
+    pub fn count_wait(&self, pool: &str, rank: u8, outcome: &'static str, waited: Duration) {
+        let labels = [
+            KeyValue::new("pool", pool.to_owned()),
+            KeyValue::new("rank", i64::from(rank)),
+            KeyValue::new("end", outcome),
+        ];
+        self.wait_seconds.record(waited.as_secs_f64(), &labels);
+    }
+
+    /// Counts a call that was refused because waiting would not serve it.
+    pub fn count_shed(&self, pool: &str, rank: u8, reason: &'static str) {
+        let labels = [
+            KeyValue::new("pool", pool.to_owned()),
+            KeyValue::new("rank", i64::from(rank)),
+            KeyValue::new("reason", reason),
+        ];
+        self.sheds.add(1, &labels);
+    }
+
     /// Counts a response of a target when its body has ended, completely or not.
     pub fn count_response_end(
         &self,
