Merge the shared view of room, computed once for each decision

Cause: each target looked up anew what part of the free places is this router's. Change: computed once for each decision.

--- a/crates/core-forward/src/core/waiting.rs
+++ b/crates/core-forward/src/core/waiting.rs
@@ -66,6 +66,10 @@
     /// The router's part of each place that all routers know to be free; `None` while it may take
     /// any.
     part: Option<f64>,
+    /// Number of the interval between heartbeats.
+    turn: u64,
+    /// Hash of the router and the turn.
+    turn_hash: u64,
 }
 
 /// Room at the targets of a pool, and whether there is any target.
@@ -373,7 +377,10 @@
         let weight = if is_above_share { ABOVE_SHARE_WEIGHT } else { BELOW_SHARE_WEIGHT };
         let is_shared = taken * 2 >= places && routers > 1;
         let part = is_shared.then_some(weight / contenders);
-        RoomShare { places, taken, own, open_max, fleet_rate, part }
+        let turn = self.room_turn(now);
+        let turn_hash =
+            stable_hash(self.entry.name.as_str().as_bytes()) ^ stable_hash(&turn.to_le_bytes());
+        RoomShare { places, taken, own, open_max, fleet_rate, part, turn, turn_hash }
     }
 
     /// Calls that this router may send to a target now, see the module's head.
@@ -381,14 +388,11 @@
         let Some(calls) = record.comfortable_calls(now) else { return u64::MAX };
         let free = u64::from(calls.saturating_sub(self.load_of(record)));
         let Some(part) = share.part.filter(|_| free > 0) else { return free };
-        let turn = self.room_turn(now);
-        let started = record.place_use.shared_starts(turn);
+        let started = record.place_use.shared_starts(share.turn);
         let freed = record.place_use.freed;
         let shared = (free + started).saturating_sub(freed);
-        let hash = stable_hash(self.entry.name.as_str().as_bytes())
-            ^ record.target_hash
-            ^ stable_hash(&turn.to_le_bytes());
-        let own_part = (shared as f64 * part + unit_hash(hash)).floor() as u64;
+        let own_part =
+            (shared as f64 * part + unit_hash(share.turn_hash ^ record.target_hash)).floor() as u64;
         free.min((freed + own_part).saturating_sub(started))
     }
 }
