Limit the memory that a router holds for callers and targets

Nothing bounded the bytes held for slow readers over all calls: a resumable stream could hold 8 chunks of up to 256 KiB, and a stored answer stayed as long as its caller's connection lasted. The setting memory_mb gives the router a budget; at it, calls with bodies are refused as not run (1024), and reading from targets pauses for at most 4 s.

--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -271,6 +271,11 @@
         }
     }
 
+    /// A positive integer of at most `max`; `None` when absent or faulty.
+    pub(crate) fn optional_integer(&self, name: &'static str, max: u64) -> Option<u64> {
+        self.table.contains_key(name).then(|| self.positive_integer(name, 1, max))
+    }
+
     /// One of a fixed set of words; `default` when absent or faulty.
     pub(crate) fn choice<T: Copy>(
         &self,
--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -16,6 +16,8 @@
 const DEFAULT_TARGET_DRAIN_MS: u64 = 2_000;
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 8_000;
 const DEFAULT_ENTRY_TTL_MAX_MS: u64 = 1_000;
+/// One terabyte.
+const MEMORY_MB_MAX: u64 = 1_048_576;
 const DURATION_MS_MAX: u64 = 86_400_000;
 const RETRY_SLACK_MAX: u64 = 1_000_000;
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
@@ -44,6 +46,9 @@
     /// Whether the whole fleet starts for the first time, so that nothing was served before. May stay
     /// set: it decides only while the platform keeps no record of an earlier start.
     pub first_start: bool,
+    /// Memory that the process may use, in megabytes (1,048,576 bytes); the bytes held for callers and
+    /// targets are not limited when absent.
+    pub memory_mb: Option<u64>,
     /// Bounds that apply to the fleet as a whole.
     pub fleet: FleetSettings,
     /// Level and format of the log.
@@ -61,6 +66,8 @@
     pub retry_window: Duration,
     /// Largest load of a target, as a multiple of the mean load of its pool.
     pub load_ratio_max: f64,
+    /// Whether engines without room in their caches for a call are chosen only if no other has room.
+    pub engine_memory_guard: bool,
     /// Time for which a draining target continues to serve.
     pub target_drain: Duration,
     /// Time from the stop signal until the platform kills the process.
@@ -90,6 +97,7 @@
         let peer_listen = root.required_address("peer_listen");
         let platform = root.required_address("platform");
         let first_start = root.flag("first_start", false);
+        let memory_mb = root.optional_integer("memory_mb", MEMORY_MB_MAX);
         let fleet = FleetSettings::read(root);
         let log = LogSettings::read(root);
         Some(Self {
@@ -102,6 +110,7 @@
             peer_listen: peer_listen?,
             platform: platform?,
             first_start,
+            memory_mb,
             fleet,
             log,
         })
@@ -123,6 +132,7 @@
             ) as u32,
             retry_window: duration("retry_window_ms", DEFAULT_RETRY_WINDOW_MS),
             load_ratio_max: section.ratio("load_ratio_max", DEFAULT_LOAD_RATIO_MAX, RATIO_MAX),
+            engine_memory_guard: section.flag("engine_memory_guard", false),
             target_drain: duration("target_drain_ms", DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: duration("stop_ms", DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: duration("entry_life_max_ms", DEFAULT_ENTRY_TTL_MAX_MS),
@@ -139,6 +149,7 @@
             retry_slack: DEFAULT_RETRY_SLACK as u32,
             retry_window: Duration::from_millis(DEFAULT_RETRY_WINDOW_MS),
             load_ratio_max: DEFAULT_LOAD_RATIO_MAX,
+            engine_memory_guard: false,
             target_drain: Duration::from_millis(DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: Duration::from_millis(DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: Duration::from_millis(DEFAULT_ENTRY_TTL_MAX_MS),
--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -53,6 +53,15 @@
     two_keys_may_not_bind_one_address("10.1.0.40:8224", "10.1.0.40:8227", &["entry_listen"]);
 }
 
+test_cases! {
+    check_fault_keys:
+    memory_may_be_stated("platform =", "memory_mb = 160\nplatform =", &[]);
+    no_memory_is_refused("platform =", "memory_mb = 0\nplatform =", &["memory_mb"]);
+    memory_in_quotes_is_refused("platform =", "memory_mb = \"160\"\nplatform =", &["memory_mb"]);
+    the_engine_memory_guard_may_be_stated("retry_ratio", "engine_memory_guard = true\nretry_ratio", &[]);
+    an_engine_memory_guard_in_quotes_is_refused("retry_ratio", "engine_memory_guard = \"true\"\nretry_ratio", &["fleet.engine_memory_guard"]);
+}
+
 test_cases! {
     check_fault_keys:
     the_first_start_may_be_stated("platform =", "first_start = true\nplatform =", &[]);
--- a/crates/base-types/src/codes.rs
+++ b/crates/base-types/src/codes.rs
@@ -114,6 +114,7 @@
     BodyTimeout = 1021, 408, "The body of the request did not come in time.";
     KeyUnknown = 1022, 401, "The account key is not known.";
     OriginUnknown = 1023, 503, "It is not known which software version began the stream.";
+    MemoryFull = 1024, 503, "The router has no memory left for the body of the request.";
 }
 
 codes! {
--- a/crates/core-forward/src/bounds.rs
+++ b/crates/core-forward/src/bounds.rs
@@ -16,5 +16,7 @@
         pub retry_window: Duration,
         /// Multiple of the pool's mean load above which other reachable targets are preferred.
         pub load_ratio_max: f64,
+        /// Whether engines without room in their caches for a call are chosen only if no other has room.
+        pub engine_memory_guard: bool,
     }
 }
--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -36,6 +36,9 @@
         Failed,
         /// The answer was received completely.
         Completed,
+        /// The router ended the call, because it could not pass on the answer: the caller left it unread,
+        /// or there was no memory for it. Says nothing about the target.
+        Unread,
         /// The caller disconnected.
         Abandoned,
         /// The deadline of the call passed.
@@ -161,6 +164,7 @@
             Self::Lost => "lost",
             Self::Failed => "failed",
             Self::Completed => "whole",
+            Self::Unread => "unread",
             Self::Abandoned => "abandoned",
             Self::Expired => "expired",
         }
@@ -203,6 +207,8 @@
     pub(crate) target: TargetKey,
     /// Prompt tokens that the target has yet to prefill; zero once the response started.
     pub(crate) prefill_tokens: u32,
+    /// Tokens that the call takes in the engine's cache.
+    pub(crate) cache_tokens: u64,
     /// Time at which the call was dispatched to the target.
     pub(crate) sent_at: TimePoint,
     /// Whether the call is a trial of blocked content.
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -29,6 +29,7 @@
     call::CallState,
     crashes::CrashReporter,
     detours::CallDetour,
+    engine_memory::{CallSizes, call_tokens},
     limits::ReturnQueue,
     links::LinkChange,
     origins::{OriginTable, StreamSoftware},
@@ -110,6 +111,8 @@
     peers: PeerRegistry,
     peer_loads: PeerLoads,
     retry_budgets: BTreeMap<PoolName, WindowBudget>,
+    /// Sizes of the calls of each pool, where engines are guarded against calls that exceed their caches.
+    call_sizes: BTreeMap<PoolName, CallSizes>,
     segments: SegmentDirectory,
     crashes: CrashReporter,
     return_queues: BTreeMap<PoolName, ReturnQueue>,
@@ -153,6 +156,7 @@
             peers: PeerRegistry::default(),
             peer_loads: PeerLoads::default(),
             retry_budgets: BTreeMap::new(),
+            call_sizes: BTreeMap::new(),
             segments: SegmentDirectory::new(DIRECTORY_SEGMENTS_MAX),
             crashes: CrashReporter::default(),
             return_queues: BTreeMap::new(),
@@ -297,6 +301,10 @@
             resumption: head.resumption,
             content_keys,
         };
+        if self.bounds.engine_memory_guard {
+            let tokens = call_tokens(state.prompt.as_ref());
+            self.call_sizes.entry(state.pool.clone()).or_default().on_call(tokens);
+        }
         // The router that sent the call has counted it.
         if !admitted.from_router {
             let bounds = self.retry_bounds(now);
--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -12,6 +12,7 @@
     AttemptSpec, CallKey, ChoiceInputs, DispatchStep, ForwardCore, PromptHead,
     call::{CallState, CurrentAttempt},
     core::refusals::{refuse, refuse_until},
+    engine_memory::{EngineFill, call_tokens},
     heartbeat_interval,
     origins::StreamSoftware,
     targets::TargetRecord,
@@ -223,6 +224,7 @@
             failure_rate: record.failure_rate.rate(now),
             ejected: record.is_ejected(now),
             unreachable: record.is_unreachable(now),
+            lacks_memory: self.lacks_memory(state, record),
             excluded: state.attempted_targets.contains(&target)
                 || !state.software.allows(record.software)
                 || !record.can_be_sent_calls(now)
@@ -231,6 +233,22 @@
         views.collect()
     }
 
+    /// Whether the call exceeds the cache of an engine; false where engines are not guarded.
+    fn lacks_memory(&self, state: &CallState, record: &TargetRecord) -> bool {
+        if !self.bounds.engine_memory_guard {
+            return false;
+        }
+        let pool = self.config.as_ref().and_then(|config| config.pools.get(&state.pool));
+        let Some(engine) = pool.and_then(|pool| pool.engine) else { return false };
+        let fill = EngineFill {
+            cache_tokens: engine.cache_tokens,
+            own_tokens: record.cache_tokens,
+            peer_calls: self.peer_loads.load(record.target_hash),
+        };
+        let sizes = self.call_sizes.get(&state.pool).copied().unwrap_or_default();
+        sizes.lacks_memory(fill, call_tokens(state.prompt.as_ref()))
+    }
+
     /// Returns the number of leading prompt tokens that the target has cached at `until`: a segment
     /// counts once [`PREFILL_TIME`] has passed since its prefill started.
     fn cached_tokens(&self, prompt: &PromptHead, record: &TargetRecord, until: TimePoint) -> u32 {
@@ -260,6 +278,8 @@
         record.allowance.spend(now, 1);
         record.limit_report.on_send(&record.allowance);
         record.prefill_tokens += u64::from(choice.prefill_tokens);
+        let cache_tokens = call_tokens(state.prompt.as_ref());
+        record.cache_tokens += cache_tokens;
         let target_hash = record.target_hash;
         let attempt = AttemptSpec {
             target: choice.target,
@@ -286,6 +306,7 @@
         state.current_attempt = Some(CurrentAttempt {
             target: choice.target,
             prefill_tokens: choice.prefill_tokens,
+            cache_tokens,
             sent_at: now,
             response_started_at: None,
             is_trial: false,
@@ -317,6 +338,7 @@
             record.own_in_flight = record.own_in_flight.saturating_sub(1);
             record.prefill_tokens =
                 record.prefill_tokens.saturating_sub(u64::from(attempt.prefill_tokens));
+            record.cache_tokens = record.cache_tokens.saturating_sub(attempt.cache_tokens);
         }
         Some(attempt.target)
     }
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -185,7 +185,9 @@
                 state.may_have_run = true;
                 record.record_outcome(now, false);
             }
-            AttemptOutcome::Abandoned | AttemptOutcome::Expired => state.may_have_run = true,
+            AttemptOutcome::Abandoned | AttemptOutcome::Expired | AttemptOutcome::Unread => {
+                state.may_have_run = true;
+            }
         }
     }
 }
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -10,6 +10,7 @@
 mod core;
 mod crashes;
 mod detours;
+mod engine_memory;
 mod extension;
 mod limits;
 mod links;
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -113,6 +113,8 @@
     pub(crate) own_in_flight: u32,
     /// Prompt tokens of this router's calls in flight that the target has yet to prefill.
     pub(crate) prefill_tokens: u64,
+    /// Tokens that this router's calls in flight take in the target's cache.
+    pub(crate) cache_tokens: u64,
     pub(crate) failure_rate: FailureRate,
     /// Calls within the limit that the target names.
     pub(crate) allowance: RateAllowance,
@@ -167,6 +169,7 @@
             lifecycle: TargetLifecycle::serving(),
             own_in_flight: 0,
             prefill_tokens: 0,
+            cache_tokens: 0,
             failure_rate: FailureRate::default(),
             allowance: RateAllowance::default(),
             limit_report: LimitReport::default(),
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -22,6 +22,7 @@
     retry_slack: 100,
     retry_window: Duration::from_secs(10),
     load_ratio_max: 2.0,
+    engine_memory_guard: false,
 };
 
 fn address(port: u16) -> SocketAddr {
--- a/crates/fakes/src/gateway.rs
+++ b/crates/fakes/src/gateway.rs
@@ -13,7 +13,7 @@
     ports::free_address,
     runner::{
         EndlessPart, ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn, StreamFraming,
-        event_text, resume_headers,
+        event_text, padded_event_text, resume_headers,
     },
     store::{StoreMode, StoreStandIn},
 };
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -25,6 +25,8 @@
 pub enum Reply {
     /// A complete answer.
     Whole,
+    /// A complete answer of that many bytes.
+    Padded(usize),
     /// A complete answer without a length, which ends when the connection closes.
     Unframed,
     /// An answer with this status and without a length, whose connection is reset before its end.
@@ -53,6 +55,8 @@
     Late(Duration),
     /// A stream of all events up to a number, from the one after the call's `Last-Event-Id`.
     Events(u64),
+    /// Such a stream whose events have that many bytes of data, without pauses.
+    EventsPadded(u64, usize),
     /// Such a stream whose connection closes in the middle of the event after that number.
     EventsCut(u64),
     /// Such a stream with a pause before each event.
@@ -312,6 +316,10 @@
         let complete = |id: &str| self.signed_answer(200, id, &format!("answer to {id}"));
         match reply {
             Reply::Whole => connection.send(complete(&id).as_bytes()).await,
+            Reply::Padded(bytes) => {
+                let answer = self.signed_answer(200, &id, &"x".repeat(bytes));
+                connection.send(answer.as_bytes()).await;
+            }
             Reply::Unframed => {
                 let head = self.signed_head(200, &id);
                 connection.send(format!("{head}Connection: close\r\n\r\n{body}").as_bytes()).await;
@@ -373,6 +381,16 @@
                 }
                 connection.send(b"0\r\n\r\n").await;
             }
+            Reply::EventsPadded(last, bytes) => {
+                connection.send(self.event_stream_head(&id).as_bytes()).await;
+                for event in event_numbers(request, last) {
+                    let text = padded_event_text(event, bytes);
+                    if connection.stream.write_all(chunk(&text).as_bytes()).await.is_err() {
+                        return AfterReply::Close;
+                    }
+                }
+                connection.send(b"0\r\n\r\n").await;
+            }
             Reply::EventsTrickled(after) => {
                 self.send_events(connection, request, after, "id").await;
                 while connection.stream.write_all(chunk(" ").as_bytes()).await.is_ok() {
@@ -536,6 +554,11 @@
     format!("id: {number}\ndata: event {number}\n\n")
 }
 
+/// Text of an event with that many bytes of data.
+pub fn padded_event_text(number: u64, bytes: usize) -> String {
+    format!("id: {number}\ndata: {}\n\n", "x".repeat(bytes))
+}
+
 /// Numbers of the events that answer a call, from the one after its `Last-Event-Id`.
 fn event_numbers(request: &HttpMessage, last: u64) -> RangeInclusive<u64> {
     let after = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -22,7 +22,7 @@
     gateway::{
         EndlessPart, HttpConnection, HttpMessage, LinkMode, ReceivedCall, Reply, ReplyRule,
         ReplyScript, RunnerLink, RunnerStandIn, StoreMode, StoreStandIn, StreamFraming, event_text,
-        free_address, resume_headers,
+        free_address, padded_event_text, resume_headers,
     },
     platform::run_platform,
     serve::StandInError,
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -6,6 +6,8 @@
 use http::{Request, Response, StatusCode, Uri, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
+use policy_admission::{MemoryBudget, MemoryUse};
+use policy_routing::stable_hash;
 
 use crate::{
     ExecutionStatus, ForwardState, ResponseBody, ResponseHead,
@@ -13,6 +15,7 @@
     framing::{BodyFraming, BodyProgress},
     hop::{end_to_end_parts, strip_hop_by_hop_headers},
     log_lines::CallLog,
+    memory::{CallMemory, CollectError},
     relay::relay_stream,
     upstream::{SendError, TargetConnection, open_connection, probe_for_crash, probe_target},
 };
@@ -31,6 +34,8 @@
     pub(crate) admitted: AdmittedCall,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    /// Memory for the body and for an answer that is forwarded once it is complete.
+    pub(crate) memory: CallMemory,
     finished: bool,
 }
 
@@ -72,7 +77,8 @@
         }
     };
     let log = CallLog::new(&call.id, received_at);
-    let body = match read_body(&state, &call, body).await {
+    let memory = state.call_memory(MemoryUse::Stored);
+    let body = match read_body(&state, &call, &memory, body).await {
         Ok(body) => body,
         Err(code) => return refuse_unadmitted(&state, &log, code, &head),
     };
@@ -83,7 +89,7 @@
             if has_detour_claim && !admitted.from_router {
                 log.detour_claim_ignored(state.now());
             }
-            let call = ServedCall { state, log, admitted, head, body, finished: false };
+            let call = ServedCall { state, log, admitted, head, body, memory, finished: false };
             call.serve().await
         }
         Err(code) => refuse_unadmitted(&state, &log, code, &head),
@@ -106,7 +112,12 @@
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
     log.denied(now, code, host, head.uri.path());
     state.metrics().count_call("", "denied", code.status(), log.age(now));
-    refusal_response(state, Refusal::NotRun(code, now))
+    let mut return_at = now;
+    if code == NotRunCode::MemoryFull {
+        return_at = MemoryBudget::return_at(now, stable_hash(log.id().as_bytes()));
+        state.metrics().count_memory_end("refused");
+    }
+    refusal_response(state, Refusal::NotRun(code, return_at))
 }
 
 fn refusal_response(state: &ForwardState, refusal: Refusal) -> Response<ResponseBody> {
@@ -117,6 +128,7 @@
 async fn read_body(
     state: &ForwardState,
     call: &CallHead,
+    memory: &CallMemory,
     body: Incoming,
 ) -> Result<Bytes, NotRunCode> {
     let limits = state.with_core(|core, _| core.limits());
@@ -125,6 +137,15 @@
         return Err(NotRunCode::BodyTooLarge);
     }
     let deadline = state.clock().instant(call.deadline);
+    if memory.is_limited() {
+        let collected = memory.collect_request(body, bytes_max, deadline).await;
+        return collected.map_err(|error| match error {
+            CollectError::Broken => NotRunCode::MalformedRequest,
+            CollectError::TooLong => NotRunCode::BodyTooLarge,
+            CollectError::Expired => NotRunCode::BodyTimeout,
+            CollectError::NoMemory => NotRunCode::MemoryFull,
+        });
+    }
     let reading = tokio::time::timeout_at(deadline, Limited::new(body, bytes_max).collect());
     let collected = reading.await.map_err(|_| NotRunCode::BodyTimeout)?;
     let collected = collected.map_err(|error| {
@@ -334,7 +355,7 @@
                     AttemptOutcome::Declined,
                     &format!("status {status}"),
                 );
-                self.read_to_end(started).await;
+                drop(self.read_to_end(started).await);
             }
             ExecutionStatus::Misdirected => {
                 self.record_failed_attempt(
@@ -357,11 +378,11 @@
         let status = started.response.status().as_u16();
         let response = self.read_to_end(started).await;
         let (outcome, reason) = match &response {
-            Some(_) => (AttemptOutcome::Failed, format!("status {status}")),
-            None => (AttemptOutcome::Lost, format!("status {status}, cut")),
+            Ok(_) => (AttemptOutcome::Failed, format!("status {status}")),
+            Err(outcome) => (*outcome, format!("status {status}, cut")),
         };
         self.record_failed_attempt(&attempt, outcome, &reason);
-        response
+        response.ok()
     }
 
     /// Reads a response to its end; a response that is truncated, too long or past the deadline
@@ -372,16 +393,21 @@
         self.state.with_core(|core, now| core.on_response_started(now, call));
         let response = self.read_to_end(started).await;
         match response {
-            Some(_) => self.record_attempt_outcome(&attempt, AttemptOutcome::Completed),
-            None => {
-                self.record_failed_attempt(&attempt, AttemptOutcome::Lost, "the answer broke off")
+            Ok(_) => self.record_attempt_outcome(&attempt, AttemptOutcome::Completed),
+            Err(outcome @ AttemptOutcome::Unread) => {
+                self.record_failed_attempt(&attempt, outcome, "no memory for the answer")
             }
+            Err(outcome) => self.record_failed_attempt(&attempt, outcome, "the answer broke off"),
         }
-        response
+        response.ok()
     }
 
-    /// Reads the rest of a response and returns its connection to the pool.
-    async fn read_to_end(&mut self, started: StartedResponse) -> Option<Response<Bytes>> {
+    /// Reads the rest of a response and returns its connection to the pool, or returns the outcome of
+    /// an attempt whose response was not read to its end.
+    async fn read_to_end(
+        &mut self,
+        started: StartedResponse,
+    ) -> Result<Response<Bytes>, AttemptOutcome> {
         let deadline = self.state.clock().instant(started.attempt.deadline);
         let mut progress = BodyProgress::new(BodyFraming::of(&started.response));
         let (parts, body) = started.response.into_parts();
@@ -389,18 +415,22 @@
             progress.bytes += frame.data_ref().map_or(0, |chunk| chunk.len() as u64);
             frame
         });
-        let collecting = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-        let collected =
-            tokio::time::timeout_at(deadline, collecting).await.ok().and_then(Result::ok);
-        let outcome = match &collected {
-            Some(_) => AttemptOutcome::Completed,
-            None => AttemptOutcome::Lost,
-        };
+        let collected = self.memory.collect_answer(body, RESPONSE_BYTES_MAX, deadline).await;
+        let collected = collected.map_err(|error| match error {
+            CollectError::NoMemory => {
+                self.state.metrics().count_memory_end("answer");
+                AttemptOutcome::Unread
+            }
+            CollectError::Broken | CollectError::TooLong | CollectError::Expired => {
+                AttemptOutcome::Lost
+            }
+        });
+        let outcome = collected.as_ref().err().copied().unwrap_or(AttemptOutcome::Completed);
         self.record_response_end(&started.attempt, &progress, outcome);
         let collected = collected?;
         self.record_complete_answer(&progress, parts.status.as_u16());
         self.release_connection(&started.attempt, started.connection, &started.head);
-        Some(Response::from_parts(end_to_end_parts(parts), collected.to_bytes()))
+        Ok(Response::from_parts(end_to_end_parts(parts), collected))
     }
 
     /// Returns a connection to the pool for the next call, unless the target closes it.
--- a/crates/io-forward/src/connect.rs
+++ b/crates/io-forward/src/connect.rs
@@ -12,6 +12,11 @@
 /// `TCP_USER_TIMEOUT`: the connection is closed if sent bytes stay unacknowledged this long.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// `TCP_USER_TIMEOUT` of callers' connections where memory is limited. It also ends connections whose
+/// caller acknowledges bytes but reads none; with 1.5 s, streams of callers that paused for 2.8 s were
+/// cut. Longer than a caller may take no bytes, so that the router knows why the connection ended.
+const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -28,10 +33,19 @@
 
 /// Disables Nagle's algorithm and enables keepalive probes and the user timeout.
 pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
+    configure(stream, USER_TIMEOUT)
+}
+
+/// Configures the connection of a caller that may read slowly.
+pub(crate) fn configure_slow_caller(stream: &TcpStream) -> io::Result<()> {
+    configure(stream, CALLER_USER_TIMEOUT)
+}
+
+fn configure(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_RETRIES))?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
--- a/crates/io-forward/src/detour.rs
+++ b/crates/io-forward/src/detour.rs
@@ -5,14 +5,16 @@
 use bytes::Bytes;
 use core_forward::{DetourOutcome, DetourSpec};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use io_body::BodySender;
+use policy_admission::MemoryUse;
 
 use crate::{
     ExecutionStatus, ResponseBody,
+    body::{StreamOutlet, WriteStop},
     call::{RESPONSE_BYTES_MAX, ServedCall},
     hop::{end_to_end_parts, strip_hop_by_hop_headers},
+    memory::CollectError,
     upstream::{SendError, TargetConnection, error_chain},
 };
 
@@ -83,16 +85,18 @@
         let DetourResponse { detour, connection, response } = started;
         let deadline = self.state.clock().instant(detour.deadline);
         let (parts, body) = response.into_parts();
-        let collecting = Limited::new(body, RESPONSE_BYTES_MAX).collect();
-        let collected = tokio::time::timeout_at(deadline, collecting).await;
+        let collected = self.memory.collect_answer(body, RESPONSE_BYTES_MAX, deadline).await;
         drop(connection);
-        let Ok(Ok(collected)) = collected else {
+        if let Err(CollectError::NoMemory) = collected {
+            self.state.metrics().count_memory_end("answer");
+        }
+        let Ok(collected) = collected else {
             self.record_detour(&detour, DetourOutcome::Lost, "the answer broke off");
             return None;
         };
         let reason = format!("status {}", parts.status.as_u16());
         self.record_detour(&detour, DetourOutcome::Answered, &reason);
-        Some(Response::from_parts(end_to_end_parts(parts), collected.to_bytes()))
+        Some(Response::from_parts(end_to_end_parts(parts), collected))
     }
 
     fn build_detour_request(&self, detour: &DetourSpec) -> Request<Full<Bytes>> {
@@ -121,11 +125,11 @@
     mut call: ServedCall,
     started: DetourResponse,
 ) -> Response<ResponseBody> {
-    let (chunks, response_body) = ResponseBody::streamed();
+    let (outlet, response_body) = StreamOutlet::new(call.state.call_memory(MemoryUse::Streamed));
     call.drop_request_data();
     let DetourResponse { detour, connection, response } = started;
     let (parts, body) = response.into_parts();
-    let stream = DetourStream { call, detour, connection, body, chunks };
+    let stream = DetourStream { call, detour, connection, body, outlet };
     tokio::task::spawn_local(stream.run(parts.status.as_u16()));
     Response::from_parts(end_to_end_parts(parts), response_body)
 }
@@ -137,13 +141,15 @@
     detour: DetourSpec,
     connection: TargetConnection,
     body: Incoming,
-    chunks: BodySender,
+    outlet: StreamOutlet,
 }
 
 /// Why forwarding a stream stopped before its end.
 #[derive(Debug)]
 enum StreamStop {
     CallerDisconnected,
+    /// The caller left it unread for too long.
+    Unread,
     Broken(Box<str>),
 }
 
@@ -154,10 +160,15 @@
                 let reason = format!("status {status}");
                 self.call.record_detour(&self.detour, DetourOutcome::Answered, &reason);
                 self.call.mark_finished(status, "answered by a router");
-                self.chunks.finish().await;
+                self.outlet.finish().await;
             }
             // The call is reported as left by its caller when it is dropped.
             Err(StreamStop::CallerDisconnected) => {}
+            Err(StreamStop::Unread) => {
+                self.call.record_detour(&self.detour, DetourOutcome::Lost, "left unread");
+                self.call.state.metrics().count_memory_end("unread");
+                self.call.mark_finished(status, "left unread");
+            }
             // The body is not finished, so that it reads as truncated.
             Err(StreamStop::Broken(reason)) => {
                 self.call.record_detour(&self.detour, DetourOutcome::Lost, &reason);
@@ -173,7 +184,7 @@
         loop {
             let frame = tokio::select! {
                 frame = self.body.frame() => frame,
-                () = self.chunks.closed() => return Err(StreamStop::CallerDisconnected),
+                () = self.outlet.closed() => return Err(StreamStop::CallerDisconnected),
                 () = tokio::time::sleep_until(deadline) => {
                     return Err(StreamStop::Broken("deadline passed".into()));
                 }
@@ -186,9 +197,18 @@
                     Err(_) => continue,
                 },
             };
-            if self.chunks.send(chunk).await.is_err() {
-                return Err(StreamStop::CallerDisconnected);
-            }
+            self.outlet.hold(chunk.len(), 0, deadline).await?;
+            self.outlet.send(chunk, deadline).await?;
+        }
+    }
+}
+
+impl From<WriteStop> for StreamStop {
+    fn from(stop: WriteStop) -> Self {
+        match stop {
+            WriteStop::CallerDisconnected => Self::CallerDisconnected,
+            WriteStop::Unread => Self::Unread,
+            WriteStop::Expired => Self::Broken("deadline passed".into()),
         }
     }
 }
--- a/crates/io-forward/src/front.rs
+++ b/crates/io-forward/src/front.rs
@@ -7,7 +7,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::{ForwardState, ResponseBody, call::serve_call};
+use crate::{
+    ForwardState, ResponseBody,
+    call::serve_call,
+    caller_stream::CallerStream,
+    connect::{configure_slow_caller, configure_socket},
+};
 
 const LISTEN_BACKLOG: u32 = 1024;
 
@@ -96,7 +101,12 @@
 }
 
 async fn serve_connection(state: ForwardState, stream: TcpStream) {
-    if let Err(error) = crate::connect::configure_socket(&stream) {
+    let is_limited = state.is_memory_limited();
+    let configured = match is_limited {
+        true => configure_slow_caller(&stream),
+        false => configure_socket(&stream),
+    };
+    if let Err(error) = configured {
         log::debug!(error = error.to_string().as_str(); "configuring a caller socket failed");
     }
     let limits = state.with_core(|core, _| core.limits());
@@ -115,7 +125,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(head_bytes.max(HEAD_BYTES_MIN))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, is_limited)), service);
     let result = tokio::select! {
         result = &mut connection => result,
         _ = shutting_down.wait_for(|shutting_down| *shutting_down) => {
@@ -131,7 +141,7 @@
         log::debug!(error = &*crate::upstream::error_chain(&error); "caller connection failed");
         // An HTTP/1.0 caller takes the close of its connection as the end of the response.
         if error.is_user() && last_request_version.get() < Some(Version::HTTP_11) {
-            close_by_reset(connection.into_parts().io.into_inner());
+            close_by_reset(connection.into_parts().io.into_inner().into_inner());
         }
     }
 }
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod call;
+mod caller_stream;
 mod connect;
 mod contents;
 mod detour;
@@ -15,6 +16,7 @@
 mod front;
 mod hop;
 mod log_lines;
+mod memory;
 mod peers;
 mod relay;
 mod snapshots;
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -12,11 +12,12 @@
 use http::{Response, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use io_body::BodySender;
+use policy_admission::MemoryUse;
 use tokio::time::Instant;
 
 use crate::{
     ResponseBody, ResponseHead,
+    body::{StreamOutlet, WriteStop},
     call::{DispatchOutcome, ServedCall, StartedResponse},
     framing::{BodyFraming, BodyProgress},
     hop::end_to_end_parts,
@@ -33,7 +34,7 @@
     mut call: ServedCall,
     started: StartedResponse,
 ) -> Response<ResponseBody> {
-    let (chunks, response_body) = ResponseBody::streamed();
+    let (outlet, response_body) = StreamOutlet::new(call.state.call_memory(MemoryUse::Streamed));
     let status = started.response.status().as_u16();
     if !call.admitted.resumable {
         call.drop_request_data();
@@ -44,7 +45,7 @@
     let relay = StreamRelay {
         content: StreamContent::new(&parts, call.admitted.resumable),
         call,
-        chunks,
+        outlet,
         status,
         has_first_event: false,
     };
@@ -73,6 +74,9 @@
     Silent,
     /// The deadline of the call passed.
     Expired,
+    /// The stream could not be passed on for too long, because its caller left it unread or the router
+    /// had no memory for it.
+    Unread,
     /// The caller closed its connection.
     CallerDisconnected,
 }
@@ -95,15 +99,26 @@
             Self::Broken(_) => AttemptOutcome::Lost,
             Self::Silent => AttemptOutcome::Silent,
             Self::Expired => AttemptOutcome::Expired,
+            Self::Unread => AttemptOutcome::Unread,
             Self::CallerDisconnected => AttemptOutcome::Abandoned,
         }
     }
 }
 
+impl From<WriteStop> for StreamEnd {
+    fn from(stop: WriteStop) -> Self {
+        match stop {
+            WriteStop::CallerDisconnected => Self::CallerDisconnected,
+            WriteStop::Unread => Self::Unread,
+            WriteStop::Expired => Self::Expired,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct StreamRelay {
     call: ServedCall,
-    chunks: BodySender,
+    outlet: StreamOutlet,
     status: u16,
     content: StreamContent,
     /// Whether an event was forwarded.
@@ -125,11 +140,16 @@
                 StreamEnd::Expired => "deadline passed",
                 StreamEnd::Broken(reason) => reason,
                 StreamEnd::Silent => "no event in time",
+                StreamEnd::Unread => "left unread",
             };
             self.call.record_failed_attempt(&source.attempt, end.outcome(), reason);
             if matches!(end, StreamEnd::Expired) {
                 return self.abort("deadline passed");
             }
+            if matches!(end, StreamEnd::Unread) {
+                self.call.state.metrics().count_memory_end("unread");
+                return self.abort("left unread");
+            }
             drop(source);
             let Some(next) = self.resume_elsewhere().await else {
                 return self.abort("broke off");
@@ -140,6 +160,9 @@
 
     /// Forwards the stream until it ends, falls silent, its deadline passes or the caller
     /// disconnects.
+    ///
+    /// Reading from the target pauses while the caller has much to read. The time of a pause is not a
+    /// silence of the target: the event timeout starts after it.
     async fn forward_events(&mut self, source: &mut StreamSource) -> StreamEnd {
         let deadline = self.call.state.clock().instant(source.attempt.deadline);
         let mut has_started = false;
@@ -147,7 +170,7 @@
         loop {
             let frame = tokio::select! {
                 frame = source.body.frame() => frame,
-                () = self.chunks.closed() => return StreamEnd::CallerDisconnected,
+                () = self.outlet.closed() => return StreamEnd::CallerDisconnected,
                 () = tokio::time::sleep_until(deadline) => return StreamEnd::Expired,
                 () = tokio::time::sleep_until(event_deadline), if self.content.is_resumable() => {
                     let call = self.call.admitted.call;
@@ -177,12 +200,18 @@
                 let call = self.call.admitted.call;
                 self.call.state.with_core(|core, now| core.on_response_started(now, call));
             }
+            let incomplete_bytes = self.content.buffered_bytes();
+            let paused_at = Instant::now();
+            if let Err(stop) = self.outlet.hold(chunk.len(), incomplete_bytes, deadline).await {
+                return stop.into();
+            }
+            event_deadline += paused_at.elapsed();
             if let Some(bytes) = self.content.push(chunk) {
-                event_deadline = Instant::now() + EVENT_TIMEOUT;
                 self.record_first_event().await;
-                if self.chunks.send(bytes).await.is_err() {
-                    return StreamEnd::CallerDisconnected;
+                if let Err(stop) = self.outlet.send(bytes, deadline).await {
+                    return stop.into();
                 }
+                event_deadline = Instant::now() + EVENT_TIMEOUT;
             }
             if self.content.has_oversized_event() {
                 return StreamEnd::Broken("an event is too long".into());
@@ -211,10 +240,11 @@
         if !self.content.prepare_resume() {
             return None;
         }
+        self.outlet.discard_incomplete();
         let last_event_id = self.content.last_event_id();
         let outcome = tokio::select! {
             outcome = self.call.dispatch_until_response(last_event_id) => outcome,
-            () = self.chunks.closed() => return None,
+            () = self.outlet.closed() => return None,
         };
         match outcome {
             DispatchOutcome::Started(started) => {
@@ -241,12 +271,12 @@
         self.call.record_attempt_outcome(&source.attempt, AttemptOutcome::Completed);
         self.call.release_connection(&source.attempt, source.connection, &source.head);
         self.call.mark_finished(self.status, "answered");
-        self.chunks.finish().await;
+        self.outlet.finish().await;
     }
 
     /// Ends the response without finishing its body, so that it reads as truncated.
     fn abort(mut self, outcome: &'static str) {
-        if !self.chunks.is_closed() {
+        if !self.outlet.is_closed() {
             self.call.mark_finished(self.status, outcome);
         }
     }
--- a/crates/io-forward/src/relay/content.rs
+++ b/crates/io-forward/src/relay/content.rs
@@ -75,6 +75,14 @@
         self.position().is_some_and(|position| position.pending_bytes() > EVENT_BYTES_MAX)
     }
 
+    /// Bytes of an incomplete event that are kept in memory until it is complete.
+    pub(super) fn buffered_bytes(&self) -> usize {
+        match self {
+            Self::Plain | Self::Events(_) => 0,
+            Self::ResumableEvents { splitter, .. } => splitter.position().pending_bytes(),
+        }
+    }
+
     /// Position in the stream of the current target; `None` if there are no events.
     pub(super) fn position(&self) -> Option<EventPosition> {
         match self {
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -1,14 +1,23 @@
 //! State shared by the tasks of one router.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{OnceCell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use base_types::TimePoint;
 use core_forward::ForwardCore;
 use io_clock::MonotonicClock;
 use io_telemetry::GatewayMetrics;
+use policy_admission::{MemoryBudget, MemoryUse};
 use tokio::sync::{Notify, watch};
 
-use crate::{ForwardDialect, upstream::UpstreamPool};
+use crate::{
+    ForwardDialect,
+    memory::{CallMemory, SharedBudget},
+    upstream::UpstreamPool,
+};
 
 /// Handle to a router's core, connection pool and metrics, shared by tasks on a single thread.
 #[derive(Debug, Clone)]
@@ -23,6 +32,7 @@
     upstream: RefCell<UpstreamPool>,
     dialect: Box<dyn ForwardDialect>,
     metrics: Rc<GatewayMetrics>,
+    memory: OnceCell<Arc<SharedBudget>>,
     shutting_down: watch::Sender<bool>,
     heartbeat_wakeup: Notify,
     origins_received: Notify,
@@ -43,6 +53,7 @@
             upstream: RefCell::default(),
             dialect,
             metrics,
+            memory: OnceCell::new(),
             shutting_down,
             heartbeat_wakeup: Notify::new(),
             origins_received: Notify::new(),
@@ -50,6 +61,28 @@
         Self { inner: Rc::new(shared) }
     }
 
+    /// Limits the bytes that are held for callers and targets; to be called before the first call is
+    /// served. A second limit is ignored.
+    pub fn limit_memory(&self, budget: MemoryBudget) {
+        if self.inner.memory.set(SharedBudget::new(budget)).is_err() {
+            log::warn!("memory is limited already, further limit ignored");
+        }
+    }
+
+    /// Bytes that are held for callers and targets, and that may be held; `None` without a limit.
+    pub fn held_bytes(&self) -> Option<(u64, u64)> {
+        self.inner.memory.get().map(|memory| memory.held_bytes())
+    }
+
+    pub(crate) fn is_memory_limited(&self) -> bool {
+        self.inner.memory.get().is_some()
+    }
+
+    /// Memory of one call for one use.
+    pub(crate) fn call_memory(&self, memory_use: MemoryUse) -> CallMemory {
+        CallMemory::new(self.inner.memory.get(), memory_use)
+    }
+
     /// The clock that all of the router's time points refer to.
     pub fn clock(&self) -> MonotonicClock {
         self.inner.clock
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -77,12 +77,16 @@
     PlatformCalls,
     /// Log lines dropped since the process started; see [`dropped_lines`].
     DroppedLogLines,
+    /// Bytes held for callers and targets; absent without a memory budget.
+    HeldBytes,
+    /// Bytes that may be held for callers and targets; absent without a memory budget.
+    HeldBytesMax,
     /// Resident memory of the process in bytes; absent where the system does not report it.
     ResidentMemory,
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 24] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -104,6 +108,8 @@
         Self::ConnectionsOpened,
         Self::PlatformCalls,
         Self::DroppedLogLines,
+        Self::HeldBytes,
+        Self::HeldBytesMax,
         Self::ResidentMemory,
     ];
 
@@ -130,6 +136,8 @@
             Self::ConnectionsOpened => "knapweedport_target_connections_opened",
             Self::PlatformCalls => "knapweedport_platform_calls",
             Self::DroppedLogLines => "knapweedport_log_lines_left_out",
+            Self::HeldBytes => "knapweedport_held_bytes",
+            Self::HeldBytesMax => "knapweedport_held_bytes_max",
             Self::ResidentMemory => "knapweedport_resident_memory_bytes",
         }
     }
@@ -149,6 +157,7 @@
     attempts: Counter<u64>,
     detours: Counter<u64>,
     response_ends: Counter<u64>,
+    memory_ends: Counter<u64>,
     platform_seconds: Histogram<f64>,
 }
 
@@ -187,6 +196,10 @@
                     "Responses of targets whose body ended, by framing, end and position.",
                 )
                 .build(),
+            memory_ends: meter
+                .u64_counter("knapweedport_memory_ends")
+                .with_description("Calls refused or ended for want of memory, by end.")
+                .build(),
             platform_seconds: histogram(&meter, "knapweedport_platform_call_seconds"),
             _provider: provider,
         })
@@ -228,6 +241,13 @@
         self.response_ends.add(1, &labels);
     }
 
+    /// Counts a call that ended because bytes could not be held or passed on: `refused` before its body
+    /// was read, `answer` for an answer that did not fit, `unread` for a stream that its caller left
+    /// unread.
+    pub fn count_memory_end(&self, end: &'static str) {
+        self.memory_ends.add(1, &[KeyValue::new("end", end)]);
+    }
+
     /// Counts a call to the platform; `succeeded` is the value of its label `answered`.
     pub fn count_platform_call(&self, kind: &'static str, succeeded: bool, elapsed: Duration) {
         let attributes = [KeyValue::new("kind", kind), KeyValue::new("answered", succeeded)];
--- a/crates/policy-routing/src/cost.rs
+++ b/crates/policy-routing/src/cost.rs
@@ -69,6 +69,9 @@
         /// Whether a recent connection attempt to the target failed, so that other targets are
         /// preferred and other engines cannot fetch from it.
         pub unreachable: bool,
+        /// Whether the target's cache has no room for the call beside those in flight, so that other
+        /// targets are preferred.
+        pub lacks_memory: bool,
         /// Whether the target takes no new calls or was already attempted for this call; other
         /// engines may still fetch from it.
         pub excluded: bool,
@@ -112,7 +115,8 @@
 /// Chooses the target with the lowest cost; `None` when every target is excluded.
 ///
 /// Targets are ranked in groups, and by cost within a group: reachable before unreachable, below
-/// the load bound before at the bound, then healthy before ejected. As the bound takes precedence
+/// the load bound before at the bound, with room in the cache before without, then healthy before
+/// ejected. As the bound takes precedence
 /// over ejection, the remaining targets are not overloaded when many are ejected.
 pub fn choose_cheapest(query: &CostQuery, views: &[CostView]) -> Option<CostChoice> {
     let candidates = views.iter().filter(|view| !view.excluded).count() as u32;
@@ -145,6 +149,7 @@
             unreachable: view.unreachable,
             ejected: view.ejected,
             at_bound: f64::from(view.load) >= bound,
+            lacks_memory: view.lacks_memory,
             cost,
             tie_break: tie_break_hash(query.salt, index),
         };
@@ -195,14 +200,16 @@
     unreachable: bool,
     ejected: bool,
     at_bound: bool,
+    lacks_memory: bool,
     cost: f64,
     tie_break: u64,
 }
 
 impl CostRank {
     fn precedes(&self, other: &Self) -> bool {
-        let status = (self.unreachable, self.at_bound, self.ejected);
-        let group = status.cmp(&(other.unreachable, other.at_bound, other.ejected));
+        let status =
+            |rank: &Self| (rank.unreachable, rank.at_bound, rank.lacks_memory, rank.ejected);
+        let group = status(self).cmp(&status(other));
         let cost = self.cost.total_cmp(&other.cost);
         group.then(cost).then(self.tie_break.cmp(&other.tie_break)).is_lt()
     }
--- a/crates/policy-routing/tests/cost.rs
+++ b/crates/policy-routing/tests/cost.rs
@@ -21,6 +21,7 @@
         failure_rate: 0.0,
         ejected: false,
         unreachable: false,
+        lacks_memory: false,
         excluded: false,
     }
 }
@@ -50,6 +51,10 @@
     ejected_target_is_preferred_to_one_at_its_bound(&[CostView { load: 40, ..view(0) }, CostView { ejected: true, load: 1, ..view(1) }, CostView { ejected: true, load: 2, ..view(2) }], Some(2), None);
     target_at_its_bound_is_preferred_to_an_unreachable_one(&[CostView { load: 40, ..view(0) }, CostView { ejected: true, unreachable: true, load: 1, ..view(1) }], Some(0), None);
     ejected_target_is_chosen_without_alternative(&[CostView { ejected: true, ..view(0) }], Some(0), None);
+    target_without_memory_is_avoided(&[view(0), CostView { lacks_memory: true, ..holder(1, 9_000) }], Some(0), Some(1));
+    ejected_target_is_preferred_to_one_without_memory(&[CostView { ejected: true, ..view(0) }, CostView { lacks_memory: true, ..view(1) }], Some(0), Some(1));
+    target_without_memory_is_preferred_to_one_at_its_bound(&[CostView { load: 40, ..view(0) }, CostView { lacks_memory: true, load: 1, ..view(1) }, CostView { lacks_memory: true, load: 2, ..view(2) }], Some(2), None);
+    targets_without_memory_are_chosen_by_cost(&[CostView { lacks_memory: true, ..view(0) }, CostView { lacks_memory: true, ..holder(1, 9_000) }], Some(1), None);
     excluded_targets_are_never_chosen(&[CostView { excluded: true, ..view(0) }], None, None);
     empty_pool_has_no_choice(&[], None, None);
     cache_is_fetched_from_a_holder_without_a_free_slot(&[view(0), CostView { load: 6, slots: 6, ..holder(1, 9_000) }], Some(0), Some(1));
