--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -18,6 +18,8 @@
 const DEFAULT_TARGET_DRAIN_MS: u64 = 2_000;
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 8_000;
 const DEFAULT_ENTRY_TTL_MAX_MS: u64 = 1_000;
+/// One terabyte.
+const MEMORY_MB_MAX: u64 = 1_048_576;
 const DURATION_MS_MAX: u64 = 86_400_000;
 const RETRY_SLACK_MAX: u64 = 1_000_000;
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
@@ -67,6 +69,9 @@
     pub capacity: CapacitySettings,
     /// Keys with which gateways authenticate what they send each other.
     pub fleet_keys: FleetKeySettings,
+    /// Memory that the process may use, in megabytes (1,048,576 bytes); the bytes held for callers and
+    /// targets are not limited when absent.
+    pub memory_mb: Option<u64>,
     /// Bounds that apply to the fleet as a whole.
     pub fleet: FleetSettings,
     /// Level and format of the log.
@@ -111,6 +116,8 @@
     pub adaptive_capacity: AdaptiveCapacity,
     /// Whether calls wait in the gateway, in an order, while no target has room and learned speeds are used.
     pub queueing: bool,
+    /// Whether engines without room in their caches for a call are chosen only if no other has room.
+    pub engine_memory_guard: bool,
     /// Time for which a draining target continues to serve.
     pub target_drain: Duration,
     /// Time from the stop signal until the platform kills the process.
@@ -148,6 +155,7 @@
         let first_start = root.flag("first_start", false);
         let capacity = CapacitySettings::read(root);
         let fleet_keys = FleetKeySettings::read(root);
+        let memory_mb = root.optional_integer("memory_mb", MEMORY_MB_MAX);
         let fleet = FleetSettings::read(root);
         let log = LogSettings::read(root);
         Some(Self {
@@ -162,6 +170,7 @@
             first_start,
             capacity,
             fleet_keys,
+            memory_mb,
             fleet,
             log,
         })
@@ -233,6 +242,7 @@
                 AdaptiveCapacity::default(),
                 &ADAPTIVE_CAPACITIES,
             ),
+            engine_memory_guard: section.flag("engine_memory_guard", false),
             target_drain: duration("target_drain_ms", DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: duration("stop_ms", DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: duration("entry_life_max_ms", DEFAULT_ENTRY_TTL_MAX_MS),
@@ -255,6 +265,7 @@
             load_ratio_max: DEFAULT_LOAD_RATIO_MAX,
             adaptive_capacity: AdaptiveCapacity::default(),
             queueing: false,
+            engine_memory_guard: false,
             target_drain: Duration::from_millis(DEFAULT_TARGET_DRAIN_MS),
             stop_timeout: Duration::from_millis(DEFAULT_STOP_TIMEOUT_MS),
             entry_ttl_max: Duration::from_millis(DEFAULT_ENTRY_TTL_MAX_MS),
--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -84,6 +84,19 @@
         let shown = format!("{:?}", GatewaySettings::parse(&text));
         assert!(!shown.contains(&KEY[..31]), "{shown}");
     }
+    memory_may_be_stated("platform =", "memory_mb = 160\nplatform =", &[]);
+    no_memory_is_refused("platform =", "memory_mb = 0\nplatform =", &["memory_mb"]);
+    memory_in_quotes_is_refused("platform =", "memory_mb = \"160\"\nplatform =", &["memory_mb"]);
+    the_engine_memory_guard_may_be_stated(
+        "retry_ratio",
+        "engine_memory_guard = true\nretry_ratio",
+        &[],
+    );
+    an_engine_memory_guard_in_quotes_is_refused(
+        "retry_ratio",
+        "engine_memory_guard = \"true\"\nretry_ratio",
+        &["fleet.engine_memory_guard"],
+    );
 }
 
 test_cases! {
--- a/crates/core-forward/src/bounds.rs
+++ b/crates/core-forward/src/bounds.rs
@@ -26,5 +26,7 @@
         pub adaptive_capacity: AdaptiveCapacity,
         /// Whether calls that find no target with room wait in the router.
         pub queueing: bool,
+        /// Whether engines without room in their caches for a call are chosen only if no other has room.
+        pub engine_memory_guard: bool,
     }
 }
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -193,7 +193,9 @@
                     pool.service_time.record(now.since(sent_at));
                 }
             }
-            AttemptOutcome::Abandoned | AttemptOutcome::Expired => state.may_have_run = true,
+            AttemptOutcome::Abandoned | AttemptOutcome::Expired | AttemptOutcome::Unread => {
+                state.may_have_run = true;
+            }
         }
     }
 }
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -27,6 +27,7 @@
     cold_slack: 5,
     adaptive_capacity: AdaptiveCapacity::Auto,
     queueing: false,
+    engine_memory_guard: false,
 };
 
 fn address(port: u16) -> SocketAddr {
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod call;
+mod caller_stream;
 mod connect;
 mod contents;
 mod detour;
@@ -16,6 +17,7 @@
 mod hop;
 mod load;
 mod log_lines;
+mod memory;
 mod peer_faults;
 mod peers;
 mod relay;
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -96,12 +96,16 @@
     RouterLoad,
     /// Routers in the last answer to a caller that asked which addresses to use.
     NamedRouters,
+    /// Bytes held for callers and targets; absent without a memory budget.
+    HeldBytes,
+    /// Bytes that may be held for callers and targets; absent without a memory budget.
+    HeldBytesMax,
     /// Resident memory of the process in bytes; absent where the system does not report it.
     ResidentMemory,
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 31] = [
+    const ALL: [Self; 33] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -132,6 +136,8 @@
         Self::RouterWeight,
         Self::RouterLoad,
         Self::NamedRouters,
+        Self::HeldBytes,
+        Self::HeldBytesMax,
         Self::ResidentMemory,
     ];
 
@@ -167,6 +173,8 @@
             Self::RouterWeight => "knapweedport_router_weight",
             Self::RouterLoad => "knapweedport_router_load",
             Self::NamedRouters => "knapweedport_named_routers",
+            Self::HeldBytes => "knapweedport_held_bytes",
+            Self::HeldBytesMax => "knapweedport_held_bytes_max",
             Self::ResidentMemory => "knapweedport_resident_memory_bytes",
         }
     }
@@ -198,6 +206,7 @@
     response_ends: Counter<u64>,
     peer_messages: Counter<u64>,
     unknown_records: Counter<u64>,
+    memory_ends: Counter<u64>,
     platform_seconds: Histogram<f64>,
 }
 
@@ -251,6 +260,10 @@
                 .u64_counter("knapweedport_peer_unknown_records")
                 .with_description("Records of unknown kinds in messages of other routers.")
                 .build(),
+            memory_ends: meter
+                .u64_counter("knapweedport_memory_ends")
+                .with_description("Calls refused or ended for want of memory, by end.")
+                .build(),
             platform_seconds: histogram(&meter, "knapweedport_platform_call_seconds"),
             _provider: provider,
         })
@@ -326,6 +339,13 @@
         self.peer_messages.add(1, &[kind, KeyValue::new("end", outcome)]);
     }
 
+    /// Counts a call that ended because bytes could not be held or passed on: `refused` before its body
+    /// was read, `answer` for an answer that did not fit, `unread` for a stream that its caller left
+    /// unread.
+    pub fn count_memory_end(&self, end: &'static str) {
+        self.memory_ends.add(1, &[KeyValue::new("end", end)]);
+    }
+
     /// Counts a call to the platform; `succeeded` is the value of its label `answered`.
     pub fn count_platform_call(&self, kind: &'static str, succeeded: bool, elapsed: Duration) {
         let attributes = [KeyValue::new("kind", kind), KeyValue::new("answered", succeeded)];
