--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -59,6 +59,19 @@
     adaptive_capacity_may_be_on("load_ratio_max = 2", "adaptive_capacity = \"on\"", &[]);
     adaptive_capacity_may_be_automatic("load_ratio_max = 2", "adaptive_capacity = \"auto\"", &[]);
     another_adaptive_capacity_is_refused("load_ratio_max = 2", "adaptive_capacity = \"yes\"", &["fleet.adaptive_capacity"]);
+    memory_may_be_stated("platform =", "memory_mb = 160\nplatform =", &[]);
+    no_memory_is_refused("platform =", "memory_mb = 0\nplatform =", &["memory_mb"]);
+    memory_in_quotes_is_refused("platform =", "memory_mb = \"160\"\nplatform =", &["memory_mb"]);
+    the_engine_memory_guard_may_be_stated(
+        "retry_ratio",
+        "engine_memory_guard = true\nretry_ratio",
+        &[],
+    );
+    an_engine_memory_guard_in_quotes_is_refused(
+        "retry_ratio",
+        "engine_memory_guard = \"true\"\nretry_ratio",
+        &["fleet.engine_memory_guard"],
+    );
     fleet_keys_may_be_stated(
         "platform =",
         "fleet_key = \"0123456789abcdef0123456789abcdef\"\nfleet_key_previous = \"0123456789abcdef0123456789abcdeF\"\nrequire_authentic_peers = true\nplatform =",
@@ -84,19 +97,6 @@
         let shown = format!("{:?}", GatewaySettings::parse(&text));
         assert!(!shown.contains(&KEY[..31]), "{shown}");
     }
-    memory_may_be_stated("platform =", "memory_mb = 160\nplatform =", &[]);
-    no_memory_is_refused("platform =", "memory_mb = 0\nplatform =", &["memory_mb"]);
-    memory_in_quotes_is_refused("platform =", "memory_mb = \"160\"\nplatform =", &["memory_mb"]);
-    the_engine_memory_guard_may_be_stated(
-        "retry_ratio",
-        "engine_memory_guard = true\nretry_ratio",
-        &[],
-    );
-    an_engine_memory_guard_in_quotes_is_refused(
-        "retry_ratio",
-        "engine_memory_guard = \"true\"\nretry_ratio",
-        &["fleet.engine_memory_guard"],
-    );
 }
 
 test_cases! {
