Do not count events as late that arrived but are not reported yet

Cause: events of a stream are reported every 50 ms at most, and a stream with pauses of 20 ms looked over twice as slow shortly before a report; the router told others of a slowdown of 147 percent. Change: the interval is subtracted. The new test fails without it and passes with it.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -14,6 +14,7 @@
 
 pub use self::beats::heartbeat_interval;
 pub use self::snapshots::{EngineAddress, PeerSnapshot, SegmentHolders};
+pub use self::speeds::EVENT_REPORT_INTERVAL;
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/core-forward/src/core/speeds.rs
+++ b/crates/core-forward/src/core/speeds.rs
@@ -13,6 +13,10 @@
     call::{CallState, CurrentAttempt},
 };
 
+/// Shortest time between two reports of a stream's events to the core. Pauses between events are longer
+/// on a target that is five times slower than usual, so that each is reported.
+pub const EVENT_REPORT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time for which speeds are used after a target reported that its machine does other work too.
 const ADAPTIVE_TTL: Duration = Duration::from_secs(60);
 
@@ -119,9 +123,15 @@
             (true, None) => (WorkKind::FirstEvent, attempt.sent_at),
             (false, _) => (WorkKind::WholeCall, attempt.sent_at),
         };
+        // Events may have arrived that are not reported yet.
+        let unreported = match kind {
+            WorkKind::EventPause => EVENT_REPORT_INTERVAL,
+            WorkKind::FirstEvent | WorkKind::WholeCall => Duration::ZERO,
+        };
+        let elapsed = now.since(since).saturating_sub(unreported);
         let Some(record) = self.targets.get_mut(attempt.target) else { return };
         let Some(pace) = self.paces.get_mut(&record.entry.pool) else { return };
-        let sample = work_sample(attempt, record.entry.slots, kind, now.since(since));
+        let sample = work_sample(attempt, record.entry.slots, kind, elapsed);
         record.speed.on_overdue(now, pace, &sample);
     }
 
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -28,8 +28,8 @@
         PromptSegment, StreamResumption,
     },
     core::{
-        AdmittedCall, EngineAddress, ForwardCore, ForwardStatus, PeerSnapshot, SegmentHolders,
-        heartbeat_interval,
+        AdmittedCall, EVENT_REPORT_INTERVAL, EngineAddress, ForwardCore, ForwardStatus,
+        PeerSnapshot, SegmentHolders, heartbeat_interval,
     },
     crashes::{BlockNotice, ContentReport, CrashNotice, SuspectNotice},
     detours::{DetourClaim, DetourOutcome, DetourSpec},
--- a/crates/core-forward/tests/speeds.rs
+++ b/crates/core-forward/tests/speeds.rs
@@ -8,10 +8,10 @@
 mod sim;
 
 use base_types::{AdaptiveCapacity, ContentDigest, TimePoint, test_cases};
-use core_forward::{DispatchStep, ForwardCore, LoadReport, SpeedNotice};
+use core_forward::{CallKey, DispatchStep, ForwardCore, LoadReport, SpeedNotice};
 use state_config::RetryRule;
 
-use fixture::{call_head, new_adaptive_router, target_entry};
+use fixture::{call_head, new_adaptive_router, target_entry, target_index};
 use sim::{Disturbance, SpeedPlan, SpeedSim};
 
 /// Plays a plan without and with learned speeds, and compares the shares of calls within the
@@ -149,6 +149,43 @@
     assert!(slow.into_iter().all(|speed| speed.slowdown == 1.0));
 }
 
+/// Events that arrived but are not reported yet must not make a stream look late: target 0 reports its
+/// events every 50 ms, the others each event.
+#[test]
+fn unreported_events_are_not_late() {
+    let mut core = router_with_targets(0, AdaptiveCapacity::On);
+    let mut calls: Vec<Option<CallKey>> = vec![None; 3];
+    for id in 0..100 {
+        if calls.iter().all(Option::is_some) {
+            break;
+        }
+        let call = core.admit(NOW, call_head(NOW, id, None), ContentDigest(u128::from(id)));
+        let call = call.expect("admitted").call;
+        if let DispatchStep::Send(attempt) = core.dispatch(NOW, call) {
+            calls[target_index(attempt.address)] = Some(call);
+        }
+    }
+    for step in 1..1_000 {
+        let now = TimePoint(NOW.0 + step * 5_000);
+        for (target, call) in calls.iter().enumerate() {
+            let call = call.expect("a call on each target");
+            match target {
+                0 if step.is_multiple_of(10) => {
+                    core.on_events(now, call, 2 + (step / 10 % 2) as u32)
+                }
+                1 | 2 if step.is_multiple_of(4) => core.on_events(now, call, 1),
+                _ => {}
+            }
+        }
+        // Unanswered calls are looked at shortly before the next report of target 0.
+        if step % 20 == 9 {
+            let notices = core.next_heartbeat(now).extension.speeds;
+            let slowest = notices.iter().map(|notice| notice.slowdown_percent).max();
+            assert!(slowest < Some(115), "{slowest:?} percent");
+        }
+    }
+}
+
 /// A restarted router starts from the speeds of a running one rather than from the default.
 #[test]
 fn a_restarted_router_starts_from_its_peers() {
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use core_forward::{AttemptOutcome, AttemptSpec};
+use core_forward::{AttemptOutcome, AttemptSpec, EVENT_REPORT_INTERVAL};
 use http::{Response, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -28,10 +28,6 @@
 /// bytes arrive; callers abandon a stream after two seconds without an event.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Shortest time between two reports of a stream's events to the core. A target that is five times
-/// slower than usual sends events further apart, so that each is reported.
-const EVENT_REPORT_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Spawns a task that forwards a stream to the caller, and returns the response that carries it.
 pub(crate) fn relay_stream(
     mut call: ServedCall,
