--- a/crates/core-forward/tests/speeds.rs
+++ b/crates/core-forward/tests/speeds.rs
@@ -18,7 +18,7 @@
 /// objective while the disturbance lasts.
 fn check_gain(name: &str, plan: SpeedPlan, gain_min: f64) {
     let mut shares = [AdaptiveCapacity::Off, AdaptiveCapacity::Auto].map(|mode| {
-        let records = (0..3).map(|seed| SpeedSim::play(&plan, mode, seed));
+        let records = (0..8).map(|seed| SpeedSim::play(&plan, mode, seed));
         let (met, calls) =
             records.fold((0, 0), |(met, calls), record| (met + record.met, calls + record.calls));
         f64::from(met) / f64::from(calls)
