--- a/crates/core-forward/src/core/speeds.rs
+++ b/crates/core-forward/src/core/speeds.rs
@@ -162,7 +162,7 @@
         record.speed.on_work(now, pace, &sample);
     }
 
-    /// Drops the paces of pools without targets, and counts the recent levels of the others anew.
+    /// Drops the paces of pools without targets, and recounts the recent levels of the others.
     pub(super) fn sweep_speeds(&mut self, now: TimePoint) {
         if self.paces.is_empty() {
             return;
--- a/crates/core-forward/src/core/waiting.rs
+++ b/crates/core-forward/src/core/waiting.rs
@@ -356,13 +356,13 @@
             free += u64::from(calls.saturating_sub(load));
         }
         let routers = u64::from(self.router_count());
-        let heard = self.peer_loads.routers() as u64 + 1;
+        let known = self.peer_loads.routers() as u64 + 1;
         let mut open_max = u64::MAX;
-        // A router that hears few of the others is cut off from them rather than the last one: those
-        // not heard are assumed to have as many calls as those heard. Where most are heard, the
-        // others have failed, and their calls come back through routers that are heard.
-        if heard * 2 <= routers {
-            taken = taken.saturating_mul(routers) / heard;
+        // A router that receives heartbeats of half of the others or fewer is probably partitioned from
+        // them, so that the silent ones are assumed to have as many calls as the known ones. Otherwise the
+        // silent ones have failed, and their calls come back through known routers.
+        if known * 2 <= routers {
+            taken = taken.saturating_mul(routers) / known;
             open_max = places.saturating_sub(taken).max(u64::from(own == 0 && free > 0));
         }
         let service_time = service_time.unwrap_or(SERVICE_TIME_DEFAULT).as_secs_f64();
--- a/crates/core-forward/src/waiting.rs
+++ b/crates/core-forward/src/waiting.rs
@@ -37,7 +37,7 @@
         pub waiting: usize,
         /// Room at the targets of the pool.
         pub room: PoolRoom,
-        /// Expected start; `None` if the call was not queued anew by this decision.
+        /// Expected start; `None` if this decision did not queue the call.
         pub estimate: Option<WaitEstimate>,
         /// Time until which the call may wait.
         pub start_by: TimePoint,
--- a/crates/core-forward/tests/evacuations.rs
+++ b/crates/core-forward/tests/evacuations.rs
@@ -1,4 +1,4 @@
-//! Targets of an evacuated failure domain get no calls, whoever told the router, until the domain is taken back.
+//! Targets of an evacuated failure domain get no calls, whichever source reported it, until the domain is taken back.
 
 #[path = "support/fixture.rs"]
 mod fixture;
--- a/crates/policy-routing/src/callers.rs
+++ b/crates/policy-routing/src/callers.rs
@@ -101,7 +101,7 @@
 
 impl RouterWeights {
     /// Routers without a stated weight count as the median of those with one. Only load above that of
-    /// the median router reduces a weight: where all are loaded, nobody gains by moving.
+    /// the median router reduces a weight: where all are loaded, no caller gains by moving.
     fn of(views: &[RouterView]) -> Self {
         let median = median_of(views.iter().filter_map(|view| view.weight));
         let median = u64::from(median.unwrap_or(1).max(1));
--- a/crates/policy-routing/src/capacity.rs
+++ b/crates/policy-routing/src/capacity.rs
@@ -10,11 +10,11 @@
 
 use base_types::message_types;
 
-/// Processor seconds of one call. An estimate, not a measurement: about 150 events of a stream, each read
+/// Processor seconds of one call: about 150 events of a stream, each read
 /// and written once at 15 µs, and the head and body of the call.
 const CALL_CPU_SECONDS: f64 = 0.003;
 
-/// Bytes of one call in each direction of the link. An estimate, not a measurement: a prompt of 7,000
+/// Bytes of one call in each direction of the link: a prompt of 7,000
 /// tokens and a streamed answer of 150 events of 130 bytes, each of which crosses the link once in each
 /// direction.
 const CALL_LINK_BYTES: f64 = 48_000.0;
--- a/crates/policy-targets/src/cold.rs
+++ b/crates/policy-targets/src/cold.rs
@@ -10,7 +10,7 @@
 
 use base_types::{TimePoint, key_types};
 
-/// Longest time in which a call may be sent after a turn has begun. A longer one would let calls of many turns fall into
+/// Longest time in which a call may be sent after the start of a turn. A longer one would let calls of many turns fall into
 /// one second.
 const TURN_TIME_MAX: Duration = Duration::from_millis(500);
 
--- a/crates/policy-targets/src/pace.rs
+++ b/crates/policy-targets/src/pace.rs
@@ -110,7 +110,7 @@
         self.levels.replace(from, to);
     }
 
-    /// Counts the levels anew, so that removed targets no longer count.
+    /// Recounts the levels, so that removed targets no longer count.
     pub fn recount(&mut self, levels: impl Iterator<Item = f64>) {
         self.levels = LevelCounts::default();
         for level in levels {
