--- a/review/standin/evacuation.rs
+++ b/review/standin/evacuation.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
@@ -11,7 +11,7 @@
 
 use crate::{
     Scene, Verdict,
-    client::{Attempt, exchange, new_id, pick},
+    client::{Attempt, exchange, new_id},
     config,
     gateway::Bounds,
     http::Conn,
@@ -21,7 +21,7 @@
 const ZONES: [&str; 3] = ["ne-hartford", "ne-worcester", "ne-portland"];
 /// `evacuateMs` of the site, in seconds.
 const EVACUATE_S: f64 = 5.0;
-const CLIENTS: u64 = 6;
+const CLIENTS: u64 = 18;
 /// Versions of the storm of configurations, 0.33 s apart.
 const VERSIONS: u64 = 6;
 const COPY: f64 = 2.0;
@@ -30,16 +30,19 @@
 const BACK: f64 = 6.0;
 /// 5 s after the store is back: over `stableWindowMs` (4,000).
 const SECOND_EVACUATION: f64 = 11.0;
+/// The operator switches the evacuated zone off: twice `evacuateMs` after the acknowledgement.
+const SWITCHED_OFF: f64 = 21.0;
 const END: f64 = 30.0;
 
 pub fn play(mut scene: Scene) -> Verdict {
     let rules = RunnerRules {
         slots: 6,
         queue: 24,
-        work: Duration::from_millis(15),
+        work: Duration::from_millis(60),
         events: 0,
         pause: Duration::ZERO,
         copy_each: u64::MAX,
+        event_bytes: 60,
     };
     let runners: Vec<Runner> = ZONES
         .iter()
@@ -67,16 +70,17 @@
     let start = scene.record.now();
     scene.record.say("traffic starts");
     let (is_over, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let failed: Arc<Mutex<Vec<String>>> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (is_over, served) = (is_over.clone(), served.clone());
+            let (is_over, served, failed) = (is_over.clone(), served.clone(), failed.clone());
             let (record, addresses) = (scene.record.clone(), addresses.clone());
             thread::spawn(move || {
                 // Each client uses one gateway, so that all of them get requests.
                 let address = addresses[number as usize % addresses.len()];
                 let mut connection = None;
                 while !is_over.load(Ordering::Relaxed) {
-                    thread::sleep(Duration::from_millis(60));
+                    thread::sleep(Duration::from_millis(100));
                     let current = connection.take().map_or_else(|| Conn::connect(address), Ok);
                     let Ok(mut current) = current else { continue };
                     let id = new_id();
@@ -93,6 +97,9 @@
                     let status = answer.as_ref().map_or(0, |answer| answer.status);
                     record.line(&format!("client {number} gets {status} to {id}"));
                     served.fetch_add(u64::from(status == 200), Ordering::Relaxed);
+                    if !matches!(status, 200 | 503) {
+                        failed.lock().unwrap_or_else(|e| e.into_inner()).push(id);
+                    }
                     if answer.is_some_and(|answer| answer.whole && !answer.closes) {
                         connection = Some(current);
                     }
@@ -100,7 +107,6 @@
             })
         })
         .collect();
-    let _ = pick(&addresses, 0);
     scene.sleep_until(start + COPY);
     let copy = scene.store.copy();
     scene.record.say(&format!("the store copies itself at revision {}", scene.store.revision()));
@@ -133,6 +139,9 @@
     let revision = scene.store.put("evacuations", ZONES[1], "{}");
     let acknowledged = scene.record.now();
     scene.record.say(&format!("the evacuation of {} is acknowledged at revision {revision}", ZONES[1]));
+    scene.sleep_until(start + SWITCHED_OFF);
+    runners[1].off.store(true, Ordering::Relaxed);
+    scene.record.say(&format!("the runner in {} is switched off", ZONES[1]));
     scene.sleep_until(start + END);
     is_over.store(true, Ordering::Relaxed);
     for client in clients {
@@ -148,6 +157,10 @@
          (at {acknowledged:.3}), the last one at {last:.3}",
         served.load(Ordering::Relaxed), late.len(), ZONES[1]
     ));
+    let runs = scene.record.runs();
+    let failed = failed.lock().unwrap_or_else(|e| e.into_inner());
+    let lost = failed.iter().filter(|id| runs.get(*id).is_some_and(|visits| visits[0].zone == ZONES[1]));
+    scene.record.say(&format!("{} bookings were at work there and got no answer of their runner", lost.count()));
     if served.load(Ordering::Relaxed) < 100 {
         return Verdict::CannotRun("hardly any request was served");
     }
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -2,19 +2,29 @@
 
 use std::{
     fs::File,
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU16, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
-use crate::{http, store::Store};
+use crate::http;
 
 /// Process ids of all gateways that run, so that the watchdog can end them.
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+
 /// Bounds of a deployment, with the names of the users' pages.
 #[derive(Clone, Copy)]
 pub struct Bounds {
@@ -34,17 +44,29 @@
     pid: u32,
 }
 
+/// Number of ports that were tried.
+static TRIED: AtomicU16 = AtomicU16::new(0);
+
+/// Finds a port for a gateway, below those that the system gives to outgoing connections, one of which
+/// could otherwise take it before the gateway does.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 18_000;
+    loop {
+        let tried = u32::from(TRIED.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST + (std::process::id().wrapping_mul(211) + tried) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Gateway {
     /// Starts a gateway with the settings that `deploy/gateway.toml.template` gives.
-    pub fn start(folder: &std::path::Path, name: &str, zone: &str, store: &Store, bounds: Bounds) -> Self {
+    pub fn start(folder: &std::path::Path, name: &str, zone: &str, platform: SocketAddr, bounds: Bounds) -> Self {
         let [callers, entry, readiness, metrics, peers] = [(); 5].map(|()| free_address());
         let Bounds { drain_ms, retry_slack, evacuations } = bounds;
-        let platform = store.address;
         let cold = if evacuations { "cold_ratio = 1.5\ncold_slack = 5\n" } else { "" };
         let text = format!(
             "host = \"{name}\"\nfailure_domain = \"{zone}\"\ncaller_listen = \"{callers}\"\n\
@@ -75,7 +97,16 @@
         std::fs::write(&self.settings, text).expect("the settings can be written");
         let log = File::options().create(true).append(true).open(&self.log).expect("a log file");
         let errors = log.try_clone().expect("a log file");
-        let child = Command::new("target/release/knapweedport")
+        let mut command = Command::new("target/release/knapweedport");
+        // SAFETY: a plain system call between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                // The gateway ends with this process, however that ends.
+                prctl(PR_SET_PDEATHSIG, 9);
+                Ok(())
+            });
+        }
+        let child = command
             .arg("gateway")
             .env("KNAPWEEDPORT_SETTINGS", &self.settings)
             .stdin(Stdio::null())
@@ -97,6 +128,11 @@
         }
     }
 
+    /// Sends SIGTERM to the process.
+    pub fn terminate(&self) {
+        let _ = Command::new("kill").arg("-TERM").arg(self.pid.to_string()).status();
+    }
+
     /// Starts the process again, as the platform does after it ended.
     pub fn start_again(&mut self) {
         self.spawn(false);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,8 @@
 mod record;
 mod refused;
 mod runner;
+mod silence;
+mod slow;
 mod split;
 mod store;
 mod streams;
@@ -50,7 +52,8 @@
     pub fn start_gateways(&mut self, zones: &[&str], bounds: gateway::Bounds) {
         for (number, zone) in zones.iter().enumerate() {
             let name = format!("edge-{zone}-{}", number + 1);
-            let gateway = Gateway::start(&self.folder, &name, zone, &self.store, bounds);
+            let platform = self.store.doors[number % self.store.doors.len()];
+            let gateway = Gateway::start(&self.folder, &name, zone, platform, bounds);
             self.gateways.push(gateway);
         }
     }
@@ -133,6 +136,8 @@
         "refused" => refused::play(scene),
         "evacuation" => evacuation::play(scene),
         "order" => order::play(scene),
+        "slow" => slow::play(scene),
+        "silence" => silence::play(scene),
         "split" => split::play(scene),
         _ => Verdict::CannotRun("no case of this name"),
     };
--- a/review/standin/order.rs
+++ b/review/standin/order.rs
@@ -1,5 +1,5 @@
-//! ORDER: all gateways are killed some seconds after the store came back from an older copy, and
-//! clients take up their streams again.
+//! ORDER: all gateways are killed while the store turns one of them away, or some seconds after the store
+//! came back from an older copy, and clients take up their streams again.
 
 use std::{thread, time::Duration};
 
@@ -10,12 +10,17 @@
     streams::begin_streams,
 };
 
-const ZONES: [&str; 3] = ["khomas-a", "khomas-b", "khomas-c"];
+const ZONES: [&str; 4] = ["khomas-a", "khomas-b", "khomas-c", "khomas-d"];
 /// Streams that begin at the same time.
-const STREAMS: u64 = 12;
+const STREAMS: u64 = 16;
 const DEADLINE: Duration = Duration::from_secs(12);
 const COPY: f64 = 0.5;
-const ADDED: f64 = 1.0;
+/// The store turns one machine of four away for 9 s (site file: share 0.33, for_s 9).
+const TURNED_AWAY: f64 = 6.5;
+const SERVED_AGAIN: f64 = 15.5;
+const ADDED: f64 = 7.5;
+/// With a drill, the runner is added between the copy and the drill.
+const ADDED_BEFORE_DRILL: f64 = 1.0;
 const AWAY: f64 = 3.0;
 const BACK: f64 = 4.0;
 const STREAMS_BEGIN: f64 = 10.0;
@@ -32,6 +37,7 @@
         events: 55,
         pause: Duration::from_millis(80),
         copy_each: u64::MAX,
+        event_bytes: 60,
     };
     let start_runner = |id: &str, zone: &str, version: &str, scene: &Scene| {
         Runner::start(id, "quote-llm", zone, version, rules.clone(), &scene.record)
@@ -57,13 +63,23 @@
     }
     scene.sleep_until(scene.record.now() + 10.0);
     let start = scene.record.now();
-    let has_drill = scene.trouble == "1";
+    let (is_turned_away, has_drill) = (scene.trouble == "1", scene.trouble == "drill");
     let has_kill = scene.has_trouble();
+    let Some(recorder) = scene.store.writer("stream-origins") else {
+        return Verdict::CannotRun("no gateway has written the record of software");
+    };
+    let name = &scene.gateways[recorder].name;
+    scene.record.say(&format!("{name} has written the record of software"));
 
     scene.sleep_until(start + COPY);
     let copy = scene.store.copy();
     scene.record.say(&format!("the store copies itself at revision {}", scene.store.revision()));
-    scene.sleep_until(start + ADDED);
+    if is_turned_away {
+        scene.sleep_until(start + TURNED_AWAY);
+        scene.store.turn_away(recorder, true);
+        scene.record.say(&format!("the store turns {name} away: 503"));
+    }
+    scene.sleep_until(start + if has_drill { ADDED_BEFORE_DRILL } else { ADDED });
     let new = start_runner("i-new1", ZONES[2], "v2", &scene);
     scene.store.put("servers", &new.id, &new.entry("ready"));
     scene.record.say("runner i-new1 of version v2 is added");
@@ -102,6 +118,13 @@
         }
         scene.record.say("all gateways start again");
     }
+    if is_turned_away {
+        scene.sleep_until(start + SERVED_AGAIN);
+        scene.store.turn_away(recorder, false);
+        scene.record.say(&format!("the store serves {} again", scene.gateways[recorder].name));
+    }
+    let software = scene.store.read("stream-origins", "software");
+    scene.record.line(&format!("the record of software: {software:?}"));
     let mut joined = 0;
     let (mut ended, mut from_new) = (0, 0);
     for (number, stream) in streams.into_iter().enumerate() {
--- a/review/standin/refused.rs
+++ b/review/standin/refused.rs
@@ -54,6 +54,7 @@
         events: 0,
         pause: Duration::ZERO,
         copy_each: COPY_EACH,
+        event_bytes: 60,
     };
     let runners: Vec<Runner> = (0..RUNNERS)
         .map(|number| {
@@ -62,10 +63,13 @@
         })
         .collect();
     let services = "{\"name\":\"order-desk\",\"slots\":2,\"maxConns\":100}";
+    // The site's routes of this kind have 1; with more, a request that is taken as declined is sent on.
+    let attempts = std::env::var("ATTEMPTS").unwrap_or_else(|_| "1".to_owned());
     let routes = "{\"name\":\"cut\",\"host\":\"host.example\",\"pathPrefix\":\"/cut/\",\
                   \"kind\":\"non_idempotent\",\"timeoutMs\":1500,\"sloMs\":300,\"priority\":2,\
-                  \"service\":\"order-desk\",\"attempts\":1}";
-    scene.store.put("config", "main", &config(3, services, routes));
+                  \"service\":\"order-desk\",\"attempts\":ATTEMPTS}"
+        .replace("ATTEMPTS", &attempts);
+    scene.store.put("config", "main", &config(3, services, &routes));
     for runner in &runners {
         scene.store.put("servers", &runner.id, &runner.entry("ready"));
     }
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -7,7 +7,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -24,6 +24,8 @@
     /// Events of a stream, and the pause before each.
     pub events: u64,
     pub pause: Duration,
+    /// Bytes of text in each event.
+    pub event_bytes: usize,
     /// While the runner is faulty, each answer with this number is sent a second time, late.
     pub copy_each: u64,
 }
@@ -47,8 +49,12 @@
     pub faulty: Arc<AtomicBool>,
     /// Whether it says in all its answers that it leaves.
     pub leaving: Arc<AtomicBool>,
+    /// Whether it is switched off: it takes no connection, and requests in progress get no answer.
+    pub off: Arc<AtomicBool>,
     answers: Arc<AtomicU64>,
     places: Arc<(Mutex<Places>, Condvar)>,
+    /// Streams in progress, the newest last, and until when each is preempted.
+    streams: Arc<Mutex<Vec<(u64, Instant)>>>,
 }
 
 impl Runner {
@@ -72,14 +78,23 @@
             record: record.clone(),
             faulty: Arc::default(),
             leaving: Arc::default(),
+            off: Arc::default(),
             answers: Arc::default(),
             places: Arc::new((Mutex::new(Places { running: 0, waiting: 0 }), Condvar::new())),
+            streams: Arc::default(),
         };
         let server = runner.clone();
+        listener.set_nonblocking(true).expect("a listener that does not block");
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !server.off.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
                 let server = server.clone();
-                thread::spawn(move || server.serve(Conn::new(stream)));
+                if stream.set_nonblocking(false).is_ok() {
+                    thread::spawn(move || server.serve(Conn::new(stream)));
+                }
             }
         });
         runner
@@ -166,12 +181,13 @@
                 self.leave_place();
                 answer
             } else {
+                self.record.line(&format!("runner {} is full and declines {id}", self.id));
                 Some(format!(
                     "HTTP/1.1 503 X\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n{}Content-Length: 0\r\n\r\n",
                     self.leaving_header()
                 ))
             };
-            let Some(answer) = answer else { return };
+            let Some(answer) = answer.filter(|_| !self.off.load(Ordering::Relaxed)) else { return };
             if !answer.is_empty() {
                 if connection.send(answer.as_bytes()).is_err() {
                     return;
@@ -184,6 +200,28 @@
         }
     }
 
+    /// Preempts the newest streams, which go on after a while.
+    pub fn preempt(&self, count: usize, time: Duration) {
+        let mut streams = self.streams.lock().unwrap_or_else(|error| error.into_inner());
+        for (_, until) in streams.iter_mut().rev().take(count) {
+            *until = Instant::now() + time;
+        }
+    }
+
+    /// Waits until a stream is not preempted.
+    fn wait_for_turn(&self, stream: u64) {
+        loop {
+            let streams = self.streams.lock().unwrap_or_else(|error| error.into_inner());
+            let until = streams.iter().find(|(number, _)| *number == stream).map(|(_, until)| *until);
+            drop(streams);
+            let left = until.map(|until| until.saturating_duration_since(Instant::now()));
+            match left.filter(|left| !left.is_zero()) {
+                Some(left) => thread::sleep(left),
+                None => return,
+            }
+        }
+    }
+
     fn leaving_header(&self) -> &'static str {
         if self.leaving.load(Ordering::Relaxed) { "Server-Leaving: 1\r\n" } else { "" }
     }
@@ -207,16 +245,26 @@
         );
         connection.send(start.as_bytes()).ok()?;
         let after = head.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
-        for number in after.unwrap_or(0) + 1..=self.rules.events {
+        let stream = self.answers.fetch_add(1, Ordering::Relaxed);
+        self.streams.lock().unwrap_or_else(|e| e.into_inner()).push((stream, Instant::now()));
+        let sent = self.send_events(connection, id, stream, after.unwrap_or(0) + 1);
+        self.streams.lock().unwrap_or_else(|e| e.into_inner()).retain(|(number, _)| *number != stream);
+        sent?;
+        connection.send(b"0\r\n\r\n").ok()?;
+        Some(String::new())
+    }
+
+    fn send_events(&self, connection: &mut Conn, id: &str, stream: u64, first: u64) -> Option<()> {
+        for number in first..=self.rules.events {
             thread::sleep(self.rules.pause);
-            let event = format!("id: {number}\ndata: {} part {number}\n\n", self.version);
+            self.wait_for_turn(stream);
+            let event = format!("id: {number}\ndata: {} part {number} {}\n\n", self.version, "x".repeat(self.rules.event_bytes));
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if connection.send(chunk.as_bytes()).is_err() {
                 self.record.line(&format!("runner {} drops {id}: its connection closed", self.id));
                 return None;
             }
         }
-        connection.send(b"0\r\n\r\n").ok()?;
-        Some(String::new())
+        Some(())
     }
 }
--- a/review/standin/split.rs
+++ b/review/standin/split.rs
@@ -27,6 +27,7 @@
         events: 55,
         pause: Duration::from_millis(80),
         copy_each: u64::MAX,
+        event_bytes: 60,
     };
     let runner = |id: &str, service: &str, zone: &str, version: &str| {
         Runner::start(id, service, zone, version, rules.clone(), &scene.record)
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in of the platform's metadata store, with the drill of the users' fourth letter.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
@@ -38,6 +38,10 @@
     /// Incremented whenever all connections are to break.
     generation: u64,
     open: Vec<TcpStream>,
+    /// Doors whose calls get 503: the store turns away the machines behind them.
+    closed_doors: BTreeSet<usize>,
+    /// The door by which an object of the system's own kinds was last replaced or created, by kind.
+    writers: BTreeMap<String, usize>,
 }
 
 /// A copy of the store, from which a drill restores it.
@@ -46,16 +50,22 @@
     revision: u64,
 }
 
+/// Number of addresses at which the store listens.
+const DOORS: usize = 8;
+
 #[derive(Clone)]
 pub struct Store {
-    pub address: SocketAddr,
+    /// Addresses of the store, one for each machine, so that it can tell them apart.
+    pub doors: Vec<SocketAddr>,
     shared: Arc<(Mutex<State>, Condvar)>,
 }
 
 impl Store {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the store");
-        let address = listener.local_addr().expect("the store's address");
+        let bind = || TcpListener::bind("127.0.0.1:0").expect("a port for the store");
+        let listeners: Vec<TcpListener> = (0..DOORS).map(|_| bind()).collect();
+        let address = |listener: &TcpListener| listener.local_addr().expect("the store's address");
+        let doors = listeners.iter().map(address).collect();
         let state = State {
             objects: Objects::new(),
             history: Vec::new(),
@@ -65,22 +75,26 @@
             away: false,
             generation: 0,
             open: Vec::new(),
+            closed_doors: BTreeSet::new(),
+            writers: BTreeMap::new(),
         };
-        let store = Self { address, shared: Arc::new((Mutex::new(state), Condvar::new())) };
-        let server = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                {
-                    let mut state = server.state();
-                    if state.away {
-                        continue;
+        let store = Self { doors, shared: Arc::new((Mutex::new(state), Condvar::new())) };
+        for (door, listener) in listeners.into_iter().enumerate() {
+            let server = store.clone();
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    {
+                        let mut state = server.state();
+                        if state.away {
+                            continue;
+                        }
+                        state.open.extend(stream.try_clone());
                     }
-                    state.open.extend(stream.try_clone());
+                    let server = server.clone();
+                    thread::spawn(move || server.serve(stream, door));
                 }
-                let server = server.clone();
-                thread::spawn(move || server.serve(stream));
-            }
-        });
+            });
+        }
         store
     }
 
@@ -144,16 +158,42 @@
         state.away = false;
     }
 
-    fn serve(&self, stream: TcpStream) {
+    /// Turns away the machine behind a door, or serves it again; its calls that wait end, too.
+    pub fn turn_away(&self, door: usize, is_away: bool) {
+        let mut state = self.state();
+        if is_away {
+            state.closed_doors.insert(door);
+        } else {
+            state.closed_doors.remove(&door);
+        }
+        self.shared.1.notify_all();
+    }
+
+    /// The door by which an object of a kind was last written.
+    pub fn writer(&self, kind: &str) -> Option<usize> {
+        self.state().writers.get(kind).copied()
+    }
+
+    fn serve(&self, stream: TcpStream, door: usize) {
         let mut connection = Conn::new(stream);
         while let Some((head, body)) = connection.read_request(Duration::from_secs(60)) {
             thread::sleep(ANSWER_TIME);
-            let Some((status, body)) = self.answer(&head, &body) else { return };
+            if self.is_closed(door) {
+                if connection.send(b"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\n{}").is_err() {
+                    return;
+                }
+                continue;
+            }
+            let Some((status, body)) = self.answer(&head, &body, door) else { return };
             let era = {
-                let state = self.state();
+                let mut state = self.state();
                 if state.away {
                     return;
                 }
+                let kind = head.target().trim_start_matches("/api/objects/").split('/').next();
+                if head.method() != "GET" && status == 200 {
+                    state.writers.insert(kind.unwrap_or("").to_owned(), door);
+                }
                 state.era
             };
             let answer = format!(
@@ -167,7 +207,11 @@
         }
     }
 
-    fn answer(&self, head: &Head, body: &[u8]) -> Option<(u16, String)> {
+    fn is_closed(&self, door: usize) -> bool {
+        self.state().closed_doors.contains(&door)
+    }
+
+    fn answer(&self, head: &Head, body: &[u8], door: usize) -> Option<(u16, String)> {
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
@@ -179,7 +223,7 @@
             ("GET", None) => match query.get("watch").and_then(|since| since.parse().ok()) {
                 Some(since) => {
                     let wait = query.get("waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
-                    self.watch(kind, since, Duration::from_millis(wait))
+                    self.watch(kind, since, Duration::from_millis(wait), door)
                 }
                 None => Some(self.list(kind, query.get("after").copied().unwrap_or(""))),
             },
@@ -237,7 +281,7 @@
         (200, format!("{{\"entries\":[{page}],\"truncated\":{truncated},\"currentRev\":{revision}}}"))
     }
 
-    fn watch(&self, kind: &str, since: u64, wait: Duration) -> Option<(u16, String)> {
+    fn watch(&self, kind: &str, since: u64, wait: Duration, door: usize) -> Option<(u16, String)> {
         let deadline = Instant::now() + wait;
         let mut state = self.state();
         let generation = state.generation;
@@ -245,6 +289,9 @@
             if state.generation != generation || state.away {
                 return None;
             }
+            if state.closed_doors.contains(&door) {
+                return Some((503, "{}".to_owned()));
+            }
             // A revision that the store doesn't have, or whose history is gone.
             if since > state.revision || since < state.oldest {
                 return Some((410, "{}".to_owned()));
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -22,6 +22,8 @@
     events: Vec<(u64, String)>,
     pending: String,
     pub ended: bool,
+    /// The attempts, each with its address and whether its answer was complete.
+    pub attempts: Vec<(SocketAddr, bool)>,
 }
 
 impl Received {
@@ -100,6 +102,8 @@
         record.line(&format!("client {number} sends {id} to {address}, it has events up to {last}"));
         let answer = exchange(&mut connection, &attempt, |bytes| received.push(bytes));
         received.pending.clear();
+        let is_complete = answer.as_ref().is_some_and(|answer| answer.whole);
+        received.attempts.push((address, is_complete));
         let Some(answer) = answer else {
             record.line(&format!("client {number} gets no answer to {id}"));
             thread::sleep(PAUSE);
