Read and expose the rejections that targets say they bear

Change: the statement is decoded from every answer of a target, logged when it changes, and exposed as knapweedport_target_rejection_limit; calls that a target declined as knapweedport_target_declined_calls. No decision uses them yet.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -383,6 +383,8 @@
             peer_in_flight: self.peer_loads.load(record.target_hash),
             failure_rate: record.failure_rate.rate(now),
             rate_limit: record.allowance.limit().rate,
+            rejection_limit: record.rejection_statement.and_then(|statement| statement.limit),
+            declined_calls: record.declined_calls,
             speed: self
                 .uses_speeds(now, &record.entry.pool)
                 .then(|| record.speed_estimate(now, true)),
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -4,7 +4,7 @@
 
 use base_types::{TargetKey, TimePoint};
 use policy_retries::{ContentChange, CrashRecord};
-use policy_targets::{CallRate, NamedLimit};
+use policy_targets::{CallRate, NamedLimit, RejectionLimit, RejectionStatement};
 
 use crate::{AttemptOutcome, CallKey, ForwardCore, LeavingNotice, call::CallState};
 
@@ -54,6 +54,20 @@
         is_changed
     }
 
+    /// Records the rejections that a target said in an answer that it bears, or that it said nothing of
+    /// them; returns whether the limit changed.
+    pub fn on_rejection_limit(
+        &mut self,
+        now: TimePoint,
+        target: TargetKey,
+        limit: Option<RejectionLimit>,
+    ) -> bool {
+        let Some(record) = self.targets.get_mut(target) else { return false };
+        let previous = record.rejection_statement.and_then(|statement| statement.limit);
+        record.rejection_statement = Some(RejectionStatement { limit, stated_at: now });
+        previous != limit
+    }
+
     /// Records that a target asked for no calls from this router until a time.
     pub fn on_pause_asked(&mut self, target: TargetKey, until: TimePoint) {
         if let Some(record) = self.targets.get_mut(target) {
@@ -173,7 +187,7 @@
             }
             AttemptOutcome::Withdrawn => state.attempts -= 1,
             AttemptOutcome::Misdirected => record.lifecycle.on_failure(now),
-            AttemptOutcome::Declined => {}
+            AttemptOutcome::Declined => record.declined_calls += 1,
             AttemptOutcome::Lost => {
                 state.may_have_run = true;
                 record.lifecycle.on_failure(now);
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -64,4 +64,4 @@
 pub use policy_admission::ShedReason;
 pub use policy_retries::ContentChange;
 pub use policy_routing::{CallerKey, LoadClass, LoadSample, RouterResources};
-pub use policy_targets::{CallRate, LoadReport};
+pub use policy_targets::{CallRate, LoadReport, RejectionLimit};
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -12,8 +12,8 @@
 use policy_retries::SuspectContent;
 use policy_routing::stable_hash;
 use policy_targets::{
-    CallRate, FailureRate, OutcomeCount, RateAllowance, SpeedEstimate, TargetLifecycle,
-    TargetPhase, TargetSpeed, UsedTurn,
+    CallRate, FailureRate, OutcomeCount, RateAllowance, RejectionLimit, RejectionStatement,
+    SpeedEstimate, TargetLifecycle, TargetPhase, TargetSpeed, UsedTurn,
 };
 
 use crate::{
@@ -90,6 +90,10 @@
         pub failure_rate: f64,
         /// Limit on the rate of calls that the target names; `None` if it names none.
         pub rate_limit: Option<CallRate>,
+        /// Rejections a second that the target says it bears; `None` if it is not known to be fragile.
+        pub rejection_limit: Option<RejectionLimit>,
+        /// Calls of this router that the target declined.
+        pub declined_calls: u64,
         /// Learned speed of the target; `None` while it is not used.
         pub speed: Option<SpeedEstimate>,
         /// Number of prompt segments that the target is known to cache.
@@ -128,6 +132,9 @@
     /// Calls within the limit that the target names.
     pub(crate) allowance: RateAllowance,
     pub(crate) limit_report: LimitReport,
+    /// What the target last stated to this router; `None` before its first answer.
+    pub(crate) rejection_statement: Option<RejectionStatement>,
+    pub(crate) declined_calls: u64,
     pub(crate) speed: TargetSpeed,
     /// Outcomes not yet reported to the other routers.
     pub(crate) unreported_outcomes: OutcomeCount,
@@ -191,6 +198,8 @@
             failure_rate: FailureRate::default(),
             allowance: RateAllowance::default(),
             limit_report: LimitReport::default(),
+            rejection_statement: None,
+            declined_calls: 0,
             speed: TargetSpeed::default(),
             unreported_outcomes: OutcomeCount { failed: 0, finished: 0 },
             paused_until: TimePoint(0),
--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -153,14 +153,20 @@
     early_close_count: u32,
     limit: Option<Box<str>>,
     leaving: Option<Box<str>>,
+    rejection_limit: Option<Box<str>>,
     retry_after: Option<Box<str>>,
     software: Option<Box<str>>,
 }
 
 impl RunnerState {
-    fn leaving_header(&self) -> String {
-        let value = self.leaving.as_ref();
-        value.map(|value| format!("Server-Leaving: {value}\r\n")).unwrap_or_default()
+    /// Headers that the runner adds to all its answers.
+    fn notice_headers(&self) -> String {
+        let notices =
+            [("Server-Leaving", &self.leaving), ("Server-Brittle", &self.rejection_limit)];
+        let lines = notices
+            .into_iter()
+            .filter_map(|(name, value)| value.as_ref().map(|value| format!("{name}: {value}\r\n")));
+        lines.collect()
     }
 }
 
@@ -251,6 +257,12 @@
         self.state.lock().expect("the state lock is poisoned").leaving = value.map(Into::into);
     }
 
+    /// Sets the rejections a second that the runner says in all its answers that it bears.
+    pub fn state_rejection_limit(&self, limit: Option<&str>) {
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        state.rejection_limit = limit.map(Into::into);
+    }
+
     /// Sets the time for which the runner asks for a pause when it declines a call.
     pub fn ask_for_pause(&self, retry_after: Option<&str>) {
         let mut state = self.state.lock().expect("the state lock is poisoned");
@@ -520,7 +532,7 @@
         let signature = format!("Runner-Signature: sig.{}\r\n", self.id);
         let state = self.state.lock().expect("the state lock is poisoned");
         let limit = state.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
-        let notices = limit.unwrap_or_default() + &state.leaving_header();
+        let notices = limit.unwrap_or_default() + &state.notice_headers();
         format!(
             "HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\n{signature}{notices}Runner-Load: 1,0,8\r\n"
         )
@@ -535,7 +547,7 @@
     /// End of the head of an answer without a body.
     fn empty_body_head(&self) -> String {
         let state = self.state.lock().expect("the state lock is poisoned");
-        format!("{}Content-Length: 0\r\n\r\n", state.leaving_header())
+        format!("{}Content-Length: 0\r\n\r\n", state.notice_headers())
     }
 
     fn signed_answer(&self, status: u16, id: &str, body: &str) -> String {
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -396,6 +396,7 @@
             let call = self.admitted.call;
             self.state.with_core(|core, now| core.on_target_answered(now, call));
             self.record_rate_limit(&started);
+            self.record_rejection_limit(&started);
             self.record_load_report(&started);
             self.record_leaving(&started);
             self.record_pause(&started);
@@ -559,6 +560,16 @@
         }
     }
 
+    fn record_rejection_limit(&self, started: &StartedResponse) {
+        let (target, limit) = (started.attempt.target, started.head.rejection_limit);
+        if self.state.with_core(|core, now| core.on_rejection_limit(now, target, limit)) {
+            log::info!(
+                target = &*started.attempt.name, rejections_per_s = limit.map(|limit| limit.0);
+                "rejections that a target bears changed"
+            );
+        }
+    }
+
     fn record_load_report(&self, started: &StartedResponse) {
         if let Some(report) = started.head.load_report {
             let target = started.attempt.target;
--- a/crates/io-forward/src/dialect.rs
+++ b/crates/io-forward/src/dialect.rs
@@ -3,7 +3,9 @@
 use std::{fmt, time::Duration};
 
 use base_types::{NotRunCode, Refusal, TimePoint, key_types, message_types};
-use core_forward::{AttemptSpec, CallHead, CallRate, DetourSpec, LoadReport, PromptSegment};
+use core_forward::{
+    AttemptSpec, CallHead, CallRate, DetourSpec, LoadReport, PromptSegment, RejectionLimit,
+};
 use http::{HeaderMap, HeaderValue, Response, request, response};
 
 key_types! {
@@ -30,6 +32,8 @@
         pub closes_connection: bool,
         /// Limit on the rate of calls that the target names, over all routers.
         pub rate_limit: Option<CallRate>,
+        /// Rejections a second that the target says it bears; absent if it is not fragile.
+        pub rejection_limit: Option<RejectionLimit>,
         /// Load that the target reports; absent if it reports none or a malformed one.
         pub load_report: Option<LoadReport>,
         /// Time for which the target asks for no further calls from this router.
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -73,6 +73,10 @@
     TargetFailureRate,
     /// Limit in calls a second that a target names; absent while it names none.
     TargetRateLimit,
+    /// Rejections a second that a target says it bears; absent if it is not fragile.
+    TargetRejectionLimit,
+    /// Calls of this router that a target declined since it was first listed.
+    TargetDeclinedCalls,
     /// Time that work takes on a target as a multiple of its pool's median; absent while routers do not
     /// adapt to it.
     TargetSlowdown,
@@ -105,7 +109,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 33] = [
+    const ALL: [Self; 35] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -125,6 +129,8 @@
         Self::TargetOtherCalls,
         Self::TargetFailureRate,
         Self::TargetRateLimit,
+        Self::TargetRejectionLimit,
+        Self::TargetDeclinedCalls,
         Self::TargetSlowdown,
         Self::TargetConcurrency,
         Self::TargetSegments,
@@ -162,6 +168,8 @@
             Self::TargetOtherCalls => "knapweedport_target_other_calls",
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
             Self::TargetRateLimit => "knapweedport_target_rate_limit",
+            Self::TargetRejectionLimit => "knapweedport_target_rejection_limit",
+            Self::TargetDeclinedCalls => "knapweedport_target_declined_calls",
             Self::TargetSlowdown => "knapweedport_target_slowdown",
             Self::TargetConcurrency => "knapweedport_target_concurrency",
             Self::TargetSegments => "knapweedport_target_prompt_parts",
--- a/crates/policy-targets/src/lib.rs
+++ b/crates/policy-targets/src/lib.rs
@@ -9,6 +9,7 @@
 mod outcomes;
 mod pace;
 mod rates;
+mod rejections;
 mod speed;
 
 pub use crate::{
@@ -17,5 +18,6 @@
     outcomes::{FailureRate, OutcomeCount},
     pace::{PoolPace, WorkKind, WorkSample},
     rates::{CallRate, NamedLimit, RateAllowance},
+    rejections::{RejectionLimit, RejectionStatement},
     speed::{LoadReport, PeerSpeed, SpeedEstimate, TargetSpeed},
 };
