--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -12,7 +12,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
-    sync::watch,
+    sync::{Semaphore, watch},
     time::Instant,
 };
 
@@ -147,6 +147,16 @@
     Reset,
 }
 
+/// Room of a runner for calls, further ones of which it declines.
+#[derive(Debug, Clone)]
+struct RunnerRoom {
+    slots: u32,
+    slots_free: Arc<Semaphore>,
+    /// Calls that run or wait.
+    held: u32,
+    held_max: u32,
+}
+
 #[derive(Debug, Default)]
 struct RunnerState {
     received: Vec<ReceivedCall>,
@@ -155,6 +165,7 @@
     leaving: Option<Box<str>>,
     rejection_limit: Option<Box<str>>,
     retry_after: Option<Box<str>>,
+    room: Option<RunnerRoom>,
     software: Option<Box<str>>,
 }
 
@@ -231,9 +242,10 @@
     pub fn entry(&self, service: &str) -> Value {
         let state = self.state.lock().expect("the state lock is poisoned");
         let version = state.software.as_deref().unwrap_or("v1");
+        let slots = state.room.as_ref().map_or(8, |room| room.slots);
         json!({
             "service": service, "address": self.address.to_string(), "zone": "z", "version": version,
-            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1_700_000_000_000u64,
+            "slots": slots, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1_700_000_000_000u64,
         })
     }
 
@@ -269,6 +281,13 @@
         state.retry_after = retry_after.map(Into::into);
     }
 
+    /// Limits the calls that the runner runs at once and those that wait for a slot; it declines all others.
+    pub fn limit_room(&self, slots: u32, waiting_max: u32) {
+        let slots_free = Arc::new(Semaphore::new(slots as usize));
+        let room = RunnerRoom { slots, slots_free, held: 0, held_max: slots + waiting_max };
+        self.state.lock().expect("the state lock is poisoned").room = Some(room);
+    }
+
     /// Sets the software version in the runner's entry, and adds it to each event as a comment.
     pub fn run_software(&self, version: &str) {
         self.state.lock().expect("the state lock is poisoned").software = Some(version.into());
@@ -289,8 +308,21 @@
 
     async fn serve_calls(&self, connection: &mut HttpConnection) {
         while let Some(request) = connection.read(false).await {
-            let reply = self.record_call(&request);
-            match self.reply(connection, &request, reply).await {
+            let slots_free = self.enter_room();
+            let is_full = slots_free.as_ref().is_some_and(Option::is_none);
+            let reply = self.record_call(&request, is_full);
+            let slots_free = slots_free.flatten();
+            let holds_room = slots_free.is_some();
+            let slot = match slots_free {
+                Some(slots_free) => slots_free.acquire_owned().await.ok(),
+                None => None,
+            };
+            let after_reply = self.reply(connection, &request, reply).await;
+            drop(slot);
+            if holds_room {
+                self.leave_room();
+            }
+            match after_reply {
                 AfterReply::Reuse => {}
                 AfterReply::Close => return,
                 AfterReply::Reset => return connection.reset().await,
@@ -298,10 +330,30 @@
         }
     }
 
-    /// Determines the reply to a call and records both.
-    fn record_call(&self, request: &HttpMessage) -> Reply {
+    /// Takes room for a call; returns the slots that it waits for, `None` for these if there is no room, or `None` if
+    /// room is not limited.
+    fn enter_room(&self) -> Option<Option<Arc<Semaphore>>> {
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        let room = state.room.as_mut()?;
+        if room.held >= room.held_max {
+            return Some(None);
+        }
+        room.held += 1;
+        Some(Some(room.slots_free.clone()))
+    }
+
+    fn leave_room(&self) {
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        if let Some(room) = state.room.as_mut() {
+            room.held -= 1;
+        }
+    }
+
+    /// Determines the reply to a call, which a full runner declines, and records both.
+    fn record_call(&self, request: &HttpMessage, is_full: bool) -> Reply {
         let mut state = self.state.lock().expect("the state lock is poisoned");
         let reply = match &self.replies {
+            _ if is_full => Some(Reply::Declined),
             ReplySource::Script(script) => {
                 script.lock().expect("the script lock is poisoned").pop_front()
             }
