Name why a call is sent to no target with a small type

Cause: clippy's result_large_err on the choice of a target with a place, whose error was a whole dispatch step. Change: a reason of a few bytes, which the dispatch turns into the step. No behaviour changes.

--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -50,6 +50,17 @@
 /// Number of attempts with outcome `Unsent` after which a call is refused.
 const UNSENT_ATTEMPTS_MAX: u32 = 4;
 
+/// Reason why a call is sent to no target now.
+#[derive(Debug, Clone, Copy)]
+enum ChoiceObstacle {
+    /// No target takes the call.
+    NoTarget,
+    /// The targets that take the call are fragile and have no place for it.
+    NoPlace,
+    /// The keeper of a target's places answers by this time.
+    PlaceAsked(TimePoint),
+}
+
 impl ForwardCore {
     /// Returns the next action for a call without an attempt in progress. A call that is not
     /// admitted is refused with an unknown outcome.
@@ -105,7 +116,9 @@
         }
         let choice = match self.choose_with_place(now, key, state) {
             Ok(choice) => choice,
-            Err(step) => return step,
+            Err(ChoiceObstacle::PlaceAsked(until)) => return DispatchStep::AskPlace(until),
+            Err(ChoiceObstacle::NoPlace) => return self.refuse_without_place(now, state),
+            Err(ChoiceObstacle::NoTarget) => return self.refuse_without_target(now, state),
         };
         if state.attempts > 0 && !self.spend_retry(now, state) {
             return self.refuse_spent(now, state);
@@ -214,13 +227,13 @@
     ///
     /// # Errors
     ///
-    /// Returns the next action if there is no such target yet.
+    /// Returns why there is no such target, or none yet.
     fn choose_with_place(
         &mut self,
         now: TimePoint,
         key: CallKey,
         state: &mut CallState,
-    ) -> Result<CostChoice, DispatchStep> {
+    ) -> Result<CostChoice, ChoiceObstacle> {
         loop {
             let Some(choice) = self.choose_target(now, state) else {
                 if !matches!(state.place.claim, ClaimState::Unclaimed) {
@@ -229,15 +242,15 @@
                     continue;
                 }
                 return Err(match state.place.full_targets.is_empty() {
-                    true => self.refuse_without_target(now, state),
-                    false => self.refuse_without_place(now, state),
+                    true => ChoiceObstacle::NoTarget,
+                    false => ChoiceObstacle::NoPlace,
                 });
             };
             match self.take_place(now, key, state, &choice) {
                 PlaceStep::Ready => return Ok(choice),
-                PlaceStep::Asked(until) => return Err(DispatchStep::AskPlace(until)),
+                PlaceStep::Asked(until) => return Err(ChoiceObstacle::PlaceAsked(until)),
                 PlaceStep::Full => {}
-                PlaceStep::Exhausted => return Err(self.refuse_without_place(now, state)),
+                PlaceStep::Exhausted => return Err(ChoiceObstacle::NoPlace),
             }
         }
     }
