--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -43,6 +43,8 @@
     Failure,
     /// Status 503 and a header that says that the call was not executed.
     Declined,
+    /// Such a refusal, and after a pause a copy of it; the second field says whether it names its call.
+    DeclinedCopied(Duration, bool),
     /// Status 421: the address belongs to another runner, and the call was not executed.
     Misdirected,
     /// The connection closes before an answer.
@@ -197,7 +199,7 @@
     /// Whether the runner counts as having executed the call; only an explicit refusal says that it
     /// did not.
     pub fn ran(self) -> bool {
-        !matches!(self, Self::Declined | Self::Misdirected)
+        !matches!(self, Self::Declined | Self::DeclinedCopied(..) | Self::Misdirected)
     }
 }
 
@@ -417,6 +419,14 @@
                 let answer = format!("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n{pause}{end}");
                 connection.send(answer.as_bytes()).await;
             }
+            Reply::DeclinedCopied(pause, has_id) => {
+                let id = if has_id { format!("Attempt-Id: {id}\r\n") } else { String::new() };
+                let answer =
+                    format!("HTTP/1.1 503 X\r\n{id}Not-Executed: 1\r\n{}", self.empty_body_head());
+                connection.send(answer.as_bytes()).await;
+                tokio::time::sleep(pause).await;
+                connection.send(answer.as_bytes()).await;
+            }
             Reply::Misdirected => {
                 let end = self.empty_body_head();
                 let answer = format!("HTTP/1.1 421 X\r\nRunner-Id: other\r\n{end}");
