--- a/crates/fakes/src/gateway/store.rs
+++ b/crates/fakes/src/gateway/store.rs
@@ -39,6 +39,8 @@
     objects: BTreeMap<(String, String), (u64, Value)>,
     history: Vec<(u64, String, Value, bool)>,
     calls: Vec<String>,
+    /// Texts of specs that are no JSON values of this process, by the strings that stand for them.
+    texts: BTreeMap<String, String>,
 }
 
 /// The stand-in; clones share one set of objects.
@@ -62,6 +64,7 @@
             objects: BTreeMap::new(),
             history: Vec::new(),
             calls: Vec::new(),
+            texts: BTreeMap::new(),
         };
         let store = Self {
             address: listener.local_addr().expect("the listener has no address"),
@@ -88,6 +91,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes an object whose spec is sent as this text.
+    pub fn put_text(&self, kind: &str, name: &str, text: &str) {
+        let stand_in = format!("text of {kind}/{name}");
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        state.texts.insert(Value::from(stand_in.as_str()).to_string(), text.to_owned());
+        drop(state);
+        self.put(kind, name, Value::from(stand_in));
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state.lock().expect("the state lock is poisoned");
@@ -148,7 +160,10 @@
             if self.silence_count() != silence_count {
                 return stall().await;
             }
-            let body = body.to_string();
+            let mut body = body.to_string();
+            for (stand_in, text) in &self.state.lock().expect("the state lock is poisoned").texts {
+                body = body.replace(stand_in, text);
+            }
             let length = body.len();
             let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{body}");
             connection.send(head.as_bytes()).await;
