Take only calls that can end before a stopping router does

Cause: a stopping router admitted all calls until its process ended. Class: a deadline that one part has and the part that takes on work does not ask for. Change: from SIGTERM on, a call is admitted only if the longest time that calls of its route took in the last 30 to 60 s, plus a quarter, ends before the forced stop; a route of which none has ended counts with its deadline. Others are refused as not run, with times to return that are spread.

--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -193,6 +193,7 @@
     pub(crate) retry_rule: RetryRule,
     pub(crate) account: Option<AccountName>,
     pub(crate) rank: u8,
+    pub(crate) admitted_at: TimePoint,
     pub(crate) deadline: TimePoint,
     pub(crate) attempts_max: u32,
     pub(crate) latency_target: Duration,
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -15,6 +15,7 @@
 mod resumption;
 mod snapshots;
 mod speeds;
+mod stopping;
 mod waiting;
 
 pub use self::beats::heartbeat_interval;
@@ -30,6 +31,7 @@
     AccountName, ContentDigest, ContentKey, HostName, NotRunCode, PoolName, RouteName, TargetKey,
     TimePoint, message_types,
 };
+use policy_admission::LongestTime;
 use policy_retries::{WindowBounds, WindowBudget};
 use policy_routing::{PeerLoads, SegmentDirectory, stable_hash};
 use policy_targets::PoolPace;
@@ -133,6 +135,10 @@
     /// Whether the configuration comes from a snapshot, whose layout does not have all of it.
     is_config_partial: bool,
     shutting_down: bool,
+    /// Time at which the process ends; [`TimePoint::NEVER`] before the shutdown.
+    stop_at: TimePoint,
+    /// Longest time that calls took of late, by route.
+    longest_times: BTreeMap<RouteName, LongestTime>,
     targets: TargetTable,
     /// Whether a list of targets was received, from the platform or in a snapshot.
     targets_listed: bool,
@@ -207,6 +213,8 @@
             config_adopted_at: TimePoint(0),
             is_config_partial: false,
             shutting_down: false,
+            stop_at: TimePoint::NEVER,
+            longest_times: BTreeMap::new(),
             targets: TargetTable::new(EvacuationTable::new(bounds.evacuations)),
             targets_listed: false,
             routers_listed: false,
@@ -285,16 +293,12 @@
         self.peers.sweep(now);
         self.sweep_waiting();
         self.sweep_places(now);
+        self.sweep_call_times(now);
         self.clear_content_of_long_answers(now);
         self.crashes.tracker.sweep(now);
         self.origins.sweep(now);
     }
 
-    /// Starts the shutdown: the router still admits calls but is no longer listed for new callers.
-    pub fn start_shutdown(&mut self) {
-        self.shutting_down = true;
-    }
-
     /// Whether the router has a configuration and a target list, and is not shutting down.
     pub fn ready(&self) -> bool {
         let is_informed = self.targets_listed && self.targets.evacuations.is_known();
@@ -336,9 +340,12 @@
         let route_match = config.match_route(&head.host, &head.path, pool_hash);
         let route_match = route_match.ok_or(NotRunCode::UnknownRoute)?;
         let (account, account_rank) = resolve_account(config, route_match.rule.public, &head)?;
+        let deadline = head.deadline.min(now.after(route_match.rule.timeout));
+        if !self.can_end_by_stop(now, &route_match.rule.name, deadline) {
+            return Err(NotRunCode::RouterLeaving);
+        }
         let call = CallKey(self.next_call_key);
         self.next_call_key += 1;
-        let deadline = head.deadline.min(now.after(route_match.rule.timeout));
         let retry_rule = route_match.rule.retry_rule;
         let resumable = retry_rule.is_streaming() && retry_rule.is_retryable();
         let content_keys = shared_content_keys(content, head.prompt.as_ref());
@@ -357,6 +364,7 @@
             content,
             call_hash,
             caller_deadline: head.deadline,
+            admitted_at: now,
             software: match origin {
                 Some(origin) if resumable => StreamSoftware::Unresolved(origin),
                 _ => StreamSoftware::Any,
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -142,6 +142,9 @@
     pub fn on_attempt_finished(&mut self, now: TimePoint, key: CallKey, outcome: AttemptOutcome) {
         let Some(mut state) = self.calls.remove(&key) else { return };
         self.apply_outcome(now, &mut state, outcome);
+        if outcome == AttemptOutcome::Completed {
+            self.record_call_time(now, &state);
+        }
         let is_rejected = outcome == AttemptOutcome::Declined;
         self.release_place(key, &mut state, is_rejected.then_some(now));
         self.calls.insert(key, state);
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -301,10 +301,10 @@
         core.caller_addresses(now.after(Duration::from_secs(3)), CallerKey(7)),
         [address(100)]
     );
-    other.start_shutdown();
+    other.start_shutdown(TimePoint::NEVER);
     core.on_heartbeat(now, other.next_heartbeat(now));
     assert_eq!(core.caller_addresses(now, CallerKey(7)), [address(100)]);
-    core.start_shutdown();
+    core.start_shutdown(TimePoint::NEVER);
     assert_eq!(core.caller_addresses(now, CallerKey(7)), []);
 }
 
--- /dev/null
+++ b/crates/core-forward/tests/stopping.rs
@@ -0,0 +1,56 @@
+//! A router that stops takes only calls that can end before its process does.
+
+#[path = "support/fixture.rs"]
+mod fixture;
+
+use std::time::Duration;
+
+use base_types::{ContentDigest, NotRunCode, TimePoint, test_cases};
+use core_forward::{AttemptOutcome, DispatchStep, ForwardCore};
+use state_config::RetryRule;
+
+use fixture::{call_head, new_router, target_entry};
+
+const STOPPED_AT: TimePoint = TimePoint(20_000_000);
+const GRACE_TIME: Duration = Duration::from_secs(8);
+
+/// Plays a call that takes a time.
+fn serve(core: &mut ForwardCore, now: TimePoint, number: u64, time: Duration) {
+    let head = call_head(now, number, None);
+    let call = core.admit(now, head, ContentDigest(u128::from(number))).expect("admitted").call;
+    let step = core.dispatch(now, call);
+    assert!(matches!(step, DispatchStep::Send(_)), "{step:?}");
+    core.on_attempt_finished(now.after(time), call, AttemptOutcome::Completed);
+    core.finish(call);
+}
+
+/// Calls that took `times` before the stop decide whether one that comes `after` it is taken. Guards against
+/// calls that are cut as the process ends, and against refusing those that can end.
+fn check_stop(times: &[Duration], after: Duration, is_taken: bool) {
+    let start = TimePoint(STOPPED_AT.0 - 10_000_000);
+    let mut core = new_router(start, 0, 1, RetryRule::AtMostOnceStream);
+    core.list_targets(start, vec![target_entry(0, 1)]);
+    for (number, time) in times.iter().enumerate() {
+        serve(&mut core, start, number as u64, *time);
+    }
+    core.start_shutdown(STOPPED_AT.after(GRACE_TIME));
+    let now = STOPPED_AT.after(after);
+    let admitted = core.admit(now, call_head(now, 100, None), ContentDigest(100));
+    match is_taken {
+        true => assert!(admitted.is_ok(), "{admitted:?}"),
+        false => assert_eq!(admitted.err(), Some(NotRunCode::RouterLeaving)),
+    }
+}
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+test_cases! {
+    check_stop:
+    a_call_that_can_end_is_taken(&[millis(2_000), millis(100)], millis(5_000), true);
+    a_call_that_cannot_end_is_refused(&[millis(2_000), millis(100)], millis(6_000), false);
+    a_short_call_is_taken_until_late(&[millis(100)], millis(7_800), true);
+    no_call_is_taken_at_the_very_end(&[millis(100)], millis(7_900), false);
+    a_call_of_an_unknown_length_may_take_until_its_deadline(&[], millis(100), false);
+}
--- a/crates/core-forward/tests/support/load.rs
+++ b/crates/core-forward/tests/support/load.rs
@@ -188,7 +188,7 @@
     fn step(&mut self, step: u64) {
         let second = self.now.0 / 1_000_000;
         if self.plan.stop_at_s.is_some_and(|at| self.now == TimePoint(at * 1_000_000)) {
-            self.routers[0].start_shutdown();
+            self.routers[0].start_shutdown(TimePoint::NEVER);
         }
         self.progress_targets();
         self.arrive(second);
--- a/crates/core-forward/tests/waiting.rs
+++ b/crates/core-forward/tests/waiting.rs
@@ -197,7 +197,7 @@
 fn waiting_calls_are_sent_or_refused_on_a_graceful_stop() {
     let (mut core, running, [(first, _), (second, _)]) = full_router([0, 7]);
     end(&mut core, running[0]);
-    core.start_shutdown();
+    core.start_shutdown(TimePoint::NEVER);
     assert_eq!(core.take_startable(NOW), [first]);
     assert!(matches!(core.dispatch(NOW, first), DispatchStep::Send(_)));
     assert_eq!(core.take_startable(NOW), [second]);
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use policy_admission::{MemoryBudget, MemoryUse};
-use policy_routing::stable_hash;
+use policy_routing::{stable_hash, unit_hash};
 
 use crate::{
     ExecutionStatus, ForwardState, ResponseBody, ResponseHead,
@@ -26,6 +26,9 @@
 /// Limit on a request body's bytes while no configuration is loaded.
 const DEFAULT_BODY_BYTES_MAX: usize = 1024 * 1024;
 
+/// Shortest time after which a caller that a stopping router refused may return; the longest is twice that.
+const LEAVING_RETURN_TIME: Duration = Duration::from_millis(50);
+
 /// Limit on the bytes of a response that is buffered before it is forwarded.
 pub(crate) const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
@@ -120,6 +123,11 @@
         return_at = MemoryBudget::return_at(now, stable_hash(log.id().as_bytes()));
         state.metrics().count_memory_end("refused");
     }
+    if code == NotRunCode::RouterLeaving {
+        // Callers go to another router, not all at once.
+        let spread = unit_hash(stable_hash(log.id().as_bytes()));
+        return_at = now.after(LEAVING_RETURN_TIME.mul_f64(1.0 + spread));
+    }
     refusal_response(state, Refusal::NotRun(code, return_at))
 }
 
--- a/crates/policy-admission/src/lib.rs
+++ b/crates/policy-admission/src/lib.rs
@@ -4,12 +4,14 @@
 //! Targets are not known here; the caller decides when a target has room.
 
 mod limits;
+mod longest;
 mod memory;
 mod queue;
 mod waiting;
 
 pub use crate::{
     limits::{AccountLimit, AccountLimits},
+    longest::LongestTime,
     memory::{MemoryBudget, MemoryShortage, MemoryUse},
     queue::{FairQueue, QueuedRequest},
     waiting::{
