--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -414,6 +414,7 @@
             failure_rate: record.failure_rate.rate(now),
             rate_limit: record.allowance.limit().rate,
             rejection_limit: record.rejection_statement.and_then(|statement| statement.limit),
+            leased_places: record.places.leased(),
             declined_calls: record.declined_calls,
             speed: self
                 .uses_speeds(now, &record.entry.pool)
--- a/crates/core-forward/src/core/stopping.rs
+++ b/crates/core-forward/src/core/stopping.rs
@@ -6,8 +6,9 @@
 
 use crate::{ForwardCore, call::CallState};
 
-/// Percentage of the longest time that calls of a route took which a call must have left.
-const NEEDED_PERCENT: u32 = 125;
+/// Percentage of the longest time that calls of a route took which a call must have left: while routers stop, the
+/// others and their targets have more load than before.
+const NEEDED_PERCENT: u32 = 150;
 
 impl ForwardCore {
     /// Starts the shutdown: the router is no longer listed for new callers, and admits only calls that are likely
@@ -28,8 +29,12 @@
         if !self.shutting_down || self.stop_at == TimePoint::NEVER {
             return true;
         }
-        let longest = self.longest_times.get(route).and_then(|times| times.get(now));
-        let ends_at = longest.map(|longest| now.after(longest * NEEDED_PERCENT / 100));
+        let ended = self.longest_times.get(route).and_then(|times| times.get(now));
+        // A call that is running shows that calls take at least that long.
+        let running = self.calls.values().filter(|call| call.route == *route);
+        let running = running.map(|call| now.since(call.admitted_at)).max();
+        let needed = ended.map(|ended| running.max(Some(ended * NEEDED_PERCENT / 100)));
+        let ends_at = needed.flatten().map(|needed| now.after(needed));
         ends_at.map_or(deadline, |ends_at| ends_at.min(deadline)) < self.stop_at
     }
 
--- a/crates/core-forward/src/places.rs
+++ b/crates/core-forward/src/places.rs
@@ -225,6 +225,11 @@
         (self.leases.len() as u32).saturating_add(unleased)
     }
 
+    /// Number of leases.
+    pub(crate) fn leased(&self) -> u32 {
+        self.leases.len() as u32
+    }
+
     /// Leases of a router.
     pub(crate) fn leased_to(&self, router: u64) -> u32 {
         self.leases.keys().filter(|lease| lease.router == router).count() as u32
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -94,6 +94,8 @@
         pub rate_limit: Option<CallRate>,
         /// Rejections a second that the target says it bears; `None` if it is not known to be fragile.
         pub rejection_limit: Option<RejectionLimit>,
+        /// Calls that hold one of the places of the target that this router keeps.
+        pub leased_places: u32,
         /// Calls of this router that the target declined.
         pub declined_calls: u64,
         /// Learned speed of the target; `None` while it is not used.
--- a/crates/core-forward/tests/support/fragile_sim.rs
+++ b/crates/core-forward/tests/support/fragile_sim.rs
@@ -69,6 +69,9 @@
     /// routers that had just started.
     pub(crate) falls: Vec<(TimePoint, usize)>,
     pub(crate) other_falls: u32,
+    /// Calls sent by callers, and messages about places sent by routers.
+    pub(crate) calls: u64,
+    pub(crate) messages: usize,
     /// Rejections by targets.
     pub(crate) rejections: u64,
     /// Calls served from [`SHRUNK_AT`] on.
@@ -206,6 +209,8 @@
                 sim.routers.iter_mut().for_each(|core| core.sweep(sim.now));
             }
         }
+        sim.record.calls = sim.calls;
+        sim.record.messages = sim.messages.len();
         sim.record
     }
 
--- a/crates/io-telemetry/src/gateway.rs
+++ b/crates/io-telemetry/src/gateway.rs
@@ -75,6 +75,8 @@
     TargetRateLimit,
     /// Rejections a second that a target says it bears; absent if it is not fragile.
     TargetRejectionLimit,
+    /// Calls that hold one of the places of a fragile target that this router keeps; absent without any.
+    TargetLeasedPlaces,
     /// Calls of this router that a target declined since it was first listed.
     TargetDeclinedCalls,
     /// Time that work takes on a target as a multiple of its pool's median; absent while routers do not
@@ -109,7 +111,7 @@
 }
 
 impl GatewayGauge {
-    const ALL: [Self; 35] = [
+    const ALL: [Self; 36] = [
         Self::CallsInFlight,
         Self::Ready,
         Self::CallerConnections,
@@ -130,6 +132,7 @@
         Self::TargetFailureRate,
         Self::TargetRateLimit,
         Self::TargetRejectionLimit,
+        Self::TargetLeasedPlaces,
         Self::TargetDeclinedCalls,
         Self::TargetSlowdown,
         Self::TargetConcurrency,
@@ -169,6 +172,7 @@
             Self::TargetFailureRate => "knapweedport_target_failure_rate",
             Self::TargetRateLimit => "knapweedport_target_rate_limit",
             Self::TargetRejectionLimit => "knapweedport_target_rejection_limit",
+            Self::TargetLeasedPlaces => "knapweedport_target_leased_places",
             Self::TargetDeclinedCalls => "knapweedport_target_declined_calls",
             Self::TargetSlowdown => "knapweedport_target_slowdown",
             Self::TargetConcurrency => "knapweedport_target_concurrency",
--- a/crates/policy-targets/src/places.rs
+++ b/crates/policy-targets/src/places.rs
@@ -19,6 +19,9 @@
 /// Time without a rejection after which a target is sent one more call at once.
 const GROWTH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Largest number of calls that a target is sent at once, whatever number of slots its entry states.
+const PLACES_MAX: u32 = 4_096;
+
 /// Rejections that are remembered; more have the same effect.
 const REJECTIONS_MAX: usize = 256;
 
@@ -40,7 +43,7 @@
 impl PlaceLimit {
     /// Calls that may be in flight at a target now.
     pub fn places(&self, now: TimePoint, slots: u32, bearable: RejectionLimit) -> u32 {
-        let slots = slots.max(1);
+        let slots = slots.clamp(1, PLACES_MAX);
         let recent = self.rejections.iter().filter(|end| !end.passed(now)).count() as u32;
         if recent > bearable.0 / 2 {
             return 0;
