Expect more time of calls of a route of which few were seen

Change: the expected time is the longest one, a quarter more, and as much more as 20 calls are to the number seen.

--- a/crates/core-forward/src/core/stopping.rs
+++ b/crates/core-forward/src/core/stopping.rs
@@ -6,10 +6,6 @@
 
 use crate::{ForwardCore, call::CallState};
 
-/// Percentage of the longest time that calls of a route took which a call must have left: while routers stop, the
-/// others and their targets have more load than before.
-const NEEDED_PERCENT: u32 = 150;
-
 impl ForwardCore {
     /// Starts the shutdown: the router is no longer listed for new callers, and admits only calls that are likely
     /// to end before `stop_at`, when the process ends.
@@ -29,11 +25,11 @@
         if !self.shutting_down || self.stop_at == TimePoint::NEVER {
             return true;
         }
-        let ended = self.longest_times.get(route).and_then(|times| times.get(now));
+        let bound = self.longest_times.get(route).and_then(|times| times.likely_bound(now));
         // A call that is running shows that calls take at least that long.
         let running = self.calls.values().filter(|call| call.route == *route);
         let running = running.map(|call| now.since(call.admitted_at)).max();
-        let needed = ended.map(|ended| running.max(Some(ended * NEEDED_PERCENT / 100)));
+        let needed = bound.map(|bound| running.max(Some(bound)));
         let ends_at = needed.flatten().map(|needed| now.after(needed));
         ends_at.map_or(deadline, |ends_at| ends_at.min(deadline)) < self.stop_at
     }
@@ -46,6 +42,6 @@
 
     /// Forgets routes of which no call has ended of late.
     pub(super) fn sweep_call_times(&mut self, now: TimePoint) {
-        self.longest_times.retain(|_, times| times.get(now).is_some());
+        self.longest_times.retain(|_, times| times.likely_bound(now).is_some());
     }
 }
