--- a/crates/policy-admission/src/longest.rs
+++ b/crates/policy-admission/src/longest.rs
@@ -15,8 +15,8 @@
 /// stop, the others and their targets have more load than before.
 const MARGIN: f64 = 0.25;
 
-/// Number of calls after which the longest one may be exceeded by as much again, because few were seen.
-const CALLS_FOR_DOUBLE: f64 = 20.0;
+/// Number of calls of which the longest may be exceeded by as much again, because few were seen.
+const CALLS_FOR_DOUBLE: f64 = 6.0;
 
 /// Longest duration of a sliding window, kept as the longest of two halves.
 #[derive(Debug, Clone, Copy, Default)]
