Let a pool stop being fragile when its targets no longer say so

Cause, found in reading the change: a question for a place renewed the statement at its keeper, and heartbeats passed on what others had reported with an age that shrank on the way. Routers kept each other from forgetting that a pool was fragile. Class: news that renews itself. Change: a question carries the age of the statement; heartbeats carry only statements of answers to their sender.

--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -126,7 +126,7 @@
             evacuations: self.targets.evacuations.report(now),
             capacity: self.own_capacity(),
             speeds: self.take_speed_notices(now),
-            fragile_pools: self.fragile_notices(now),
+            fragile_pools: self.own_fragile_notices(now),
             ..HeartbeatExtension::default()
         };
         let running = self.calls.values().filter(|call| call.current_attempt.is_some());
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -67,7 +67,7 @@
         record.rejection_statement = Some(RejectionStatement { limit, stated_at: now });
         let pool_hash = record.pool_hash;
         if let Some(limit) = limit {
-            self.on_fragile_pool(now, pool_hash, limit, now);
+            self.on_fragile_answer(now, pool_hash, limit);
         }
         previous != limit
     }
--- a/crates/core-forward/src/core/places.rs
+++ b/crates/core-forward/src/core/places.rs
@@ -118,23 +118,41 @@
             }
             None if is_bounded => {
                 let plain_from = now.after(FIRST_STATEMENT_GRACE);
-                let pool = FragilePool { bearable, stated_at, plain_from };
+                let pool = FragilePool { bearable, stated_at, own_stated_at: None, plain_from };
                 self.fragile_pools.insert(pool_hash, pool);
             }
             _ => {}
         }
     }
 
-    /// Notices on all fragile pools, for heartbeats and snapshots.
-    pub(super) fn fragile_notices(&self, now: TimePoint) -> Vec<FragileNotice> {
-        let notices = self.fragile_pools.iter().map(|(pool_hash, pool)| FragileNotice {
-            pool_hash: *pool_hash,
-            bearable: pool.bearable.0,
-            age_ms: now.since(pool.stated_at).as_millis() as u32,
-        });
+    /// Records that a target of a pool said in an answer to this router that it is fragile.
+    pub(super) fn on_fragile_answer(
+        &mut self,
+        now: TimePoint,
+        pool_hash: u64,
+        bearable: RejectionLimit,
+    ) {
+        self.on_fragile_pool(now, pool_hash, bearable, now);
+        if let Some(pool) = self.fragile_pools.get_mut(&pool_hash) {
+            pool.own_stated_at = Some(now);
+        }
+    }
+
+    /// Notices for heartbeats on the pools that answers to this router showed to be fragile. What others report is
+    /// not passed on: its age would shrink by the time that each message takes, so that it would never end.
+    pub(super) fn own_fragile_notices(&self, now: TimePoint) -> Vec<FragileNotice> {
+        let own = self.fragile_pools.iter();
+        let own = own.filter_map(|(hash, pool)| Some((*hash, pool, pool.own_stated_at?)));
+        let notices = own.map(|(hash, pool, at)| fragile_notice(now, hash, pool, at));
         notices.collect()
     }
 
+    /// Notices on all fragile pools, for a starting router.
+    pub(super) fn fragile_notices(&self, now: TimePoint) -> Vec<FragileNotice> {
+        let pools = self.fragile_pools.iter();
+        pools.map(|(hash, pool)| fragile_notice(now, *hash, pool, pool.stated_at)).collect()
+    }
+
     /// Handles what another router says of fragile pools.
     pub(super) fn on_fragile_notices(&mut self, now: TimePoint, notices: &[FragileNotice]) {
         for notice in notices {
@@ -230,7 +248,8 @@
                 state.place.asks += 1;
                 let left_ms = state.deadline.since(now).as_millis() as u32;
                 let (bearable, rank) = (limit.0, state.rank);
-                let kind = PlaceMessageKind::Ask { left_ms, bearable, rank, may_wait };
+                let age_ms = self.statement_age_ms(now, target);
+                let kind = PlaceMessageKind::Ask { left_ms, bearable, age_ms, rank, may_wait };
                 self.send_place_message(name, key.0, target_hash, kind);
                 let until = now.after(ANSWER_TIMEOUT);
                 state.place.claim = ClaimState::Asked(claim, until);
@@ -321,11 +340,16 @@
         }
         let lease = LeaseKey { router: identity(entry), call };
         match kind {
-            PlaceMessageKind::Ask { left_ms, bearable, rank, may_wait } => {
+            PlaceMessageKind::Ask { left_ms, bearable, age_ms, rank, may_wait } => {
                 let ends_at = now.after(Duration::from_millis(u64::from(left_ms)));
                 let waits_until = may_wait.then(|| now.after(QUEUE_TIME).min(ends_at));
                 let ask = PlaceAsk { lease, router: Some(sender), rank, ends_at, waits_until };
-                self.on_place_asked(now, target_hash, RejectionLimit(bearable), ask);
+                // The asking router may have seen the statement before this one.
+                if let Some(record) = self.targets.find_by_hash(target_hash) {
+                    let notice = FragileNotice { pool_hash: record.pool_hash, bearable, age_ms };
+                    self.on_fragile_notices(now, &[notice]);
+                }
+                self.on_place_asked(now, target_hash, ask);
                 None
             }
             PlaceMessageKind::Released { is_rejected } => {
@@ -364,21 +388,18 @@
         std::mem::take(&mut self.place_wakeups)
     }
 
-    fn on_place_asked(
-        &mut self,
-        now: TimePoint,
-        target_hash: u64,
-        bearable: RejectionLimit,
-        ask: PlaceAsk,
-    ) {
+    /// Milliseconds since the latest answer that said that the pool of a target is fragile.
+    fn statement_age_ms(&self, now: TimePoint, target: TargetKey) -> u32 {
+        let record = self.targets.get(target);
+        let pool = record.and_then(|record| self.fragile_pools.get(&record.pool_hash));
+        pool.map_or(u32::MAX, |pool| now.since(pool.stated_at).as_millis() as u32)
+    }
+
+    fn on_place_asked(&mut self, now: TimePoint, target_hash: u64, ask: PlaceAsk) {
         let Some(sender) = ask.router.clone() else { return };
         let call = ask.lease.call;
         let outcome = match self.targets.key_of_hash(target_hash) {
             Some(target) if self.place_keeper(now, target) == PlaceKeeper::Own => {
-                if let Some(record) = self.targets.get(target) {
-                    // The asking router has seen the statement, perhaps before this one.
-                    self.on_fragile_pool(now, record.pool_hash, bearable, now);
-                }
                 self.ask_for_place(now, target, ask)
             }
             _ => AskOutcome::Denied,
@@ -580,6 +601,16 @@
     }
 }
 
+fn fragile_notice(
+    now: TimePoint,
+    pool_hash: u64,
+    pool: &FragilePool,
+    stated_at: TimePoint,
+) -> FragileNotice {
+    let age_ms = now.since(stated_at).as_millis() as u32;
+    FragileNotice { pool_hash, bearable: pool.bearable.0, age_ms }
+}
+
 /// Identifies one start of a router.
 pub(super) fn identity(entry: &RouterEntry) -> u64 {
     stable_hash(entry.name.as_str().as_bytes()) ^ entry.incarnation
--- a/crates/core-forward/src/places.rs
+++ b/crates/core-forward/src/places.rs
@@ -50,6 +50,8 @@
             left_ms: u32,
             /// Rejections a second that the target bears, as the asking router knows them.
             bearable: u32,
+            /// Milliseconds since the latest answer that said so.
+            age_ms: u32,
             /// Rank of the call; zero is served first.
             rank: u8,
             /// Whether the call waits for a place if none is free.
@@ -93,6 +95,8 @@
 pub(crate) struct FragilePool {
     pub(crate) bearable: RejectionLimit,
     pub(crate) stated_at: TimePoint,
+    /// The same of answers to this router; `None` if only others have heard of it.
+    pub(crate) own_stated_at: Option<TimePoint>,
     /// Time from which an answer without the statement shows that its target is not fragile.
     pub(crate) plain_from: TimePoint,
 }
--- a/crates/core-forward/tests/places.rs
+++ b/crates/core-forward/tests/places.rs
@@ -51,7 +51,7 @@
 
 test_cases! {
     check_round_trip:
-    an_ask_is_read(PlaceMessageKind::Ask { left_ms: u32::MAX, bearable: 8, rank: 3, may_wait: true });
+    an_ask_is_read(PlaceMessageKind::Ask { left_ms: u32::MAX, bearable: 8, age_ms: 5, rank: 3, may_wait: true });
     a_grant_is_read(PlaceMessageKind::Granted);
     a_queued_answer_is_read(PlaceMessageKind::Queued { wait_ms: 100 });
     a_denial_is_read(PlaceMessageKind::Denied);
@@ -150,3 +150,50 @@
     let step = other.dispatch(later, asking);
     assert!(matches!(step, DispatchStep::Refuse(Refusal::NotRun(_, at)) if at > later), "{step:?}");
 }
+
+/// Guards against routers that keep each other from forgetting that a pool was fragile.
+#[test]
+fn questions_do_not_keep_a_pool_fragile() {
+    let mut routers = keeper_and_other();
+    let plan = HeartbeatPlan { steps_per_heartbeat: 1, lost_share: 0.0 };
+    let mut random = StdRng::seed_from_u64(1);
+    let late = TimePoint(NOW.0 + 4_900_000);
+    plan.exchange(late, 0, &mut routers, &mut random);
+    let [keeper, other] = &mut routers;
+    let call =
+        other.admit(late, call_head(late, 1, None), ContentDigest(1)).expect("admitted").call;
+    assert!(matches!(other.dispatch(late, call), DispatchStep::AskPlace(_)));
+    for (_, message) in other.take_place_messages() {
+        keeper.on_place_message(late, message);
+    }
+    other.finish(call);
+    let ended = TimePoint(NOW.0 + 5_100_000);
+    plan.exchange(ended, 0, &mut routers, &mut random);
+    let [_, other] = &mut routers;
+    let call = other.admit(ended, call_head(ended, 2, None), ContentDigest(2));
+    let step = other.dispatch(ended, call.expect("admitted").call);
+    assert!(matches!(step, DispatchStep::Send(_)), "{step:?}");
+}
+
+/// Guards against heartbeats that keep a pool fragile, as each takes some time on its way.
+#[test]
+fn heartbeats_do_not_keep_a_pool_fragile() {
+    let mut routers = keeper_and_other();
+    let delay = std::time::Duration::from_millis(30);
+    let mut now = NOW;
+    for _ in 0..100 {
+        for (sender, receiver) in [(0, 1), (1, 0)] {
+            let heartbeat = routers[sender].next_heartbeat(now);
+            now = now.after(delay);
+            routers[receiver].on_heartbeat(now, heartbeat);
+        }
+    }
+    let [keeper, other] = &mut routers;
+    for core in [keeper, other] {
+        let call =
+            core.admit(now, call_head(now, 1, None), ContentDigest(1)).expect("admitted").call;
+        let step = core.dispatch(now, call);
+        assert!(matches!(step, DispatchStep::Send(_)), "{step:?}");
+        assert!(!core.has_place_messages());
+    }
+}
