Let a call that has a place be retried when its target is silent

Cause, found in reading the change: the place of the attempt in progress ruled out all other targets, so that a silent target of a fragile pool kept a call that may be repeated until its deadline. Change: a place binds the choice only before the attempt starts.

--- a/crates/core-forward/src/core/dispatch.rs
+++ b/crates/core-forward/src/core/dispatch.rs
@@ -304,7 +304,7 @@
                 // Nothing is fetched from a target of an evacuated failure domain either.
                 unreachable: record.is_unreachable(now) || record.is_evacuated,
                 excluded: state.attempted_targets.contains(&target)
-                    || state.place.excludes(target)
+                    || (state.current_attempt.is_none() && state.place.excludes(target))
                     || !record.keeper_silent_until.passed(now)
                     || !state.software.allows(record.software)
                     || !record.can_be_sent_calls(now)
--- a/crates/core-forward/tests/places.rs
+++ b/crates/core-forward/tests/places.rs
@@ -14,7 +14,7 @@
 use rand::{SeedableRng, rngs::StdRng};
 use state_config::RetryRule;
 
-use fixture::{call_head, new_router, router_entry, target_entry};
+use fixture::{call_head, new_router, new_router_with_attempts, router_entry, target_entry};
 use heartbeats::HeartbeatPlan;
 
 const NOW: TimePoint = TimePoint(60_000_000);
@@ -197,3 +197,21 @@
         assert!(!core.has_place_messages());
     }
 }
+
+/// Guards against a call that stays with a silent target because it has a place there.
+#[test]
+fn a_call_with_a_place_can_be_retried_at_another_target() {
+    let mut core = new_router_with_attempts(NOW, 0, 1, RetryRule::Idempotent, 2);
+    core.list_targets(NOW, vec![target_entry(0, 1), target_entry(1, 1)]);
+    let (call, key) = send(&mut core, 1).expect("sent");
+    core.on_rejection_limit(NOW, key, Some(RejectionLimit(8)));
+    core.on_attempt_finished(NOW, call, AttemptOutcome::Completed);
+    core.finish(call);
+    let (call, first) = send(&mut core, 2).expect("sent with a place");
+    assert!(core.can_retry(NOW, call));
+    core.on_attempt_finished(NOW, call, AttemptOutcome::Silent);
+    match core.dispatch(NOW, call) {
+        DispatchStep::Send(attempt) => assert_ne!(attempt.target, first),
+        step => panic!("{step:?}"),
+    }
+}
