Have another router record streams when the store refuses the recorder

Cause: one router, the recorder, writes which software served. Its successor was chosen by heartbeats alone, so that nobody took its place while the store turned it away. Class: a duty that follows whether its holder is alive, not whether it can do it. A new recorder keeps software on record that it does not know while its streams may go on. Why it works: the others know all software and origins by heartbeats, so that any of them can write the same.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -281,6 +281,12 @@
     /// Records that the platform responded, so that the list of targets is current.
     pub fn on_platform_responded(&mut self, now: TimePoint) {
         self.targets.software.on_platform_responded(now);
+        self.origins.record.on_platform_call(false);
+    }
+
+    /// Records that the platform did not respond to this router, or turned it away.
+    pub fn on_platform_failed(&mut self) {
+        self.origins.record.on_platform_call(true);
     }
 
     /// Removes expired targets and load shares; to be called about once a second.
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -127,6 +127,7 @@
             capacity: self.own_capacity(),
             speeds: self.take_speed_notices(now),
             fragile_pools: self.own_fragile_notices(now),
+            record_refused: self.origins.record.is_refused(),
             ..HeartbeatExtension::default()
         };
         let running = self.calls.values().filter(|call| call.current_attempt.is_some());
--- a/crates/core-forward/src/core/records.rs
+++ b/crates/core-forward/src/core/records.rs
@@ -9,7 +9,8 @@
 use policy_routing::{rendezvous_score, stable_hash};
 
 use crate::{
-    ContentReport, ForwardCore, OriginRecord, RecordWrite, SoftwareKey, heartbeat_interval,
+    ContentReport, ForwardCore, OriginRecord, PoolSoftware, RecordWrite, SoftwareKey,
+    heartbeat_interval,
 };
 
 /// Time from the first start of a fleet after which a router may be the recorder: only then has it learned
@@ -27,7 +28,7 @@
     pub fn next_record_write(&mut self, now: TimePoint) -> Option<RecordWrite> {
         if !self.is_recorder(now) {
             self.origins.record.stop();
-            return None;
+            return self.retried_write(now);
         }
         let software = &self.targets.software;
         let pools = software.by_pool(now);
@@ -50,11 +51,43 @@
         self.origins.next_write(now)
     }
 
+    /// The write by which a router that was refused learns that it may be the recorder again.
+    fn retried_write(&self, now: TimePoint) -> Option<RecordWrite> {
+        let software = &self.targets.software;
+        let pools = software.by_pool(now);
+        let is_due = self.origins.record.is_retry_due(now);
+        (is_due && software.is_complete(now) && !pools.is_empty())
+            .then_some(RecordWrite::Software(pools))
+    }
+
+    /// Merges the software on record with what this router knows, and returns what is to replace it. Software
+    /// that another router recorded and this one does not know is kept.
+    pub fn merge_recorded_software(
+        &mut self,
+        now: TimePoint,
+        recorded: &PoolSoftware,
+    ) -> PoolSoftware {
+        for (pool, versions) in recorded {
+            for software in versions {
+                if !self.origins.record.has_written(pool, *software) {
+                    self.targets.software.on_recorded(now, pool, *software);
+                }
+            }
+        }
+        self.targets.software.by_pool(now)
+    }
+
     /// Records that the platform accepted a write.
     pub fn on_record_written(&mut self, now: TimePoint, write: RecordWrite) {
         self.origins.record.on_written(now, write);
     }
 
+    /// Records that the platform refused a write, or that one is not answered: another router becomes the
+    /// recorder until a later write succeeds.
+    pub fn on_record_failed(&mut self, now: TimePoint) {
+        self.origins.record.on_failed(now);
+    }
+
     /// Whether this router records the origins of streams now.
     pub fn is_recording_origins(&self) -> bool {
         self.origins.record.has_origins()
@@ -90,7 +123,7 @@
     }
 
     /// Whether rendezvous hashing assigns the record to this router among those whose heartbeats
-    /// arrive.
+    /// arrive. Routers that the platform refuses count only where it refuses all.
     fn is_recorder(&mut self, now: TimePoint) -> bool {
         if !self.ready() || self.is_past_awaited() {
             return false;
@@ -100,11 +133,13 @@
         if !self.recorder_from.get_or_insert(now.after(delay)).passed(now) {
             return false;
         }
-        let score = |name: &HostName| {
-            rendezvous_score(RECORD_HASH, stable_hash(name.as_str().as_bytes()), 1)
+        let rank = |name: &HostName, is_refused: bool| {
+            let name_hash = stable_hash(name.as_str().as_bytes());
+            (!is_refused, rendezvous_score(RECORD_HASH, name_hash, 1))
         };
-        let own_score = score(&self.entry.name);
-        self.peers.serving_within(now, silence).all(|peer| score(&peer.name) < own_score)
+        let own_rank = rank(&self.entry.name, self.origins.record.is_refused());
+        let mut peers = self.peers.recorder_candidates(now, silence);
+        peers.all(|(peer, is_refused)| rank(&peer.name, is_refused) < own_rank)
     }
 }
 
--- a/crates/core-forward/src/envelope.rs
+++ b/crates/core-forward/src/envelope.rs
@@ -87,6 +87,8 @@
         ColdRates,
         /// Pools whose targets are fragile.
         FragilePools,
+        /// That the platform refuses what the sender records; without a payload.
+        RecordRefused,
         /// MAC over all bytes before the record.
         Authentication,
     }
@@ -102,7 +104,7 @@
 }
 
 impl RecordTag {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::ColdTargets,
         Self::Evacuations,
         Self::Speeds,
@@ -110,6 +112,7 @@
         Self::WaitingCalls,
         Self::ColdRates,
         Self::FragilePools,
+        Self::RecordRefused,
         Self::Authentication,
     ];
 
@@ -123,6 +126,7 @@
             Self::WaitingCalls => 5,
             Self::ColdRates => 6,
             Self::FragilePools => 7,
+            Self::RecordRefused => 8,
             Self::Authentication => 127,
         }
     }
@@ -135,7 +139,7 @@
 impl PeerFormat {
     /// Format of this build.
     pub const CURRENT: Self =
-        Self { version: FORMAT_VERSION, highest_tag: RecordTag::FragilePools.number() };
+        Self { version: FORMAT_VERSION, highest_tag: RecordTag::RecordRefused.number() };
 
     /// Whether a router of this format reads records of a tag. One of a later framing counts as reading
     /// none, as it may not find the records of this build.
@@ -256,6 +260,9 @@
     writer.write_evacuations(extension.evacuations.as_ref())?;
     writer.write_list(RecordTag::FragilePools, &extension.fragile_pools, FRAGILE_POOLS_MAX)?;
     writer.write_list(RecordTag::ColdTargets, &extension.cold_targets, COLD_TARGETS_MAX)?;
+    if extension.record_refused {
+        writer.write(RecordTag::RecordRefused, &())?;
+    }
     if let Some(capacity) = &extension.capacity {
         writer.write(RecordTag::RouterCapacity, capacity)?;
     }
@@ -520,6 +527,10 @@
             Some(RecordTag::FragilePools) => {
                 extension.fragile_pools = read_list(payload, FRAGILE_POOLS_MAX)?;
             }
+            Some(RecordTag::RecordRefused) => {
+                read_value::<()>(payload)?;
+                extension.record_refused = true;
+            }
             Some(RecordTag::ColdRates | RecordTag::Authentication) | None => unknown_records += 1,
         }
     }
@@ -548,7 +559,10 @@
                 extension.fragile_pools = read_list(payload, FRAGILE_POOLS_MAX)?;
             }
             Some(
-                RecordTag::RouterCapacity | RecordTag::WaitingCalls | RecordTag::Authentication,
+                RecordTag::RouterCapacity
+                | RecordTag::WaitingCalls
+                | RecordTag::RecordRefused
+                | RecordTag::Authentication,
             )
             | None => unknown_records += 1,
         }
--- a/crates/core-forward/src/extension.rs
+++ b/crates/core-forward/src/extension.rs
@@ -70,6 +70,8 @@
         pub waiting: Vec<WaitingNotice>,
         /// Pools whose targets are fragile.
         pub fragile_pools: Vec<FragileNotice>,
+        /// Whether the platform refuses what the sender records, so that another router is to be the recorder.
+        pub record_refused: bool,
     }
 
     /// Records of a snapshot beside its frozen layout.
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -60,7 +60,7 @@
     peers::{PeerHeartbeat, RouterEntry, TargetOutcomes},
     place_codec::{decode_place, encode_place, is_place_message},
     places::{FragileNotice, PlaceMessage, PlaceMessageKind},
-    software::{SoftwareKey, SoftwareNotice},
+    software::{PoolSoftware, SoftwareKey, SoftwareNotice},
     target_news::TargetNotice,
     targets::{LeavingNotice, TargetEntry, TargetStatus},
     waiting::{PoolWaits, WaitInputs},
--- a/crates/core-forward/src/origin_record.rs
+++ b/crates/core-forward/src/origin_record.rs
@@ -8,7 +8,7 @@
 
 use base_types::{ContentKey, PoolName, TimePoint, message_types};
 
-use crate::{BlockNotice, SoftwareKey};
+use crate::{BlockNotice, SoftwareKey, software::PoolSoftware};
 
 /// Shortest time between two writes of origins; a stream that breaks off sooner may be unknown after all
 /// routers restarted.
@@ -17,6 +17,9 @@
 /// Time for which origins are added to one part before the next part is begun.
 const PART_TIME: Duration = Duration::from_secs(1);
 
+/// Time after a failed write after which a router that is not the recorder any more tries another one.
+const WRITE_RETRY_TIME: Duration = Duration::from_secs(1);
+
 /// Origins in one part; each takes 17 bytes as text.
 const PART_ORIGINS_MAX: usize = 8_192;
 
@@ -27,7 +30,7 @@
     /// A write of the recorder.
     pub enum RecordWrite {
         /// The software that served each pool while its streams may go on.
-        Software(BTreeMap<PoolName, Vec<SoftwareKey>>),
+        Software(PoolSoftware),
         /// The content that is blocked because it crashes targets.
         Blocks(Vec<BlockNotice>),
         /// One part of the origins of streams.
@@ -43,7 +46,7 @@
     #[derive(Default)]
     pub struct OriginRecord {
         /// The software that served each pool.
-        pub software: BTreeMap<PoolName, Vec<SoftwareKey>>,
+        pub software: PoolSoftware,
         /// Hashes of the calls that began streams, and the software of each.
         pub origins: Vec<(u64, SoftwareKey)>,
         /// The content that was blocked.
@@ -55,11 +58,21 @@
 #[derive(Debug, Default)]
 pub(crate) struct RecordSchedule {
     /// Software as last written by this router; `None` while another one is the recorder.
-    written_software: Option<BTreeMap<PoolName, Vec<SoftwareKey>>>,
+    written_software: Option<PoolSoftware>,
     /// Content as last written, with the number of its trials; the record is taken to have none first.
     written_blocks: BTreeMap<ContentKey, u8>,
     /// The origins being recorded; `None` while no pool has several versions.
     part: Option<RecordPart>,
+    access: RecordAccess,
+}
+
+/// Whether the platform takes what this router writes.
+#[derive(Debug, Default)]
+struct RecordAccess {
+    /// Whether calls of other kinds fail.
+    is_platform_failing: bool,
+    /// Time of the next write after one that failed; `None` after one that succeeded.
+    retry_at: Option<TimePoint>,
 }
 
 /// The part that is being written, and the calls that later writes must contain.
@@ -77,7 +90,34 @@
 impl RecordSchedule {
     /// Forgets what was written, as another router is the recorder.
     pub(crate) fn stop(&mut self) {
-        *self = Self::default();
+        *self = Self { access: std::mem::take(&mut self.access), ..Self::default() };
+    }
+
+    /// Whether the platform refused the last write, or does not respond to this router.
+    pub(crate) fn is_refused(&self) -> bool {
+        self.access.is_platform_failing || self.access.retry_at.is_some()
+    }
+
+    /// Whether a write is due by which a router that was refused learns that the platform takes its writes
+    /// again.
+    pub(crate) fn is_retry_due(&self, now: TimePoint) -> bool {
+        self.access.retry_at.is_some_and(|retry_at| retry_at.passed(now))
+    }
+
+    /// Records that a write failed.
+    pub(crate) fn on_failed(&mut self, now: TimePoint) {
+        self.access.retry_at = Some(now.after(WRITE_RETRY_TIME));
+    }
+
+    /// Records whether the platform responds to calls of other kinds.
+    pub(crate) fn on_platform_call(&mut self, has_failed: bool) {
+        self.access.is_platform_failing = has_failed;
+    }
+
+    /// Whether software is on record as far as this router knows.
+    pub(crate) fn has_written(&self, pool: &PoolName, software: SoftwareKey) -> bool {
+        let written = self.written_software.as_ref().and_then(|written| written.get(pool));
+        written.is_some_and(|versions| versions.contains(&software))
     }
 
     /// Ends the recording of origins.
@@ -111,10 +151,7 @@
     }
 
     /// Returns the software to write, if it differs from what was written last.
-    pub(crate) fn software_write(
-        &self,
-        software: BTreeMap<PoolName, Vec<SoftwareKey>>,
-    ) -> Option<RecordWrite> {
+    pub(crate) fn software_write(&self, software: PoolSoftware) -> Option<RecordWrite> {
         let is_new = self.written_software.as_ref() != Some(&software);
         is_new.then_some(RecordWrite::Software(software))
     }
@@ -138,6 +175,7 @@
 
     /// Records that a write succeeded; one that failed is due again.
     pub(crate) fn on_written(&mut self, now: TimePoint, write: RecordWrite) {
+        self.access.retry_at = None;
         match write {
             RecordWrite::Software(software) => self.written_software = Some(software),
             RecordWrite::Blocks(blocks) => self.written_blocks = trials_by_content(&blocks),
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -128,6 +128,7 @@
     refusing_until: TimePoint,
     unreachable_pools: Vec<u64>,
     cut_off: bool,
+    record_refused: bool,
     capacity: Option<PeerCapacity>,
     /// Latest format of the heartbeats of its current start; that of the frozen layout until one was
     /// received.
@@ -154,6 +155,7 @@
             refusing_until: TimePoint(0),
             unreachable_pools: Vec::new(),
             cut_off: false,
+            record_refused: false,
             capacity: None,
             format: PeerFormat::default(),
         }
@@ -241,6 +243,7 @@
         record.calls_in_flight = loads.fold(0, |sum: u32, load| sum.saturating_add(load.in_flight));
         record.unreachable_pools.clone_from(&heartbeat.unreachable_pools);
         record.cut_off = heartbeat.cut_off;
+        record.record_refused = heartbeat.extension.record_refused;
         record.record_capacity(now, heartbeat.extension.capacity);
         is_restarted
     }
@@ -313,16 +316,18 @@
         serving.map(|record| &record.entry)
     }
 
-    /// Returns the serving routers whose last heartbeat is at most `silence` old.
-    pub(crate) fn serving_within(
+    /// Returns the serving routers whose last heartbeat is at most `silence` old, and whether the platform
+    /// refuses what they record.
+    pub(crate) fn recorder_candidates(
         &self,
         now: TimePoint,
         silence: Duration,
-    ) -> impl Iterator<Item = &RouterEntry> {
+    ) -> impl Iterator<Item = (&RouterEntry, bool)> {
         let since =
             move |record: &PeerRecord| HEARTBEAT_TTL.saturating_sub(record.alive_until.since(now));
         let serving = self.records.values().filter(move |record| record.is_serving(now));
-        serving.filter(move |record| since(record) <= silence).map(|record| &record.entry)
+        let recent = serving.filter(move |record| since(record) <= silence);
+        recent.map(|record| (&record.entry, record.record_refused))
     }
 
     /// Returns the serving routers that reach targets.
--- a/crates/core-forward/src/software.rs
+++ b/crates/core-forward/src/software.rs
@@ -25,6 +25,9 @@
     pub struct SoftwareKey(pub u64);
 }
 
+/// Software by pool.
+pub type PoolSoftware = BTreeMap<PoolName, Vec<SoftwareKey>>;
+
 value_types! {
     /// Report of a router on software that targets of a pool ran.
     #[derive(Eq)]
@@ -161,8 +164,8 @@
     }
 
     /// The software that served while its streams may go on, by pool.
-    pub(crate) fn by_pool(&self, now: TimePoint) -> BTreeMap<PoolName, Vec<SoftwareKey>> {
-        let mut pools: BTreeMap<PoolName, Vec<SoftwareKey>> = BTreeMap::new();
+    pub(crate) fn by_pool(&self, now: TimePoint) -> PoolSoftware {
+        let mut pools = PoolSoftware::new();
         for ((pool, software), until) in &self.seen_until {
             if !until.passed(now) {
                 pools.entry(pool.clone()).or_default().push(*software);
--- a/crates/core-forward/tests/envelope.rs
+++ b/crates/core-forward/tests/envelope.rs
@@ -50,6 +50,7 @@
         capacity: Some(RouterCapacity { weight: 12, load_percent: 80 }),
         waiting: vec![WaitingNotice { pool_hash: 5, calls: 6 }],
         fragile_pools: fragile_pools(2),
+        record_refused: true,
     }
 }
 
--- a/crates/core-forward/tests/envelope_fuzz.rs
+++ b/crates/core-forward/tests/envelope_fuzz.rs
@@ -34,6 +34,7 @@
         capacity: Some(RouterCapacity { weight: 4, load_percent: 5 }),
         waiting: vec![WaitingNotice { pool_hash: 7, calls: 8 }; 20],
         fragile_pools: vec![FragileNotice { pool_hash: 7, bearable: 8, age_ms: 9 }; 20],
+        record_refused: true,
     };
     PeerHeartbeat { extension, ..full_heartbeat() }
 }
--- a/crates/core-forward/tests/envelope_sizes.rs
+++ b/crates/core-forward/tests/envelope_sizes.rs
@@ -72,6 +72,7 @@
             capacity: Some(RouterCapacity { weight: 120, load_percent: 80 }),
             waiting: vec![WaitingNotice { pool_hash: hash(0), calls: 20 }],
             fragile_pools: fragile_pools(),
+            record_refused: false,
         },
         ..heartbeat
     }
--- a/crates/core-forward/tests/record.rs
+++ b/crates/core-forward/tests/record.rs
@@ -10,8 +10,8 @@
 
 use base_types::{ContentDigest, NotRunCode, Refusal, TimePoint, test_cases};
 use core_forward::{
-    AttemptOutcome, CallKey, DispatchStep, ForwardCore, OriginRecord, RECORD_PARTS, RecordWrite,
-    SoftwareKey, StreamResumption, TargetEntry,
+    AttemptOutcome, CallKey, DispatchStep, ForwardCore, OriginRecord, PoolSoftware, RECORD_PARTS,
+    RecordWrite, SoftwareKey, StreamResumption, TargetEntry,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::RetryRule;
@@ -36,7 +36,7 @@
 /// Writes that the platform accepted.
 #[derive(Debug, Default)]
 struct RecordStore {
-    software: BTreeMap<base_types::PoolName, Vec<SoftwareKey>>,
+    software: PoolSoftware,
     parts: BTreeMap<u32, BTreeMap<SoftwareKey, Vec<u64>>>,
     writes: u32,
 }
@@ -317,16 +317,6 @@
     let now = seconds(1);
     let mut routers = [0, 1, 2].map(|index| new_router(now, index, 1, RetryRule::ResumableStream));
     routers.iter_mut().for_each(|core| core.list_targets(now, [older(), newer()].concat()));
-    let exchange = |routers: &mut [ForwardCore], now: TimePoint| {
-        for sender in 0..routers.len() {
-            let heartbeat = routers[sender].next_heartbeat(now);
-            routers.iter_mut().for_each(|core| core.on_heartbeat(now, heartbeat.clone()));
-        }
-    };
-    let writers = |routers: &mut [ForwardCore], now: TimePoint| -> Vec<usize> {
-        let is_writer = |core: &mut ForwardCore| core.next_record_write(now).is_some();
-        (0..routers.len()).filter(|index| is_writer(&mut routers[*index])).collect()
-    };
     exchange(&mut routers, now);
     assert_eq!(writers(&mut routers, now), [0; 0], "all may just have started");
     exchange(&mut routers, seconds(3));
@@ -351,6 +341,98 @@
     recorder.finish(call);
 }
 
+/// Routers that know of each other, and the index of the recorder among them.
+fn routers_with_recorder() -> (Vec<ForwardCore>, usize) {
+    let new = |index| new_router(seconds(1), index, 1, RetryRule::ResumableStream);
+    let mut routers: Vec<ForwardCore> = (0..3).map(new).collect();
+    routers.iter_mut().for_each(|core| core.list_targets(seconds(1), older()));
+    exchange(&mut routers, seconds(1));
+    assert_eq!(writers(&mut routers, seconds(1)), [0; 0], "all may just have started");
+    exchange(&mut routers, seconds(3));
+    let recorder = writers(&mut routers, seconds(3));
+    assert_eq!(recorder.len(), 1, "one recorder");
+    (routers, recorder[0])
+}
+
+fn exchange(routers: &mut [ForwardCore], now: TimePoint) {
+    for sender in 0..routers.len() {
+        let heartbeat = routers[sender].next_heartbeat(now);
+        routers.iter_mut().for_each(|core| core.on_heartbeat(now, heartbeat.clone()));
+    }
+}
+
+fn writers(routers: &mut [ForwardCore], now: TimePoint) -> Vec<usize> {
+    let is_writer = |core: &mut ForwardCore| core.next_record_write(now).is_some();
+    (0..routers.len()).filter(|index| is_writer(&mut routers[*index])).collect()
+}
+
+/// What the platform refuses.
+#[derive(Debug, Clone, Copy)]
+enum RecorderRefusal {
+    OfWrites,
+    OfAllCalls,
+}
+
+/// The platform turns the recorder away while it runs: another router writes until the platform takes its writes
+/// again. Where the platform turns all routers away, one of them goes on trying.
+fn check_refused_recorder(refusal: RecorderRefusal, is_for_all: bool) {
+    let at = |millis: u64| seconds(3).after(Duration::from_millis(millis));
+    let (mut routers, recorder) = routers_with_recorder();
+    let refuse = |core: &mut ForwardCore| match refusal {
+        RecorderRefusal::OfWrites => core.on_record_failed(at(0)),
+        RecorderRefusal::OfAllCalls => core.on_platform_failed(),
+    };
+    let refused = routers.iter_mut().enumerate();
+    refused
+        .filter(|(index, _)| is_for_all || *index == recorder)
+        .for_each(|(_, core)| refuse(core));
+    exchange(&mut routers, at(10));
+    let writing = writers(&mut routers, at(10));
+    assert_eq!(writing.len(), 1, "{writing:?}");
+    assert_eq!(writing[0] == recorder, is_for_all, "{writing:?}");
+    exchange(&mut routers, at(1_100));
+    if let RecorderRefusal::OfAllCalls = refusal {
+        routers.iter_mut().for_each(|core| core.on_platform_responded(at(1_100)));
+    }
+    for core in &mut routers {
+        while let Some(write) = core.next_record_write(at(1_100)) {
+            core.on_record_written(at(1_100), write);
+        }
+    }
+    exchange(&mut routers, at(1_110));
+    routers.iter_mut().for_each(|core| core.list_targets(at(1_120), newer()));
+    exchange(&mut routers, at(1_130));
+    assert_eq!(writers(&mut routers, at(1_140)), [recorder], "it is served again");
+}
+
+test_cases! {
+    check_refused_recorder:
+    a_recorder_whose_writes_fail_is_replaced(RecorderRefusal::OfWrites, false);
+    a_recorder_without_the_platform_is_replaced(RecorderRefusal::OfAllCalls, false);
+    a_recorder_goes_on_where_all_writes_fail(RecorderRefusal::OfWrites, true);
+    a_recorder_goes_on_where_the_platform_is_away(RecorderRefusal::OfAllCalls, true);
+}
+
+/// Guards against a new recorder that removes software which only its predecessor knew.
+#[test]
+fn software_of_another_recorder_is_kept_while_its_streams_may_go_on() {
+    let mut core = new_router(seconds(1), 0, 1, RetryRule::ResumableStream);
+    core.list_targets(seconds(1), newer());
+    core.next_record_write(seconds(1));
+    let recorded = recorded_software(&["v1"]).software;
+    let count = |software: &PoolSoftware| software.values().map(Vec::len).sum::<usize>();
+    let merged = core.merge_recorded_software(seconds(3), &recorded);
+    assert_eq!(count(&merged), 2);
+    core.on_record_written(seconds(3), RecordWrite::Software(merged.clone()));
+    core.list_targets(seconds(60), newer());
+    core.sweep(seconds(64));
+    assert_eq!(
+        count(&core.merge_recorded_software(seconds(64), &merged)),
+        1,
+        "its streams are over"
+    );
+}
+
 /// A write that fails is due again, with what came since; at most one in 50 ms.
 #[test]
 fn origins_that_were_not_written_are_written_later() {
--- a/crates/fakes/src/gateway/store.rs
+++ b/crates/fakes/src/gateway/store.rs
@@ -27,6 +27,15 @@
     Busy,
 }
 
+/// A further address of the store, at which it treats calls in a mode of its own.
+#[derive(Debug, Clone)]
+pub struct StoreDoor {
+    /// Address on which the store listens.
+    pub address: SocketAddr,
+    number: usize,
+    mode: Arc<Mutex<StoreMode>>,
+}
+
 #[derive(Debug)]
 struct StoreState {
     mode: StoreMode,
@@ -39,6 +48,9 @@
     objects: BTreeMap<(String, String), (u64, Value)>,
     history: Vec<(u64, String, Value, bool)>,
     calls: Vec<String>,
+    /// Number of the door through which each kind was last written.
+    writers: BTreeMap<String, usize>,
+    doors: usize,
     /// Texts of specs that are no JSON values of this process, by the strings that stand for them.
     texts: BTreeMap<String, String>,
 }
@@ -64,6 +76,8 @@
             objects: BTreeMap::new(),
             history: Vec::new(),
             calls: Vec::new(),
+            writers: BTreeMap::new(),
+            doors: 0,
             texts: BTreeMap::new(),
         };
         let store = Self {
@@ -71,13 +85,39 @@
             state: Arc::new(Mutex::new(state)),
             changed: Arc::default(),
         };
-        let server = store.clone();
+        store.listen(listener);
+        store
+    }
+
+    /// Opens a further address, so that calls of one router can be refused.
+    pub async fn open_door(&self) -> StoreDoor {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a port");
+        self.listen(listener)
+    }
+
+    fn listen(&self, listener: TcpListener) -> StoreDoor {
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        let number = state.doors;
+        state.doors += 1;
+        let door = StoreDoor {
+            address: listener.local_addr().expect("the listener has no address"),
+            number,
+            mode: Arc::new(Mutex::new(StoreMode::Healthy)),
+        };
+        let (server, accepting) = (self.clone(), door.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(server.clone().serve(HttpConnection::new(stream)));
+                let connection = HttpConnection::new(stream);
+                tokio::spawn(server.clone().serve(connection, accepting.clone()));
             }
         });
-        store
+        door
+    }
+
+    /// Whether objects of a kind were last written through a door.
+    pub fn was_written_through(&self, kind: &str, door: &StoreDoor) -> bool {
+        let state = self.state.lock().expect("the state lock is poisoned");
+        state.writers.get(kind) == Some(&door.number)
     }
 
     /// Writes an object without a check of its revision.
@@ -153,13 +193,24 @@
         state.calls.iter().filter(|call| call.starts_with(prefix)).count()
     }
 
-    async fn serve(self, mut connection: HttpConnection) {
+    async fn serve(self, mut connection: HttpConnection, door: StoreDoor) {
         while let Some(request) = connection.read(false).await {
             let silence_count = self.silence_count();
-            let Some((status, body)) = self.answer(&request).await else { return stall().await };
-            if self.silence_count() != silence_count {
+            let answer = match door.mode() {
+                StoreMode::Healthy => self.answer(&request).await,
+                StoreMode::Busy => Some((503, json!({}))),
+                StoreMode::Silent => None,
+            };
+            let Some((mut status, mut body)) = answer else { return stall().await };
+            if self.silence_count() != silence_count || door.mode() == StoreMode::Silent {
                 return stall().await;
             }
+            if door.mode() == StoreMode::Busy {
+                (status, body) = (503, json!({}));
+            }
+            if status == 200 && matches!(request.method(), "POST" | "PUT") {
+                self.record_writer(&request, &door);
+            }
             let mut body = body.to_string();
             for (stand_in, text) in &self.state.lock().expect("the state lock is poisoned").texts {
                 body = body.replace(stand_in, text);
@@ -170,6 +221,12 @@
         }
     }
 
+    fn record_writer(&self, request: &HttpMessage, door: &StoreDoor) {
+        let kind = request.target().trim_start_matches("/api/objects/").split('/').next();
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        state.writers.insert(kind.unwrap_or("").to_owned(), door.number);
+    }
+
     fn silence_count(&self) -> u64 {
         self.state.lock().expect("the state lock is poisoned").silence_count
     }
@@ -279,6 +336,17 @@
     }
 }
 
+impl StoreDoor {
+    /// Sets how calls through this door are treated from now on.
+    pub fn set_mode(&self, mode: StoreMode) {
+        *self.mode.lock().expect("the mode lock is poisoned") = mode;
+    }
+
+    fn mode(&self) -> StoreMode {
+        *self.mode.lock().expect("the mode lock is poisoned")
+    }
+}
+
 async fn stall() {
     std::future::pending::<()>().await;
 }
