Take late calls at a stopping router only if their deadline ends them

Cause: a stopping router took calls that were likely to end in time, judged by how long earlier ones took. Class: a deadline that one part has and the part that takes on work does not ask for. Why it works: a call that is taken later ends by its deadline with an answer of its target or of the router.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -21,6 +21,7 @@
 pub use self::beats::heartbeat_interval;
 pub use self::snapshots::{EngineAddress, PeerSnapshot, SegmentHolders};
 pub use self::speeds::EVENT_REPORT_INTERVAL;
+pub use self::stopping::StopSchedule;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -135,8 +136,8 @@
     /// Whether the configuration comes from a snapshot, whose layout does not have all of it.
     is_config_partial: bool,
     shutting_down: bool,
-    /// Time at which the process ends; [`TimePoint::NEVER`] before the shutdown.
-    stop_at: TimePoint,
+    /// When the shutdown ends; `None` before it begins.
+    stop_schedule: Option<StopSchedule>,
     /// Longest time that calls took of late, by route.
     longest_times: BTreeMap<RouteName, LongestTime>,
     targets: TargetTable,
@@ -213,7 +214,7 @@
             config_adopted_at: TimePoint(0),
             is_config_partial: false,
             shutting_down: false,
-            stop_at: TimePoint::NEVER,
+            stop_schedule: None,
             longest_times: BTreeMap::new(),
             targets: TargetTable::new(EvacuationTable::new(bounds.evacuations)),
             targets_listed: false,
--- a/crates/core-forward/src/core/stopping.rs
+++ b/crates/core-forward/src/core/stopping.rs
@@ -1,4 +1,8 @@
 //! Which calls a router still takes while it stops.
+//!
+//! Answers the load of a planned stop: callers come for as long as they use a list that names the router, and
+//! later ones because no other router serves. Invariant: after the first time, only calls are admitted whose
+//! own deadline ends them before the process does; how long earlier calls took bounds no later one.
 
 use std::time::Duration;
 
@@ -6,32 +10,49 @@
 
 use crate::{ForwardCore, call::CallState};
 
+/// Time in which the answer to a call that has reached its deadline is sent to its caller.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
+/// When the parts of a shutdown end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopSchedule {
+    /// Time until which callers may use a list that still names the router.
+    pub listed_until: TimePoint,
+    /// Time at which the process ends.
+    pub stop_at: TimePoint,
+}
+
 impl ForwardCore {
-    /// Starts the shutdown: the router is no longer listed for new callers, and admits only calls that are likely
-    /// to end before `stop_at`, when the process ends.
-    pub fn start_shutdown(&mut self, stop_at: TimePoint) {
+    /// Starts the shutdown: the router is no longer listed for new callers, and admits calls that are likely
+    /// to end before the process does, later only those that must.
+    pub fn start_shutdown(&mut self, schedule: StopSchedule) {
         self.shutting_down = true;
-        self.stop_at = stop_at;
+        self.stop_schedule = Some(schedule);
     }
 
-    /// Whether a call that starts now is likely to end before the process does. Where no call of the route has ended
-    /// of late, it may take until its deadline.
+    /// Whether a call that starts now may be taken: its deadline ends it before the process ends, or it is likely to
+    /// end by then and its caller may not know yet that the router stops. Where no call of the route has ended of
+    /// late, it may take until its deadline.
     pub(super) fn can_end_by_stop(
         &self,
         now: TimePoint,
         route: &RouteName,
         deadline: TimePoint,
     ) -> bool {
-        if !self.shutting_down || self.stop_at == TimePoint::NEVER {
+        let Some(StopSchedule { listed_until, stop_at }) = self.stop_schedule else { return true };
+        if deadline.after(ANSWER_TIME) < stop_at {
             return true;
         }
+        if listed_until.passed(now) {
+            return false;
+        }
         let bound = self.longest_times.get(route).and_then(|times| times.likely_bound(now));
         // A call that is running shows that calls take at least that long.
         let running = self.calls.values().filter(|call| call.route == *route);
         let running = running.map(|call| now.since(call.admitted_at)).max();
         let needed = bound.map(|bound| running.max(Some(bound)));
         let ends_at = needed.flatten().map(|needed| now.after(needed));
-        ends_at.map_or(deadline, |ends_at| ends_at.min(deadline)) < self.stop_at
+        ends_at.is_some_and(|ends_at| ends_at < stop_at)
     }
 
     /// Records how long a call took that was answered.
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -37,7 +37,7 @@
     },
     core::{
         AdmittedCall, EVENT_REPORT_INTERVAL, EngineAddress, ForwardCore, ForwardStatus,
-        PeerSnapshot, SegmentHolders, heartbeat_interval,
+        PeerSnapshot, SegmentHolders, StopSchedule, heartbeat_interval,
     },
     crashes::{BlockNotice, ContentReport, CrashNotice, SuspectNotice},
     detours::{DetourClaim, DetourOutcome, DetourSpec},
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -9,7 +9,7 @@
 use core_forward::{
     AttemptOutcome, AttemptSpec, CallHead, CallKey, CallRate, CallerKey, DispatchStep,
     ForwardBounds, ForwardCore, PromptHead, PromptSegment, RouterEntry, SoftwareKey,
-    SoftwareNotice, StreamResumption, TargetEntry, TargetNotice,
+    SoftwareNotice, StopSchedule, StreamResumption, TargetEntry, TargetNotice,
 };
 use proptest::prelude::*;
 use state_config::{
@@ -301,10 +301,11 @@
         core.caller_addresses(now.after(Duration::from_secs(3)), CallerKey(7)),
         [address(100)]
     );
-    other.start_shutdown(TimePoint::NEVER);
+    other
+        .start_shutdown(StopSchedule { listed_until: TimePoint::NEVER, stop_at: TimePoint::NEVER });
     core.on_heartbeat(now, other.next_heartbeat(now));
     assert_eq!(core.caller_addresses(now, CallerKey(7)), [address(100)]);
-    core.start_shutdown(TimePoint::NEVER);
+    core.start_shutdown(StopSchedule { listed_until: TimePoint::NEVER, stop_at: TimePoint::NEVER });
     assert_eq!(core.caller_addresses(now, CallerKey(7)), []);
 }
 
--- a/crates/core-forward/tests/stopping.rs
+++ b/crates/core-forward/tests/stopping.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use base_types::{ContentDigest, NotRunCode, TimePoint, test_cases};
-use core_forward::{AttemptOutcome, DispatchStep, ForwardCore};
+use core_forward::{AttemptOutcome, CallHead, DispatchStep, ForwardCore, StopSchedule};
 use state_config::RetryRule;
 
 use fixture::{call_head, new_router, target_entry};
 
 const STOPPED_AT: TimePoint = TimePoint(20_000_000);
-const GRACE_TIME: Duration = Duration::from_secs(8);
+const SCHEDULE: StopSchedule =
+    StopSchedule { listed_until: TimePoint(23_000_000), stop_at: TimePoint(28_000_000) };
 
 /// Calls that take each time; enough to know how long calls take.
 const CALLS_PER_TIME: usize = 80;
@@ -27,36 +28,43 @@
     core.finish(call);
 }
 
-/// Calls that took `times` before the stop decide whether one that comes `after` it is taken. Guards against
-/// calls that are cut as the process ends, and against refusing those that can end.
-fn check_stop(times: &[Duration], after: Duration, is_taken: bool) {
+/// Calls that took `times` before the stop and its own deadline decide whether a call that comes `after` it is taken.
+/// Guards against calls that are cut as the process ends, and against refusing those that can end.
+fn check_stop(times: &[Duration], after: Duration, deadline: Duration, is_taken: bool) {
     let start = TimePoint(STOPPED_AT.0 - 10_000_000);
     let mut core = new_router(start, 0, 1, RetryRule::AtMostOnceStream);
     core.list_targets(start, vec![target_entry(0, 1)]);
     for (number, time) in times.iter().cycle().take(times.len() * CALLS_PER_TIME).enumerate() {
         serve(&mut core, start, number as u64, *time);
     }
-    core.start_shutdown(STOPPED_AT.after(GRACE_TIME));
+    core.start_shutdown(SCHEDULE);
     let now = STOPPED_AT.after(after);
-    let admitted = core.admit(now, call_head(now, 100, None), ContentDigest(100));
+    let head = CallHead { deadline: now.after(deadline), ..call_head(now, 100, None) };
+    let admitted = core.admit(now, head, ContentDigest(100));
     match is_taken {
         true => assert!(admitted.is_ok(), "{admitted:?}"),
         false => assert_eq!(admitted.err(), Some(NotRunCode::RouterLeaving)),
     }
 }
 
+/// A deadline after the process ends.
+const LATE: Duration = millis(10_000);
+
 const fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
 test_cases! {
     check_stop:
-    a_call_that_can_end_is_taken(&[millis(2_000), millis(100)], millis(4_900), true);
-    a_call_that_cannot_end_is_refused(&[millis(2_000), millis(100)], millis(6_000), false);
-    a_call_that_may_not_end_under_more_load_is_refused(&[millis(2_000)], millis(5_400), false);
-    a_short_call_is_taken_until_late(&[millis(100)], millis(7_700), true);
-    no_call_is_taken_at_the_very_end(&[millis(100)], millis(7_900), false);
-    a_call_of_an_unknown_length_may_take_until_its_deadline(&[], millis(100), false);
+    a_call_that_is_likely_to_end_is_taken_while_lists_name_the_router(&[millis(2_000), millis(100)], millis(2_900), LATE, true);
+    a_call_that_is_not_likely_to_end_is_refused(&[millis(4_000), millis(100)], millis(2_900), LATE, false);
+    a_call_that_may_not_end_under_more_load_is_refused(&[millis(4_500)], millis(2_500), LATE, false);
+    a_call_of_an_unknown_length_may_take_until_its_deadline(&[], millis(100), LATE, false);
+    short_calls_before_do_not_bound_a_later_call(&[millis(100)], millis(4_900), LATE, false);
+    a_deadline_before_the_end_bounds_a_call(&[millis(2_000)], millis(4_800), millis(3_000), true);
+    a_deadline_after_the_end_bounds_none(&[millis(2_000)], millis(5_100), millis(3_000), false);
+    a_call_that_must_end_soon_is_taken_until_late(&[], millis(7_700), millis(150), true);
+    a_deadline_too_close_to_the_end_to_answer_bounds_none(&[], millis(7_700), millis(250), false);
 }
 
 /// A call that has run for longer than any that ended shows how long calls take.
@@ -71,7 +79,7 @@
     let running =
         core.admit(start, call_head(start, 200, None), ContentDigest(200)).expect("admitted");
     assert!(matches!(core.dispatch(start, running.call), DispatchStep::Send(_)));
-    core.start_shutdown(STOPPED_AT.after(GRACE_TIME));
+    core.start_shutdown(SCHEDULE);
     let admitted = core.admit(STOPPED_AT, call_head(STOPPED_AT, 201, None), ContentDigest(201));
     assert_eq!(admitted.err(), Some(NotRunCode::RouterLeaving));
 }
@@ -82,9 +90,9 @@
     let start = TimePoint(STOPPED_AT.0 - 5_000_000);
     let mut core = new_router(start, 0, 1, RetryRule::AtMostOnceStream);
     core.list_targets(start, vec![target_entry(0, 1)]);
-    (0..3).for_each(|number| serve(&mut core, start, number, millis(1_400)));
-    core.start_shutdown(STOPPED_AT.after(GRACE_TIME));
-    let now = STOPPED_AT.after(millis(4_000));
+    (0..3).for_each(|number| serve(&mut core, start, number, millis(1_800)));
+    core.start_shutdown(SCHEDULE);
+    let now = STOPPED_AT.after(millis(2_900));
     let admitted = core.admit(now, call_head(now, 200, None), ContentDigest(200));
     assert_eq!(admitted.err(), Some(NotRunCode::RouterLeaving));
 }
--- a/crates/core-forward/tests/support/load.rs
+++ b/crates/core-forward/tests/support/load.rs
@@ -8,7 +8,8 @@
 
 use base_types::{ContentDigest, NotRunCode, Refusal, TargetKey, TimePoint};
 use core_forward::{
-    AttemptOutcome, CallHead, CallKey, DispatchStep, ForwardCore, PromptHead, TargetEntry,
+    AttemptOutcome, CallHead, CallKey, DispatchStep, ForwardCore, PromptHead, StopSchedule,
+    TargetEntry,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::KeyDigest;
@@ -188,7 +189,10 @@
     fn step(&mut self, step: u64) {
         let second = self.now.0 / 1_000_000;
         if self.plan.stop_at_s.is_some_and(|at| self.now == TimePoint(at * 1_000_000)) {
-            self.routers[0].start_shutdown(TimePoint::NEVER);
+            self.routers[0].start_shutdown(StopSchedule {
+                listed_until: TimePoint::NEVER,
+                stop_at: TimePoint::NEVER,
+            });
         }
         self.progress_targets();
         self.arrive(second);
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -8,7 +8,7 @@
 };
 
 use base_types::TimePoint;
-use core_forward::{CallKey, ForwardCore};
+use core_forward::{CallKey, ForwardCore, StopSchedule};
 use io_clock::MonotonicClock;
 use io_telemetry::GatewayMetrics;
 use policy_admission::{MemoryBudget, MemoryUse};
@@ -128,11 +128,11 @@
         action(&mut self.inner.core.borrow_mut(), now)
     }
 
-    /// Starts the shutdown of the router, whose process ends at `stop_at`: each caller connection closes after its call in flight;
+    /// Starts the shutdown of the router: each caller connection closes after its call in flight;
     /// idle connections that served a call close at once, unused ones close with their first
     /// response.
-    pub fn start_shutdown(&self, stop_at: TimePoint) {
-        self.with_core(|core, _| core.start_shutdown(stop_at));
+    pub fn start_shutdown(&self, schedule: StopSchedule) {
+        self.with_core(|core, _| core.start_shutdown(schedule));
         self.inner.shutting_down.send_replace(true);
         // Each is sent or refused, which wakes the next one.
         self.wake_waiting();
--- a/crates/knapweedport/tests/gateway.rs
+++ b/crates/knapweedport/tests/gateway.rs
@@ -52,11 +52,15 @@
 
 impl Gateway {
     fn start(name: &str, platform: SocketAddr) -> Self {
+        Self::start_with_stop(name, platform, STOP_MS)
+    }
+
+    fn start_with_stop(name: &str, platform: SocketAddr, stop_ms: u64) -> Self {
         let [callers, entry, readiness, peers] = [0; 4].map(|_| free_address());
         let text = format!(
             "host = \"{name}\"\nfailure_domain = \"z\"\ncaller_listen = \"{callers}\"\n\
              entry_listen = \"{entry}\"\nreadiness_listen = \"{readiness}\"\n\
-             peer_listen = \"{peers}\"\nplatform = \"{platform}\"\n[fleet]\nstop_ms = {STOP_MS}\n",
+             peer_listen = \"{peers}\"\nplatform = \"{platform}\"\n[fleet]\nstop_ms = {stop_ms}\n",
         );
         let file = format!("knapweedport-gateway-{}-{}.toml", std::process::id(), callers.port());
         let path = std::env::temp_dir().join(file);
@@ -155,12 +159,52 @@
 }
 
 fn request(path: &str, id: &str) -> String {
+    request_with_deadline(path, id, 4_000)
+}
+
+fn request_with_deadline(path: &str, id: &str, deadline_ms: u64) -> String {
     format!(
-        "POST {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: {id}\r\nDeadline-Ms: 4000\r\n\
+        "POST {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n\
          Content-Length: 0\r\n\r\n"
     )
 }
 
+/// Guards against calls that come late in a planned stop, are passed on, and are cut without an answer as the process
+/// ends, because those before them were short.
+#[test]
+fn a_stopping_gateway_takes_late_calls_only_if_their_deadline_ends_them() {
+    run_with_environment(async |environment: TestEnvironment| {
+        let mut leaving = Gateway::start_with_stop("g-0", environment.store.address, 6_000);
+        leaving.wait_until_ready().await;
+        let reply = |reply| {
+            environment.script.lock().expect("the script lock is not poisoned").push_back(reply);
+        };
+        for number in 0..30 {
+            reply(Reply::Events(2));
+            let mut caller = HttpConnection::connect(leaving.callers).await;
+            let answer = caller.request(&request("/stream/x", &format!("a{number}"))).await;
+            assert_eq!(answer.status(), 200);
+        }
+        leaving.signal(Signal::SIGTERM);
+        sleep(Duration::from_millis(3_500)).await;
+        reply(Reply::EventsSlow(30, Duration::from_millis(100)));
+        let mut late = HttpConnection::connect(leaving.callers).await;
+        let answer = late.request(&request("/stream/x", "b0")).await;
+        assert_eq!(answer.status(), 503);
+        let return_s = answer.header("retry-after").and_then(|seconds| seconds.parse().ok());
+        assert!(return_s.is_some_and(|seconds: f64| (0.05..=2.0).contains(&seconds)));
+        environment.script.lock().expect("the script lock is not poisoned").clear();
+        reply(Reply::Events(2));
+        let mut late = HttpConnection::connect(leaving.callers).await;
+        let answer = late.request(&request_with_deadline("/stream/x", "b1", 1_500)).await;
+        assert!(answer.status() == 200 && answer.whole);
+        let received = environment.runner.received_messages();
+        let ids: Vec<&str> = received.iter().filter_map(|call| call.header("attempt-id")).collect();
+        assert!(!ids.contains(&"b0") && ids.contains(&"b1"), "{ids:?}");
+        assert!(!leaving.has_exited());
+    });
+}
+
 #[test]
 fn a_stopping_gateway_finishes_its_calls_and_accepts_new_ones() {
     run_with_environment(async |environment: TestEnvironment| {
