Order the store's changes across its restores from a copy

Cause: changes of the store were ordered by revision alone and Store-Era was read nowhere. After a restore revisions are lower: a list counted as late, another router's was dropped for good, and a watch from a revision that was given out again lacked changes. Class: a bare revision that a restore turns wrong. Change: the store's client reads the era from all answers and drops those of an earlier one; feeds list again when it rises; changes are ordered by era and revision. Evacuations that a copy lacks hold for 3 s, entries get time to be listed again, and a draining target does not serve again because the copy is older. Why it works: any change of a later era is later than all of an earlier one, for this router and for what others report.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -12,6 +12,7 @@
 mod places;
 mod records;
 mod refusals;
+mod restores;
 mod resumption;
 mod snapshots;
 mod speeds;
@@ -141,6 +142,8 @@
     /// Longest time that calls took of late, by route.
     longest_times: BTreeMap<RouteName, LongestTime>,
     targets: TargetTable,
+    /// Latest known era of the platform; `None` before the first list.
+    platform_era: Option<u16>,
     /// Whether a list of targets was received, from the platform or in a snapshot.
     targets_listed: bool,
     /// Whether the list of routers was received from the platform.
@@ -217,6 +220,7 @@
             stop_schedule: None,
             longest_times: BTreeMap::new(),
             targets: TargetTable::new(EvacuationTable::new(bounds.evacuations)),
+            platform_era: None,
             targets_listed: false,
             routers_listed: false,
             paces: BTreeMap::new(),
@@ -295,6 +299,7 @@
         for target_hash in self.targets.sweep(now) {
             self.segments.remove_target(target_hash);
         }
+        self.sweep_evacuations(now);
         self.peer_loads.expire(now);
         self.sweep_speeds(now);
         self.peers.sweep(now);
--- a/crates/core-forward/src/core/listing.rs
+++ b/crates/core-forward/src/core/listing.rs
@@ -13,7 +13,7 @@
         self.targets_listed = true;
     }
 
-    /// Handles the complete list at a revision of the platform; each entry has the revision of its last
+    /// Handles the complete list at a place among the platform's changes; each entry has that of its last
     /// change.
     pub fn on_targets_listed(
         &mut self,
@@ -76,7 +76,11 @@
     /// Applies a change unless a later one is known; returns whether the entry differs from what was known.
     fn apply_target_notice(&mut self, now: TimePoint, notice: &TargetNotice) -> bool {
         let TargetNotice { name, revision, entry } = notice;
-        if !self.targets.news.is_current(now, name, *revision) {
+        self.observe_order(now, *revision);
+        let is_outdated = |entry| self.targets.is_outdated_copy(now, entry);
+        if !self.targets.news.is_current(now, name, *revision)
+            || entry.as_ref().is_some_and(is_outdated)
+        {
             return false;
         }
         let before = self.targets.listed_entry(name);
--- a/crates/core-forward/src/evacuations.rs
+++ b/crates/core-forward/src/evacuations.rs
@@ -10,6 +10,10 @@
 /// restored from a copy, with lower revisions.
 const LATE_TIME: Duration = Duration::from_secs(10);
 
+/// Time after a restore of the platform in which the operator writes again what was lost. Failure domains that
+/// were evacuated before stay so until then.
+const RESTORE_TIME: Duration = Duration::from_secs(3);
+
 /// Time for which a list without failure domains is reported to the other routers after a change.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 
@@ -26,7 +30,7 @@
         pub evacuated: Vec<Box<str>>,
         /// Failure domains that were taken back.
         pub restored: Vec<Box<str>>,
-        /// Revision of the platform at which the list was read.
+        /// [`ChangeOrder`](crate::ChangeOrder) of the list.
         pub revision: u64,
     }
 }
@@ -37,10 +41,21 @@
     /// Whether the settings ask for evacuations: without a list, nothing is sent then.
     is_required: bool,
     known: Option<KnownDomains>,
+    held: Option<HeldDomains>,
+}
+
+/// Failure domains that were evacuated as the platform was restored.
+#[derive(Debug)]
+struct HeldDomains {
+    domains: BTreeSet<Box<str>>,
+    until: TimePoint,
 }
 
 #[derive(Debug)]
 struct KnownDomains {
+    /// Failure domains of the latest list.
+    listed: BTreeSet<Box<str>>,
+    /// These and the held ones.
     domains: BTreeSet<Box<str>>,
     revision: u64,
     accepted_at: TimePoint,
@@ -49,7 +64,7 @@
 
 impl EvacuationTable {
     pub(crate) fn new(is_required: bool) -> Self {
-        Self { is_required, known: None }
+        Self { is_required, known: None, held: None }
     }
 
     /// Whether it is known which failure domains are evacuated, where that matters.
@@ -92,12 +107,29 @@
         self.replace(now, notice)
     }
 
+    /// Records that the platform was restored from a copy, which may lack the latest evacuations.
+    pub(crate) fn on_platform_restored(&mut self, now: TimePoint) {
+        let domains = self.known.as_ref().map(|known| known.domains.clone()).unwrap_or_default();
+        self.held = Some(HeldDomains { domains, until: now.after(RESTORE_TIME) });
+    }
+
+    /// Ends the time after a restore; returns the failure domains that were not listed again.
+    pub(crate) fn sweep(&mut self, now: TimePoint) -> Option<EvacuationChange> {
+        self.held.take_if(|held| held.until.passed(now))?;
+        let known = self.known.as_ref()?;
+        let listed = known.listed.iter().cloned().collect();
+        self.replace(now, &EvacuationNotice { revision: known.revision, domains: listed })
+    }
+
     fn replace(&mut self, now: TimePoint, notice: &EvacuationNotice) -> Option<EvacuationChange> {
         if !self.is_required {
             return None;
         }
         let EvacuationNotice { revision, domains } = notice;
-        let domains: BTreeSet<Box<str>> = domains.iter().take(DOMAINS_MAX).cloned().collect();
+        let listed: BTreeSet<Box<str>> = domains.iter().take(DOMAINS_MAX).cloned().collect();
+        let held = self.held.iter().filter(|held| !held.until.passed(now));
+        let domains: BTreeSet<Box<str>> =
+            held.flat_map(|held| held.domains.iter()).chain(&listed).cloned().collect();
         let before = self.known.as_ref().map(|known| known.domains.clone()).unwrap_or_default();
         let is_changed = self.known.is_none() || domains != before;
         let changed_at = self.known.as_ref().filter(|_| !is_changed).map(|known| known.changed_at);
@@ -107,6 +139,7 @@
             revision: *revision,
         };
         self.known = Some(KnownDomains {
+            listed,
             domains,
             revision: *revision,
             accepted_at: now,
@@ -123,7 +156,7 @@
     /// The list for other routers; `None` where it is not known or none needs it.
     pub(crate) fn report(&self, now: TimePoint) -> Option<EvacuationNotice> {
         let is_due = |known: &&KnownDomains| {
-            !known.domains.is_empty() || !known.changed_at.after(REPORT_TIME).passed(now)
+            !known.listed.is_empty() || !known.changed_at.after(REPORT_TIME).passed(now)
         };
         self.known.as_ref().filter(is_due).map(KnownDomains::notice)
     }
@@ -141,9 +174,6 @@
 
 impl KnownDomains {
     fn notice(&self) -> EvacuationNotice {
-        EvacuationNotice {
-            revision: self.revision,
-            domains: self.domains.iter().cloned().collect(),
-        }
+        EvacuationNotice { revision: self.revision, domains: self.listed.iter().cloned().collect() }
     }
 }
--- a/crates/core-forward/src/extension.rs
+++ b/crates/core-forward/src/extension.rs
@@ -49,7 +49,7 @@
     /// Failure domains that the operator has evacuated.
     #[derive(Eq)]
     pub struct EvacuationNotice {
-        /// Revision of the platform at which exactly these were.
+        /// [`ChangeOrder`](crate::ChangeOrder) at which exactly these were.
         pub revision: u64,
         /// Names of the failure domains.
         pub domains: Vec<Box<str>>,
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod bounds;
 mod call;
+mod change_order;
 mod core;
 mod crashes;
 mod detours;
@@ -35,6 +36,7 @@
         AttemptOutcome, AttemptSpec, CallHead, CallKey, ChoiceInputs, DispatchStep, PromptHead,
         PromptSegment, StreamResumption,
     },
+    change_order::ChangeOrder,
     core::{
         AdmittedCall, EVENT_REPORT_INTERVAL, EngineAddress, ForwardCore, ForwardStatus,
         PeerSnapshot, SegmentHolders, StopSchedule, heartbeat_interval,
--- a/crates/core-forward/src/target_news.rs
+++ b/crates/core-forward/src/target_news.rs
@@ -1,8 +1,8 @@
 //! Changes of the list of targets, in the order in which the platform made them.
 //!
 //! A change reaches a router from the platform or from another router that read it first. A late
-//! response of the platform may be older than what another router said, so that each change has the
-//! platform's revision, and one that is older than the latest known for its target is ignored.
+//! response of the platform may be older than what another router said, so that each change has its
+//! place among the platform's changes, and one that is older than the latest known for its target is ignored.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -23,7 +23,7 @@
     pub struct TargetNotice {
         /// Name of the target.
         pub name: HostName,
-        /// Revision of the platform at which the entry was as it says.
+        /// [`ChangeOrder`](crate::ChangeOrder) at which the entry was as it says.
         pub revision: u64,
         /// The entry; `None` if the list has none.
         pub entry: Option<TargetEntry>,
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -197,6 +197,8 @@
     pub(crate) evacuations: EvacuationTable,
     /// Until this time, a missing entry does not count as removed.
     relist_until: TimePoint,
+    /// Time until which entries may be those of a restored copy.
+    restored_until: TimePoint,
 }
 
 impl TargetRecord {
@@ -374,6 +376,7 @@
             news: TargetNews::default(),
             evacuations,
             relist_until: TimePoint(0),
+            restored_until: TimePoint(0),
         }
     }
 
@@ -503,6 +506,25 @@
         self.relist_until = now.after(PLATFORM_RECONNECT_GRACE);
     }
 
+    /// Records that the platform was restored from a copy some seconds old: entries that it lacks get time to
+    /// be listed again.
+    pub(crate) fn on_platform_restored(&mut self, now: TimePoint) {
+        self.on_platform_reconnected(now);
+        self.restored_until = now.after(PLATFORM_RECONNECT_GRACE);
+        self.evacuations.on_platform_restored(now);
+    }
+
+    /// Whether an entry is of a restored copy and older than what is known: a start of a target that drains does
+    /// not serve again.
+    pub(crate) fn is_outdated_copy(&self, now: TimePoint, entry: &TargetEntry) -> bool {
+        let is_same_start = |known: &&TargetEntry| {
+            (known.incarnation, known.address) == (entry.incarnation, entry.address)
+        };
+        let known = self.listed_entry(&entry.name).filter(is_same_start);
+        let is_undone = known.is_some_and(|known| known.draining && !entry.draining);
+        is_undone && !self.restored_until.passed(now)
+    }
+
     /// Removes targets that are not listed, have no calls in flight and cannot be fetched from;
     /// returns their hashes.
     pub(crate) fn sweep(&mut self, now: TimePoint) -> Vec<u64> {
--- a/crates/core-forward/tests/evacuations.rs
+++ b/crates/core-forward/tests/evacuations.rs
@@ -7,8 +7,8 @@
 
 use base_types::{ContentDigest, NotRunCode, Refusal, TimePoint, test_cases};
 use core_forward::{
-    AttemptOutcome, CallKey, DispatchStep, EvacuationNotice, ForwardBounds, ForwardCore,
-    TargetEntry,
+    AttemptOutcome, CallKey, ChangeOrder, DispatchStep, EvacuationNotice, ForwardBounds,
+    ForwardCore, TargetEntry,
 };
 use state_config::RetryRule;
 
@@ -108,6 +108,38 @@
         &[(Source::Platform(5), &["a", "b", "c"])], [false, false]);
 }
 
+fn order(era: u16, revision: u64) -> u64 {
+    ChangeOrder::new(era, revision).number()
+}
+
+test_cases! {
+    check_lists:
+    a_list_of_a_restored_platform_takes_hold_beside_what_it_lacks(
+        &[(Source::Platform(order(1, 9)), &["a"]), (Source::Platform(order(2, 3)), &["b"])],
+        [false, false]);
+    another_router_may_learn_of_a_restore_first(
+        &[(Source::Platform(order(1, 9)), &["a"]), (Source::Router(order(2, 3)), &["b"])],
+        [false, false]);
+    a_list_from_before_a_restore_is_ignored(
+        &[(Source::Platform(order(2, 3)), &["a"]), (Source::Router(order(1, 9)), &["b"])],
+        [false, true]);
+    a_restore_that_lost_nothing_changes_nothing(
+        &[(Source::Platform(order(1, 9)), &["a"]), (Source::Platform(order(2, 9)), &["a"])],
+        [false, true]);
+}
+
+/// A failure domain that nobody evacuates again after a restore gets calls.
+#[test]
+fn what_a_restored_platform_lacks_ends_after_a_while() {
+    let mut core = new_router(0, REQUIRED);
+    tell(&mut core, seconds(1), Source::Platform(order(1, 9)), &["a"]);
+    tell(&mut core, seconds(2), Source::Platform(order(2, 3)), &[]);
+    core.sweep(seconds(4));
+    assert_eq!(send_calls(&mut core, seconds(4)).0[0], 0);
+    core.sweep(seconds(6));
+    assert!(send_calls(&mut core, seconds(6)).0[0] > 0);
+}
+
 /// Guards against a change for deployments without evacuations: lists are ignored there.
 #[test]
 fn a_router_whose_settings_ask_for_no_evacuations_ignores_lists() {
--- a/crates/core-forward/tests/target_news.rs
+++ b/crates/core-forward/tests/target_news.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use base_types::{ContentDigest, HostName, TimePoint, test_cases};
-use core_forward::{DispatchStep, ForwardCore, TargetEntry, TargetNotice};
+use core_forward::{ChangeOrder, DispatchStep, ForwardCore, TargetEntry, TargetNotice};
 use state_config::RetryRule;
 
 use fixture::{call_head, new_plain_router, new_router, target_entry, target_index};
@@ -37,6 +37,11 @@
     TargetNotice { name: name(index), revision, entry: None }
 }
 
+/// The place of a revision of an era among all changes.
+fn order(era: u16, revision: u64) -> u64 {
+    ChangeOrder::new(era, revision).number()
+}
+
 /// Indexes of the targets that get calls.
 fn called_targets(core: &mut ForwardCore, now: TimePoint) -> Vec<usize> {
     let mut targets: Vec<usize> = (0..32)
@@ -107,6 +112,8 @@
     a_late_entry_does_not_undo_a_drain(&[put(0, 10, true), put(0, 9, false)], &[1]);
     a_late_entry_does_not_undo_a_removal(&[removal(0, 10), put(0, 9, false)], &[1]);
     a_late_removal_does_not_undo_an_entry(&[put(2, 11, false), removal(2, 10)], &[0, 1, 2]);
+    a_late_entry_from_before_a_restore_is_ignored(&[put(0, order(2, 5), true), put(0, order(1, 90), false)], &[1]);
+    a_restored_copy_does_not_undo_a_drain(&[put(0, order(1, 90), true), put(0, order(2, 5), false)], &[1]);
     a_target_that_is_listed_again_gets_calls(&[removal(0, 10), put(0, 12, false)], &[0, 1]);
 }
 
--- a/crates/fakes/src/gateway.rs
+++ b/crates/fakes/src/gateway.rs
@@ -15,5 +15,5 @@
         EndlessPart, ReceivedCall, Reply, ReplyRule, ReplyScript, RunnerStandIn, StreamFraming,
         event_text, padded_event_text, resume_headers,
     },
-    store::{StoreDoor, StoreMode, StoreStandIn},
+    store::{StoreCopy, StoreDoor, StoreMode, StoreStandIn},
 };
--- a/crates/fakes/src/gateway/store.rs
+++ b/crates/fakes/src/gateway/store.rs
@@ -36,9 +36,18 @@
     mode: Arc<Mutex<StoreMode>>,
 }
 
+/// A copy of the store's objects, from which it can be restored.
+#[derive(Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+}
+
 #[derive(Debug)]
 struct StoreState {
     mode: StoreMode,
+    /// Rises by one with each restore from a copy; all answers name it.
+    era: u64,
     /// Number of times that the store was made silent; calls that began before the latest one are
     /// never answered, nor are later ones on the same connections.
     silence_count: u64,
@@ -70,6 +79,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("cannot bind a port");
         let state = StoreState {
             mode: StoreMode::Healthy,
+            era: 1,
             silence_count: 0,
             revision: 10,
             compacted_revision: 0,
@@ -187,6 +197,25 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies the objects as they are.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().expect("the state lock is poisoned");
+        StoreCopy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Restores a copy: what was written since is lost, its revisions are given out again, and calls that wait are
+    /// never answered.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        state.revision = copy.revision;
+        state.compacted_revision = copy.revision;
+        state.objects = copy.objects;
+        state.history.clear();
+        state.era += 1;
+        state.silence_count += 1;
+        self.changed.notify_waiters();
+    }
+
     /// Number of calls so far whose method and target begin with a prefix.
     pub fn call_count(&self, prefix: &str) -> usize {
         let state = self.state.lock().expect("the state lock is poisoned");
@@ -216,7 +245,10 @@
                 body = body.replace(stand_in, text);
             }
             let length = body.len();
-            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{body}");
+            let era = self.state.lock().expect("the state lock is poisoned").era;
+            let head = format!(
+                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n{body}"
+            );
             connection.send(head.as_bytes()).await;
         }
     }
@@ -315,7 +347,7 @@
             changed.as_mut().enable();
             {
                 let state = self.state.lock().expect("the state lock is poisoned");
-                if since < state.compacted_revision {
+                if since < state.compacted_revision || since > state.revision {
                     return Some((410, json!({})));
                 }
                 let events: Vec<Value> = state
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -21,8 +21,8 @@
     faults::{FaultSet, FaultState},
     gateway::{
         EndlessPart, HttpConnection, HttpMessage, LinkMode, ReceivedCall, Reply, ReplyRule,
-        ReplyScript, RunnerLink, RunnerStandIn, StoreDoor, StoreMode, StoreStandIn, StreamFraming,
-        event_text, free_address, padded_event_text, resume_headers,
+        ReplyScript, RunnerLink, RunnerStandIn, StoreCopy, StoreDoor, StoreMode, StoreStandIn,
+        StreamFraming, event_text, free_address, padded_event_text, resume_headers,
     },
     platform::run_platform,
     serve::StandInError,
--- a/crates/io-platform/src/transport.rs
+++ b/crates/io-platform/src/transport.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use http::{Method, Request, StatusCode, header, request};
+use http::{Method, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Full};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -81,6 +81,21 @@
         body: Bytes,
         timeout: Duration,
     ) -> PlatformResult<(StatusCode, Bytes)> {
+        let response = self.call_with_headers(request, body, timeout).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Sends a request and reads the complete answer with its headers.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::call`].
+    pub async fn call_with_headers(
+        &self,
+        request: request::Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> PlatformResult<Response<Bytes>> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let request = request
             .header(header::CONTENT_TYPE, "application/json")
@@ -91,7 +106,7 @@
             .change_context(PlatformError::Unanswered)?
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> PlatformResult<(StatusCode, Bytes)> {
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> PlatformResult<Response<Bytes>> {
         let response = match self.client.request(request).await {
             Ok(response) => response,
             Err(error) => {
@@ -103,9 +118,8 @@
                 return Err(Report::new(error).change_context(kind));
             }
         };
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.change_context(PlatformError::Unanswered)?;
-        Ok((status, body.to_bytes()))
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.change_context(PlatformError::Unanswered)?;
+        Ok(Response::from_parts(head, body.to_bytes()))
     }
 }
