Continue an unnamed stream only where no other pool can have begun it

Cause: the pool of a call that resumes is chosen by its own id, and the only software of that pool counted as the one that began the stream. Class: knowledge of a part taken for knowledge of the whole. Change: the only software counts over all pools in which the stream may have begun: those to which the route leads, and those to which calls of its path went in the last 60 s. Found with it: routes that move, and a new route below the path of an older one. A restarted router, which does not know former routes, counts all pools of streams for 60 s. Why it works: a stream begins in one of these pools only, so that one software in all of them began it. Cost: callers that name no origin are refused on split routes whose pools run different software.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -48,6 +48,7 @@
     detours::CallDetour,
     engine_memory::{CallSizes, call_tokens},
     evacuations::EvacuationTable,
+    former_routes::FormerRoutes,
     limits::ReturnQueue,
     links::LinkChange,
     origins::{OriginTable, StreamSoftware},
@@ -131,6 +132,7 @@
     entry: RouterEntry,
     bounds: ForwardBounds,
     config: Option<FleetConfig>,
+    former_routes: FormerRoutes,
     /// Time at which the first configuration was adopted.
     first_config_at: TimePoint,
     config_adopted_at: TimePoint,
@@ -213,6 +215,7 @@
             entry,
             bounds,
             config: None,
+            former_routes: FormerRoutes::default(),
             first_config_at: TimePoint(0),
             config_adopted_at: TimePoint(0),
             is_config_partial: false,
@@ -272,6 +275,9 @@
         if self.config.is_none() {
             self.first_config_at = now;
         }
+        if let Some(before) = &self.config {
+            self.former_routes.on_replaced(now, before, &config);
+        }
         self.config = Some(config);
         self.config_adopted_at = now;
         true
@@ -309,6 +315,7 @@
         self.clear_content_of_long_answers(now);
         self.crashes.tracker.sweep(now);
         self.origins.sweep(now);
+        self.former_routes.sweep(now);
     }
 
     /// Whether the router has a configuration and a target list, and is not shutting down.
@@ -359,6 +366,10 @@
         let call = CallKey(self.next_call_key);
         self.next_call_key += 1;
         let retry_rule = route_match.rule.retry_rule;
+        let stream_pools = match origin {
+            Some(_) => self.stream_pools(now, &head, route_match.rule),
+            None => None,
+        };
         let resumable = retry_rule.is_streaming() && retry_rule.is_retryable();
         let content_keys = shared_content_keys(content, head.prompt.as_ref());
         let own_key = &self.entry.detour_key;
@@ -381,6 +392,7 @@
                 Some(origin) if resumable => StreamSoftware::Unresolved(origin),
                 _ => StreamSoftware::Any,
             },
+            stream_pools,
             origin_settled_at: TimePoint(0),
             content_keys: content_keys.clone(),
             attempted_targets: Vec::new(),
--- a/crates/core-forward/src/core/resumption.rs
+++ b/crates/core-forward/src/core/resumption.rs
@@ -1,12 +1,17 @@
 //! Streams that callers resume: which software may serve them.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
-use base_types::{TargetKey, TimePoint};
+use base_types::{PoolName, TargetKey, TimePoint};
+use state_config::RouteRule;
 
 use crate::{
-    CallKey, ForwardCore, call::CallState, heartbeat_interval, origins::StreamSoftware,
-    software::SoftwareKey,
+    CallHead, CallKey, ForwardCore,
+    call::CallState,
+    former_routes::is_resumable,
+    heartbeat_interval,
+    origins::StreamSoftware,
+    software::{STREAM_LIFETIME_MAX, SoftwareKey},
 };
 
 /// Longest time for which a call waits for this router to learn what served before it started.
@@ -104,16 +109,37 @@
         }
     }
 
+    /// Pools in which the stream that a call resumes may have begun: those to which its route leads or led; after a
+    /// restart, before which the routes may have been others, all that serve resumable streams. `None` if some
+    /// may be missing.
+    pub(super) fn stream_pools(
+        &self,
+        now: TimePoint,
+        head: &CallHead,
+        route: &RouteRule,
+    ) -> Option<Box<[PoolName]>> {
+        let former = self.former_routes.pools(now, &head.host, &head.path)?;
+        let mut pools: BTreeSet<PoolName> = route.used_pools().cloned().chain(former).collect();
+        let is_past_known =
+            self.is_first_start || self.first_config_at.after(STREAM_LIFETIME_MAX).passed(now);
+        if !is_past_known && let Some(config) = &self.config {
+            let engines = config.pools.values().filter(|pool| pool.engine.is_some());
+            pools.extend(engines.map(|pool| pool.name.clone()));
+            let resumable = config.routes().filter(|route| is_resumable(route));
+            pools.extend(resumable.flat_map(RouteRule::used_pools).cloned());
+        }
+        Some(pools.into_iter().collect())
+    }
+
     /// Finds the software that began the stream which a call resumes: the one that a router reported,
-    /// or the only one of the pool. A list that may be out of date counts only where the caller does not
+    /// or the only one of the pools in which it may have begun. A list that may be out of date counts only where the caller does not
     /// name the call that began its stream, as no later report can tell its software.
     fn find_software(&self, now: TimePoint, state: &CallState) -> Option<SoftwareKey> {
         let StreamSoftware::Unresolved(origin) = state.software else { return None };
         let reported = origin.and_then(|call_hash| self.origins.software(now, call_hash));
         let history = &self.targets.software;
         let is_list_enough = origin.is_none() || history.is_current(now);
-        let only_software =
-            is_list_enough.then(|| history.only_software(now, &state.pool)).flatten();
-        reported.or(only_software)
+        let pools = state.stream_pools.as_deref().filter(|_| is_list_enough);
+        reported.or_else(|| history.only_software(now, pools?))
     }
 }
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -16,6 +16,7 @@
 mod evacuations;
 mod extension;
 mod fleet_key;
+mod former_routes;
 mod limits;
 mod links;
 mod origin_record;
--- a/crates/core-forward/src/software.rs
+++ b/crates/core-forward/src/software.rs
@@ -148,12 +148,12 @@
         self.seen_until.iter().map(move |(key, until)| notice(now, key, *until))
     }
 
-    /// Returns the software of a pool if it is the only one that served while its streams may go on.
-    pub(crate) fn only_software(&self, now: TimePoint, pool: &PoolName) -> Option<SoftwareKey> {
+    /// Returns the software of pools if it is the only one that served in any of them while its streams may go on.
+    pub(crate) fn only_software(&self, now: TimePoint, pools: &[PoolName]) -> Option<SoftwareKey> {
         if !self.is_complete(now) || self.seen_until.len() >= SOFTWARE_MAX {
             return None;
         }
-        let mut seen = self.seen_in(now, pool);
+        let mut seen = pools.iter().flat_map(|pool| self.seen_in(now, pool));
         let software = seen.next()?;
         seen.next().is_none().then_some(software)
     }
@@ -179,7 +179,11 @@
         self.seen_until.retain(|_, until| !until.passed(now));
     }
 
-    fn seen_in(&self, now: TimePoint, pool: &PoolName) -> impl Iterator<Item = SoftwareKey> {
+    fn seen_in<'pool>(
+        &self,
+        now: TimePoint,
+        pool: &'pool PoolName,
+    ) -> impl Iterator<Item = SoftwareKey> + use<'_, 'pool> {
         let seen = self.seen_until.iter();
         seen.filter(move |((seen_pool, _), until)| seen_pool == pool && !until.passed(now))
             .map(|((_, software), _)| *software)
--- /dev/null
+++ b/crates/core-forward/tests/split.rs
@@ -0,0 +1,143 @@
+//! Streams of routes that lead, or led, to several pools: a stream that a caller takes up without naming the call that
+//! began it goes on only where no other software may have begun it.
+
+#[path = "support/fixture.rs"]
+mod fixture;
+
+use std::time::Duration;
+
+use base_types::{ContentDigest, NotRunCode, PoolName, Refusal, RouteName, TimePoint, test_cases};
+use core_forward::{DispatchStep, ForwardCore, StreamResumption, TargetEntry};
+use state_config::{
+    CallerLimits, ConfigVersion, EngineRule, FleetConfig, PoolRule, RetryRule, RouteRule,
+    WeightedPool,
+};
+
+use fixture::{BOUNDS, call_head, router_entry, target_entry};
+
+const START: TimePoint = TimePoint(1_000_000);
+
+/// A route below a path, with the pools and weights to which it leads.
+type Route = (&'static str, &'static [(&'static str, u32)]);
+
+fn config(version: u64, routes: &[Route]) -> FleetConfig {
+    let engine = Some(EngineRule { slots: 64, cache_tokens: 700_000 });
+    let pool =
+        |name| PoolRule { name: PoolName::new(name), connections_max: 360, engine, cold: None };
+    let route = |(path_prefix, pools): &Route| RouteRule {
+        name: RouteName::new(path_prefix),
+        host: "h".into(),
+        path_prefix: (*path_prefix).into(),
+        retry_rule: RetryRule::ResumableStream,
+        timeout: Duration::from_secs(10),
+        latency_target: Duration::from_millis(500),
+        rank: 0,
+        pools: pools
+            .iter()
+            .map(|(pool, weight)| WeightedPool { pool: PoolName::new(pool), weight: *weight })
+            .collect(),
+        attempts_max: 1,
+        public: true,
+    };
+    let limits = CallerLimits {
+        head_bytes_max: 1,
+        body_bytes_max: 1,
+        head_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    let pools = vec![pool("a"), pool("b")];
+    FleetConfig::new(
+        ConfigVersion(version),
+        pools,
+        routes.iter().map(route).collect(),
+        None,
+        limits,
+    )
+}
+
+/// One target of each pool.
+fn targets() -> Vec<TargetEntry> {
+    let entry = |(index, pool)| TargetEntry { pool: PoolName::new(pool), ..target_entry(index, 1) };
+    ["a", "b"].into_iter().enumerate().map(entry).collect()
+}
+
+fn new_router(configs: &[&[Route]], is_first_start: bool) -> ForwardCore {
+    let mut core = ForwardCore::new(router_entry(0, 1), BOUNDS);
+    for (version, routes) in configs.iter().enumerate() {
+        core.adopt_config(START, config(version as u64 + 1, routes));
+    }
+    let mut recorder = ForwardCore::new(router_entry(1, 1), BOUNDS);
+    recorder.adopt_config(START, config(1, configs[0]));
+    core.list_targets(START, targets());
+    match is_first_start {
+        true => core.restore_record(START, None, true),
+        false => {
+            recorder.list_targets(START, targets());
+            recorder.restore_record(START, None, true);
+            core.restore(START, recorder.snapshot(START));
+        }
+    }
+    core
+}
+
+/// Takes up as many streams as decide whether calls with other ids go on elsewhere.
+fn take_up(core: &mut ForwardCore, now: TimePoint, origin: Option<&str>) -> Vec<bool> {
+    core.on_platform_responded(now);
+    let mut take_up_one = |id| {
+        let mut head = call_head(now, id, None);
+        head.resumption = Some(StreamResumption { origin: origin.map(Into::into) });
+        let call = core.admit(now, head, ContentDigest(id.into())).expect("admitted").call;
+        let step = core.dispatch(now, call);
+        core.finish(call);
+        match step {
+            DispatchStep::Send(_) => true,
+            DispatchStep::Refuse(Refusal::NotRun(NotRunCode::OriginUnknown, _)) => false,
+            step => panic!("{step:?}"),
+        }
+    };
+    (100..116).map(&mut take_up_one).collect()
+}
+
+/// Checks whether streams go on some time after configurations were adopted one after the other.
+fn check_configs(configs: &[&[Route]], is_first_start: bool, after: Duration, goes_on: bool) {
+    let mut core = new_router(configs, is_first_start);
+    let now = START.after(after);
+    core.list_targets(now, targets());
+    core.sweep(now);
+    assert_eq!(take_up(&mut core, now, None), vec![goes_on; 16]);
+}
+
+const ALL_TO_A: &[Route] = &[("/", &[("a", 1)])];
+const ALL_TO_B: &[Route] = &[("/", &[("b", 1)])];
+const SPLIT: &[Route] = &[("/", &[("a", 50), ("b", 50)])];
+const UNUSED_B: &[Route] = &[("/", &[("a", 1), ("b", 0)])];
+const DEEPER_TO_B: &[Route] = &[("/", &[("a", 1)]), ("/x", &[("b", 1)])];
+const BESIDE: &[Route] = &[("/", &[("a", 1)]), ("/y", &[("b", 1)])];
+const SOON: Duration = Duration::from_secs(10);
+/// Streams that began before are over.
+const LATE: Duration = Duration::from_secs(61);
+
+test_cases! {
+    check_configs:
+    a_stream_of_a_route_to_one_pool_goes_on(&[ALL_TO_A], true, SOON, true);
+    a_stream_of_a_split_route_does_not_change_its_pool(&[SPLIT], true, LATE, false);
+    a_pool_without_weight_began_no_stream(&[UNUSED_B], true, SOON, true);
+    a_stream_does_not_follow_its_route_to_another_pool(&[ALL_TO_A, ALL_TO_B], true, SOON, false);
+    streams_of_the_former_pool_end(&[ALL_TO_A, ALL_TO_B], true, LATE, true);
+    a_route_that_was_split_before_counts(&[SPLIT, ALL_TO_A], true, SOON, false);
+    a_stream_does_not_follow_a_new_route_below_its_path(&[ALL_TO_A, DEEPER_TO_B], true, SOON, false);
+    a_route_beside_that_of_the_stream_does_not_count(&[BESIDE], true, SOON, true);
+    a_router_that_restarted_does_not_know_former_routes(&[ALL_TO_A], false, SOON, false);
+    streams_of_the_time_before_the_restart_end(&[ALL_TO_A], false, LATE, true);
+}
+
+/// A stream whose origin was reported goes on at the software that began it.
+#[test]
+fn a_named_stream_of_a_split_route_goes_on() {
+    let mut core = new_router(&[SPLIT], true);
+    let head = call_head(START, 7, None);
+    let call = core.admit(START, head, ContentDigest(7)).expect("admitted").call;
+    assert!(matches!(core.dispatch(START, call), DispatchStep::Send(_)));
+    core.on_first_event(START, call);
+    assert_eq!(take_up(&mut core, START.after(SOON / 2), Some("7")), [true; 16]);
+}
--- a/crates/state-config/src/config.rs
+++ b/crates/state-config/src/config.rs
@@ -68,7 +68,7 @@
         pub pools: BTreeMap<PoolName, PoolRule>,
         /// Limits on the requests and connections of callers.
         pub limits: CallerLimits,
-        routes: BTreeMap<Box<str>, Vec<RouteRule>>,
+        pub(crate) routes: BTreeMap<Box<str>, Vec<RouteRule>>,
         accounts: Option<BTreeMap<KeyDigest, (AccountName, Option<u8>)>>,
     }
 }
--- a/crates/state-config/src/routes.rs
+++ b/crates/state-config/src/routes.rs
@@ -97,7 +97,19 @@
     }
 }
 
+impl RouteRule {
+    /// Pools to which calls of the route are sent.
+    pub fn used_pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.pools.iter().filter(|weighted| weighted.weight > 0).map(|weighted| &weighted.pool)
+    }
+}
+
 impl FleetConfig {
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &RouteRule> {
+        self.routes.values().flatten()
+    }
+
     /// Finds the route with the longest matching prefix, and chooses its pool with the call's hash.
     /// Of routes with the same prefix, the last one wins.
     pub fn match_route(&self, host: &str, path: &str, hash: u64) -> Option<RouteMatch<'_>> {
