Tell callers when a router serves again if all of them stop

Cause: the time to return assumed another router that serves. Change: where no other router serves, it is the time at which the first that is restarted is likely to be back, from the heartbeats in which they said that they stop, and spread over 300 ms.

--- a/crates/core-forward/src/core/stopping.rs
+++ b/crates/core-forward/src/core/stopping.rs
@@ -13,9 +13,16 @@
 /// Time in which the answer to a call that has reached its deadline is sent to its caller.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
 
-/// When the parts of a shutdown end.
+/// Time from the end of a process that is restarted until it serves.
+const RESTART_TIME: Duration = Duration::from_millis(300);
+
+/// When the parts of a shutdown begin and end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopSchedule {
+    /// Time at which the shutdown began.
+    pub started_at: TimePoint,
+    /// Time at which the process ends if it is idle.
+    pub idle_stop_at: TimePoint,
     /// Time until which callers may use a list that still names the router.
     pub listed_until: TimePoint,
     /// Time at which the process ends.
@@ -39,7 +46,8 @@
         route: &RouteName,
         deadline: TimePoint,
     ) -> bool {
-        let Some(StopSchedule { listed_until, stop_at }) = self.stop_schedule else { return true };
+        let Some(schedule) = self.stop_schedule else { return true };
+        let StopSchedule { listed_until, stop_at, .. } = schedule;
         if deadline.after(ANSWER_TIME) < stop_at {
             return true;
         }
@@ -55,6 +63,20 @@
         ends_at.is_some_and(|ends_at| ends_at < stop_at)
     }
 
+    /// Time from which the caller of a call that this stopping router refuses may find a router that serves: now, unless
+    /// all others stop too; then when the first that is restarted is likely to be back.
+    pub fn serving_at(&self, now: TimePoint) -> TimePoint {
+        let Some(schedule) = self.stop_schedule else { return now };
+        if self.peers.serving(now).next().is_some() {
+            return now;
+        }
+        let stop_time = schedule.idle_stop_at.since(schedule.started_at) + RESTART_TIME;
+        let peers = self.peers.stops().map(|stopped_at| stopped_at.after(stop_time));
+        let own = schedule.started_at.after(stop_time);
+        // A router that is back by now would have sent a heartbeat, unless it was removed.
+        peers.chain([own]).filter(|back_at| !back_at.passed(now)).min().unwrap_or(now)
+    }
+
     /// Records how long a call took that was answered.
     pub(super) fn record_call_time(&mut self, now: TimePoint, state: &CallState) {
         let time: Duration = now.since(state.admitted_at);
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -15,6 +15,9 @@
 /// Time for which a router counts as alive after its last heartbeat.
 const HEARTBEAT_TTL: Duration = Duration::from_millis(1_500);
 
+/// Time for which the start of a router's shutdown is kept; longer than any takes.
+const STOP_TTL: Duration = Duration::from_secs(60);
+
 /// Time for which no calls are sent through a router that did not accept a connection.
 const DETOUR_REFUSED_TTL: Duration = Duration::from_secs(1);
 
@@ -186,6 +189,9 @@
 pub(crate) struct PeerRegistry {
     records: BTreeMap<HostName, PeerRecord>,
     replay_guard: ReplayGuard,
+    /// Time at which routers that have not served since began to shut down, by name. Their entries are removed before
+    /// they end.
+    stops: BTreeMap<HostName, TimePoint>,
 }
 
 impl PeerRegistry {
@@ -239,6 +245,11 @@
         }
         record.alive_until = now.after(HEARTBEAT_TTL);
         record.serving = heartbeat.ready && !heartbeat.shutting_down;
+        if heartbeat.shutting_down {
+            self.stops.entry(heartbeat.entry.name.clone()).or_insert(now);
+        } else if record.serving {
+            self.stops.remove(&heartbeat.entry.name);
+        }
         let loads = heartbeat.load_share.loads.iter();
         record.calls_in_flight = loads.fold(0, |sum: u32, load| sum.saturating_add(load.in_flight));
         record.unreachable_pools.clone_from(&heartbeat.unreachable_pools);
@@ -270,6 +281,12 @@
     /// Forgets what is too old to matter.
     pub(crate) fn sweep(&mut self, now: TimePoint) {
         self.replay_guard.sweep(now);
+        self.stops.retain(|_, stopped_at| !stopped_at.after(STOP_TTL).passed(now));
+    }
+
+    /// Returns the times at which routers that have not served since began to shut down.
+    pub(crate) fn stops(&self) -> impl Iterator<Item = TimePoint> {
+        self.stops.values().copied()
     }
 
     /// Whether all live routers read records of a tag.
--- a/crates/core-forward/tests/decisions.rs
+++ b/crates/core-forward/tests/decisions.rs
@@ -301,11 +301,20 @@
         core.caller_addresses(now.after(Duration::from_secs(3)), CallerKey(7)),
         [address(100)]
     );
-    other
-        .start_shutdown(StopSchedule { listed_until: TimePoint::NEVER, stop_at: TimePoint::NEVER });
+    other.start_shutdown(StopSchedule {
+        started_at: TimePoint(0),
+        idle_stop_at: TimePoint::NEVER,
+        listed_until: TimePoint::NEVER,
+        stop_at: TimePoint::NEVER,
+    });
     core.on_heartbeat(now, other.next_heartbeat(now));
     assert_eq!(core.caller_addresses(now, CallerKey(7)), [address(100)]);
-    core.start_shutdown(StopSchedule { listed_until: TimePoint::NEVER, stop_at: TimePoint::NEVER });
+    core.start_shutdown(StopSchedule {
+        started_at: TimePoint(0),
+        idle_stop_at: TimePoint::NEVER,
+        listed_until: TimePoint::NEVER,
+        stop_at: TimePoint::NEVER,
+    });
     assert_eq!(core.caller_addresses(now, CallerKey(7)), []);
 }
 
--- a/crates/core-forward/tests/stopping.rs
+++ b/crates/core-forward/tests/stopping.rs
@@ -12,8 +12,12 @@
 use fixture::{call_head, new_router, target_entry};
 
 const STOPPED_AT: TimePoint = TimePoint(20_000_000);
-const SCHEDULE: StopSchedule =
-    StopSchedule { listed_until: TimePoint(23_000_000), stop_at: TimePoint(28_000_000) };
+const SCHEDULE: StopSchedule = StopSchedule {
+    started_at: STOPPED_AT,
+    idle_stop_at: TimePoint(25_600_000),
+    listed_until: TimePoint(23_000_000),
+    stop_at: TimePoint(28_000_000),
+};
 
 /// Calls that take each time; enough to know how long calls take.
 const CALLS_PER_TIME: usize = 80;
@@ -96,3 +100,50 @@
     let admitted = core.admit(now, call_head(now, 200, None), ContentDigest(200));
     assert_eq!(admitted.err(), Some(NotRunCode::RouterLeaving));
 }
+
+/// What the other router of a fleet did when this one, which stops, refuses a call 3 s into its shutdown.
+#[derive(Debug, Clone, Copy)]
+enum OtherRouter {
+    Absent,
+    Serves,
+    /// Began to stop that long before this one.
+    Stops(Duration),
+    /// Stopped as long before, and serves again.
+    Restarted(Duration),
+}
+
+/// Guards against callers that are told to return at once while no router serves, and then use up their retries.
+fn check_return(other: OtherRouter, returns_after: Duration) {
+    let started_at = TimePoint(STOPPED_AT.0 - 10_000_000);
+    let new = |index| {
+        let mut core = new_router(started_at, index, 1, RetryRule::AtMostOnceStream);
+        core.list_targets(started_at, vec![target_entry(0, 1)]);
+        core
+    };
+    let (mut core, mut peer) = (new(0), new(1));
+    let now = STOPPED_AT.after(millis(3_000));
+    match other {
+        OtherRouter::Absent => {}
+        OtherRouter::Serves => core.on_heartbeat(now, peer.next_heartbeat(now)),
+        OtherRouter::Stops(before) | OtherRouter::Restarted(before) => {
+            let stopped_at = TimePoint(STOPPED_AT.0 - before.as_micros() as u64);
+            peer.start_shutdown(SCHEDULE);
+            core.on_heartbeat(stopped_at, peer.next_heartbeat(stopped_at));
+            core.on_heartbeat(now, peer.next_heartbeat(now));
+        }
+    }
+    if let OtherRouter::Restarted(_) = other {
+        core.on_heartbeat(now, new(1).next_heartbeat(now));
+    }
+    core.start_shutdown(SCHEDULE);
+    assert_eq!(core.serving_at(now).since(now), returns_after);
+}
+
+test_cases! {
+    check_return:
+    a_caller_returns_at_once_if_another_router_serves(OtherRouter::Serves, millis(0));
+    a_caller_returns_when_a_lone_router_is_back(OtherRouter::Absent, millis(2_900));
+    a_caller_returns_when_the_first_router_is_back(OtherRouter::Stops(millis(1_000)), millis(1_900));
+    a_router_that_did_not_come_back_does_not_count(OtherRouter::Stops(millis(4_000)), millis(2_900));
+    a_router_that_is_back_serves(OtherRouter::Restarted(millis(1_000)), millis(0));
+}
--- a/crates/core-forward/tests/support/load.rs
+++ b/crates/core-forward/tests/support/load.rs
@@ -190,6 +190,8 @@
         let second = self.now.0 / 1_000_000;
         if self.plan.stop_at_s.is_some_and(|at| self.now == TimePoint(at * 1_000_000)) {
             self.routers[0].start_shutdown(StopSchedule {
+                started_at: TimePoint(0),
+                idle_stop_at: TimePoint::NEVER,
                 listed_until: TimePoint::NEVER,
                 stop_at: TimePoint::NEVER,
             });
--- a/crates/core-forward/tests/waiting.rs
+++ b/crates/core-forward/tests/waiting.rs
@@ -198,7 +198,12 @@
 fn waiting_calls_are_sent_or_refused_on_a_graceful_stop() {
     let (mut core, running, [(first, _), (second, _)]) = full_router([0, 7]);
     end(&mut core, running[0]);
-    core.start_shutdown(StopSchedule { listed_until: TimePoint::NEVER, stop_at: TimePoint::NEVER });
+    core.start_shutdown(StopSchedule {
+        started_at: TimePoint(0),
+        idle_stop_at: TimePoint::NEVER,
+        listed_until: TimePoint::NEVER,
+        stop_at: TimePoint::NEVER,
+    });
     assert_eq!(core.take_startable(NOW), [first]);
     assert!(matches!(core.dispatch(NOW, first), DispatchStep::Send(_)));
     assert_eq!(core.take_startable(NOW), [second]);
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -29,6 +29,9 @@
 /// Shortest time after which a caller that a stopping router refused may return; the longest is twice that.
 const LEAVING_RETURN_TIME: Duration = Duration::from_millis(50);
 
+/// Time over which the returns of callers are spread that wait for a router to be back.
+const RESTART_RETURN_SPREAD: Duration = Duration::from_millis(300);
+
 /// Limit on the bytes of a response that is buffered before it is forwarded.
 pub(crate) const RESPONSE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
@@ -126,7 +129,12 @@
     if code == NotRunCode::RouterLeaving {
         // Callers go to another router, not all at once.
         let spread = unit_hash(stable_hash(log.id().as_bytes()));
-        return_at = now.after(LEAVING_RETURN_TIME.mul_f64(1.0 + spread));
+        let serving_at = state.with_core(|core, now| core.serving_at(now));
+        let spread_time = match serving_at > now {
+            true => RESTART_RETURN_SPREAD.mul_f64(spread),
+            false => LEAVING_RETURN_TIME.mul_f64(1.0 + spread),
+        };
+        return_at = serving_at.max(now).after(spread_time);
     }
     refusal_response(state, Refusal::NotRun(code, return_at))
 }
