Keep a silent target until another one continues its stream

Cause: after a second without an event a router closed the connection to the target before it knew whether another one takes the stream; if the others are full or silent, a sound stream was broken off. Class: what works is given up before its replacement is there. New line: silent target kept. Why it works: a refusal of the other target arrives while the first one is still there.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -20,6 +20,7 @@
 mod waiting;
 
 pub use self::beats::heartbeat_interval;
+pub use self::ends::HeldAttempt;
 pub use self::snapshots::{EngineAddress, PeerSnapshot, SegmentHolders};
 pub use self::speeds::EVENT_REPORT_INTERVAL;
 pub use self::stopping::StopSchedule;
--- a/crates/core-forward/src/core/ends.rs
+++ b/crates/core-forward/src/core/ends.rs
@@ -6,12 +6,19 @@
 use policy_retries::{ContentChange, CrashRecord};
 use policy_targets::{CallRate, NamedLimit, RejectionLimit, RejectionStatement};
 
-use crate::{AttemptOutcome, CallKey, ForwardCore, LeavingNotice, call::CallState};
+use crate::{
+    AttemptOutcome, CallKey, ForwardCore, LeavingNotice,
+    call::{CallState, CurrentAttempt},
+};
 
 /// Time after the start of a response after which its content is not the cause of a crash: content
 /// that crashes a target does so as the answer begins.
 const SAFE_RESPONSE_TIME: Duration = Duration::from_secs(1);
 
+/// An attempt whose target is silent but has not ended it.
+#[derive(Debug, Clone, Copy)]
+pub struct HeldAttempt(CurrentAttempt);
+
 impl ForwardCore {
     /// Records that the target started to answer: it has prefilled the prompt.
     pub fn on_response_started(&mut self, now: TimePoint, key: CallKey) {
@@ -150,6 +157,31 @@
         self.calls.insert(key, state);
     }
 
+    /// Records that the target of the attempt in progress is silent, and returns the attempt, which goes on while another
+    /// target is asked to continue the stream.
+    pub fn hold_silent_attempt(&mut self, now: TimePoint, key: CallKey) -> Option<HeldAttempt> {
+        let attempt = self.calls.get(&key)?.current_attempt?;
+        self.on_attempt_finished(now, key, AttemptOutcome::Silent);
+        Some(HeldAttempt(attempt))
+    }
+
+    /// Makes a held attempt the one in progress again, as no other target continues the stream; a later attempt is
+    /// abandoned.
+    pub fn return_to_attempt(&mut self, now: TimePoint, key: CallKey, held: HeldAttempt) {
+        self.on_attempt_finished(now, key, AttemptOutcome::Abandoned);
+        let Some(mut state) = self.calls.remove(&key) else { return };
+        self.leave_queue(key, &mut state);
+        self.end_detour(&mut state);
+        let HeldAttempt(attempt) = held;
+        if let Some(record) = self.targets.get_mut(attempt.target) {
+            record.own_in_flight += 1;
+            record.prefill_tokens += u64::from(attempt.prefill_tokens);
+            record.cache_tokens += attempt.cache_tokens;
+        }
+        state.current_attempt = Some(attempt);
+        self.calls.insert(key, state);
+    }
+
     /// Removes a call that is over for its caller; ends an attempt in progress.
     pub fn finish(&mut self, key: CallKey) {
         let Some(mut state) = self.calls.remove(&key) else { return };
--- a/crates/core-forward/src/lib.rs
+++ b/crates/core-forward/src/lib.rs
@@ -40,7 +40,7 @@
     change_order::ChangeOrder,
     core::{
         AdmittedCall, EVENT_REPORT_INTERVAL, EngineAddress, ForwardCore, ForwardStatus,
-        PeerSnapshot, SegmentHolders, StopSchedule, heartbeat_interval,
+        HeldAttempt, PeerSnapshot, SegmentHolders, StopSchedule, heartbeat_interval,
     },
     crashes::{BlockNotice, ContentReport, CrashNotice, SuspectNotice},
     detours::{DetourClaim, DetourOutcome, DetourSpec},
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -578,6 +578,14 @@
         self.record_attempt_outcome(attempt, outcome);
     }
 
+    /// Logs and counts an attempt whose silent target was left; the core knows of it.
+    pub(crate) fn record_left_target(&self, attempt: &AttemptSpec) {
+        let outcome = AttemptOutcome::Silent.as_str();
+        self.log.attempt_failed(self.state.now(), attempt, outcome, "no event in time");
+        let is_retry = attempt.attempts_before > 0;
+        self.state.metrics().count_attempt(self.admitted.pool.as_str(), outcome, is_retry);
+    }
+
     fn record_rate_limit(&self, started: &StartedResponse) {
         let (target, limit) = (started.attempt.target, started.head.rate_limit);
         if self.state.with_core(|core, now| core.on_rate_limit(now, target, limit)) {
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -230,6 +230,14 @@
         );
     }
 
+    /// Logs a stream that goes on at a silent target, as no other one continued it sooner.
+    pub(crate) fn silent_target_kept(&self, now: TimePoint, attempt: &AttemptSpec) {
+        log::info!(
+            call = &*self.id, age_ms = self.age_ms(now), target = &*attempt.name;
+            "silent target kept"
+        );
+    }
+
     /// Logs a call that the router gave up after its admission.
     pub(crate) fn given_up(&self, now: TimePoint, refusal: Refusal) {
         log::info!(
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -5,9 +5,11 @@
 //! chunks ends with its connection, so such a response must also contain a complete event.
 
 mod content;
+mod handover;
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use core_forward::{AttemptOutcome, AttemptSpec, EVENT_REPORT_INTERVAL};
 use http::{Response, response};
 use http_body_util::BodyExt;
@@ -21,11 +23,14 @@
     call::{DispatchOutcome, ServedCall, StartedResponse},
     framing::{BodyFraming, BodyProgress},
     hop::end_to_end_parts,
-    relay::content::{StreamContent, carries_events},
+    relay::{
+        content::{StreamContent, carries_events},
+        handover::HandoverEnd,
+    },
     upstream::TargetConnection,
 };
 
-/// Time without a complete event after which a resumable stream is resumed at another target, whatever
+/// Time without a complete event after which another target is asked to continue a resumable stream, whatever
 /// bytes arrive; callers abandon a stream after two seconds without an event.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -61,6 +66,10 @@
     head: ResponseHead,
     body: Incoming,
     progress: BodyProgress,
+    /// Whether the core knows that the response started.
+    has_started: bool,
+    /// Complete events that arrived while another target was asked to continue the stream.
+    early_events: Option<Bytes>,
 }
 
 /// Why reading the stream of one target stopped.
@@ -87,7 +96,18 @@
         let StartedResponse { attempt, connection, head, response } = started;
         let progress = BodyProgress::new(BodyFraming::of(&response));
         let (parts, body) = response.into_parts();
-        (parts, Self { attempt, connection, head, body, progress })
+        (
+            parts,
+            Self {
+                attempt,
+                connection,
+                head,
+                body,
+                progress,
+                has_started: false,
+                early_events: None,
+            },
+        )
     }
 }
 
@@ -130,6 +150,14 @@
         let mut source = source;
         loop {
             let end = self.forward_events(&mut source).await;
+            if matches!(end, StreamEnd::Silent) {
+                source = match self.hand_over(source).await {
+                    HandoverEnd::Supplied(supplying) => *supplying,
+                    HandoverEnd::Lost => return self.abort("broke off"),
+                    HandoverEnd::CallerDisconnected => return,
+                };
+                continue;
+            }
             let position = self.content.position();
             source.progress.inside_event =
                 position.is_some_and(|position| position.is_inside_event());
@@ -165,10 +193,14 @@
     /// silence of the target: the event timeout starts after it.
     async fn forward_events(&mut self, source: &mut StreamSource) -> StreamEnd {
         let deadline = self.call.state.clock().instant(source.attempt.deadline);
-        let mut has_started = false;
         let mut unreported_events = 0;
         let mut next_event_report = Instant::now();
         let mut event_deadline = Instant::now() + EVENT_TIMEOUT;
+        if let Some(events) = source.early_events.take()
+            && let Err(stop) = self.outlet.send(events, deadline).await
+        {
+            return stop.into();
+        }
         loop {
             let frame = tokio::select! {
                 frame = source.body.frame() => frame,
@@ -197,8 +229,8 @@
                 },
             };
             source.progress.bytes += chunk.len() as u64;
-            if !has_started {
-                has_started = true;
+            if !source.has_started {
+                source.has_started = true;
                 let call = self.call.admitted.call;
                 self.call.state.with_core(|core, now| core.on_response_started(now, call));
             }
@@ -256,6 +288,11 @@
             outcome = self.call.dispatch_until_response(last_event_id) => outcome,
             () = self.outlet.closed() => return None,
         };
+        self.accept_source(outcome)
+    }
+
+    /// Returns the source that an outcome supplies, if it is one of events.
+    fn accept_source(&self, outcome: DispatchOutcome) -> Option<StreamSource> {
         match outcome {
             DispatchOutcome::Started(started) => {
                 let status = started.response.status();
