Give callers that read nothing for some seconds time to go on

Cause: TCP_USER_TIMEOUT of 1.5 s on callers' connections, meant for remote ends that are gone, also ends those that acknowledge probes of a full window; the remedy was tied to memory_mb. Class: a bound that is meant for one failure and ends what is sound. Change: 8 s for all callers' connections; 1.5 s stays for targets and routers. Cost: a caller that is gone without a word may be noticed 6.5 s later.

--- a/crates/io-forward/src/connect.rs
+++ b/crates/io-forward/src/connect.rs
@@ -9,12 +9,13 @@
 /// retransmitted only after 1 s; by then the call has been retried elsewhere.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// `TCP_USER_TIMEOUT`: the connection is closed if sent bytes stay unacknowledged this long.
+/// `TCP_USER_TIMEOUT` of connections to targets and other routers: the connection is closed if sent bytes stay
+/// unacknowledged this long.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// `TCP_USER_TIMEOUT` of callers' connections where memory is limited. It also ends connections whose
-/// caller acknowledges bytes but reads none; with 1.5 s, streams of callers that paused for 2.8 s were
-/// cut. Longer than a caller may take no bytes, so that the router knows why the connection ended.
+/// `TCP_USER_TIMEOUT` of callers' connections. It also ends connections whose caller acknowledges bytes but
+/// reads none; with 1.5 s, streams of callers that paused for 2.8 s were cut. Longer than a caller may take no
+/// bytes where memory is limited, so that the router knows why the connection ended.
 const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Idle time before the first keepalive probe, and the interval between probes.
@@ -27,20 +28,16 @@
 pub(crate) async fn connect_target(address: SocketAddr) -> io::Result<TcpStream> {
     let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connecting.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    configure_socket(&stream)?;
+    configure(&stream, USER_TIMEOUT)?;
     Ok(stream)
 }
 
-/// Disables Nagle's algorithm and enables keepalive probes and the user timeout.
-pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
-    configure(stream, USER_TIMEOUT)
-}
-
-/// Configures the connection of a caller that may read slowly.
-pub(crate) fn configure_slow_caller(stream: &TcpStream) -> io::Result<()> {
+/// Configures the connection of a caller, which may read slowly.
+pub(crate) fn configure_caller(stream: &TcpStream) -> io::Result<()> {
     configure(stream, CALLER_USER_TIMEOUT)
 }
 
+/// Disables Nagle's algorithm and enables keepalive probes and the user timeout.
 fn configure(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/io-forward/src/front.rs
+++ b/crates/io-forward/src/front.rs
@@ -8,10 +8,8 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::{
-    ForwardState, ResponseBody,
-    call::serve_call,
-    caller_stream::CallerStream,
-    connect::{configure_slow_caller, configure_socket},
+    ForwardState, ResponseBody, call::serve_call, caller_stream::CallerStream,
+    connect::configure_caller,
 };
 
 const LISTEN_BACKLOG: u32 = 1024;
@@ -102,11 +100,7 @@
 
 async fn serve_connection(state: ForwardState, stream: TcpStream) {
     let is_limited = state.is_memory_limited();
-    let configured = match is_limited {
-        true => configure_slow_caller(&stream),
-        false => configure_socket(&stream),
-    };
-    if let Err(error) = configured {
+    if let Err(error) = configure_caller(&stream) {
         log::debug!(error = error.to_string().as_str(); "configuring a caller socket failed");
     }
     let limits = state.with_core(|core, _| core.limits());
