Hand a stream over with its first event, not with a head

Cause: the first form of the handover left the silent target when the other one sent a head, which a silent target does, too. Class: what works is given up before its replacement is there.

--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -13,7 +13,7 @@
 use core_forward::{AttemptOutcome, AttemptSpec, EVENT_REPORT_INTERVAL};
 use http::{Response, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use policy_admission::MemoryUse;
 use tokio::time::Instant;
 
@@ -23,10 +23,7 @@
     call::{DispatchOutcome, ServedCall, StartedResponse},
     framing::{BodyFraming, BodyProgress},
     hop::end_to_end_parts,
-    relay::{
-        content::{StreamContent, carries_events},
-        handover::HandoverEnd,
-    },
+    relay::{content::StreamContent, handover::HandoverEnd},
     upstream::TargetConnection,
 };
 
@@ -68,8 +65,10 @@
     progress: BodyProgress,
     /// Whether the core knows that the response started.
     has_started: bool,
-    /// Complete events that arrived while another target was asked to continue the stream.
+    /// Complete events of a silent target that arrived while another one was asked to continue the stream.
     early_events: Option<Bytes>,
+    /// First bytes of a target that continues the stream, received while the silent one could still go on.
+    early_chunk: Option<Bytes>,
 }
 
 /// Why reading the stream of one target stopped.
@@ -106,6 +105,7 @@
                 progress,
                 has_started: false,
                 early_events: None,
+                early_chunk: None,
             },
         )
     }
@@ -202,8 +202,10 @@
             return stop.into();
         }
         loop {
+            let early_frame = source.early_chunk.take().map(|chunk| Ok(Frame::data(chunk)));
             let frame = tokio::select! {
-                frame = source.body.frame() => frame,
+                frame = source.body.frame(), if early_frame.is_none() => frame,
+                () = std::future::ready(()), if early_frame.is_some() => early_frame,
                 () = self.outlet.closed() => return StreamEnd::CallerDisconnected,
                 () = tokio::time::sleep_until(deadline) => return StreamEnd::Expired,
                 () = tokio::time::sleep_until(event_deadline), if self.content.is_resumable() => {
@@ -297,7 +299,7 @@
             DispatchOutcome::Started(started) => {
                 let status = started.response.status();
                 let (head, source) = StreamSource::new(*started);
-                if carries_events(&head) {
+                if self.content.is_continued_by(&head) {
                     return Some(source);
                 }
                 let reason = format!("status {}, no events", status.as_u16());
--- a/crates/io-forward/src/relay/content.rs
+++ b/crates/io-forward/src/relay/content.rs
@@ -24,6 +24,9 @@
         splitter: EventSplitter,
         /// Id of the last event that was forwarded; `None` if it is not known.
         last_event_id: Option<Box<str>>,
+        /// Whether the first response stated that it consists of events; a response that does not is no
+        /// continuation then.
+        is_type_stated: bool,
     },
 }
 
@@ -33,10 +36,26 @@
         match (carries_events(head), resumable) {
             (false, _) => Self::Plain,
             (true, false) => Self::Events(EventPosition::default()),
-            (true, true) => {
-                Self::ResumableEvents { splitter: EventSplitter::default(), last_event_id: None }
-            }
+            (true, true) => Self::resumable(head.headers.contains_key(header::CONTENT_TYPE)),
+        }
+    }
+
+    /// Content of the events that another target sends first, apart from those of the stream.
+    pub(super) fn of_continuation() -> Self {
+        Self::resumable(false)
+    }
+
+    fn resumable(is_type_stated: bool) -> Self {
+        let splitter = EventSplitter::default();
+        Self::ResumableEvents { splitter, last_event_id: None, is_type_stated }
+    }
+
+    /// Whether a response of another target continues the stream.
+    pub(super) fn is_continued_by(&self, head: &response::Parts) -> bool {
+        if !self.is_resumable() {
+            return false;
         }
+        carries_events(head)
     }
 
     /// Takes a chunk that arrived and returns the bytes to forward, if any.
@@ -47,7 +66,7 @@
                 position.advance(&chunk);
                 Some(chunk)
             }
-            Self::ResumableEvents { splitter, last_event_id } => {
+            Self::ResumableEvents { splitter, last_event_id, .. } => {
                 let events = splitter.push(&chunk)?;
                 if events.last_event_id.is_some() {
                     *last_event_id = events.last_event_id;
@@ -119,7 +138,7 @@
 }
 
 /// Whether a response carries events. Errors do not, nor do responses that state another type.
-pub(super) fn carries_events(head: &response::Parts) -> bool {
+fn carries_events(head: &response::Parts) -> bool {
     let content_type = head.headers.get(header::CONTENT_TYPE);
     let is_other_type =
         content_type.is_some_and(|value| !value.as_bytes().starts_with(EVENT_STREAM_TYPE));
--- a/crates/knapweedport/tests/gateway.rs
+++ b/crates/knapweedport/tests/gateway.rs
@@ -52,15 +52,16 @@
 
 impl Gateway {
     fn start(name: &str, platform: SocketAddr) -> Self {
-        Self::start_with_stop(name, platform, STOP_MS)
+        Self::start_with(name, platform, STOP_MS, "")
     }
 
-    fn start_with_stop(name: &str, platform: SocketAddr, stop_ms: u64) -> Self {
+    /// Starts a gateway with a stop timeout and further lines of settings.
+    fn start_with(name: &str, platform: SocketAddr, stop_ms: u64, settings: &str) -> Self {
         let [callers, entry, readiness, peers] = [0; 4].map(|_| free_address());
         let text = format!(
             "host = \"{name}\"\nfailure_domain = \"z\"\ncaller_listen = \"{callers}\"\n\
              entry_listen = \"{entry}\"\nreadiness_listen = \"{readiness}\"\n\
-             peer_listen = \"{peers}\"\nplatform = \"{platform}\"\n[fleet]\nstop_ms = {stop_ms}\n",
+             peer_listen = \"{peers}\"\nplatform = \"{platform}\"\n{settings}[fleet]\nstop_ms = {stop_ms}\n",
         );
         let file = format!("knapweedport-gateway-{}-{}.toml", std::process::id(), callers.port());
         let path = std::env::temp_dir().join(file);
@@ -139,25 +140,67 @@
         let script = ReplyScript::default();
         let runner = RunnerStandIn::start("r-a", &script).await;
         store.put("servers", &runner.id, runner.entry("pool"));
-        let route = |name: &str, kind: &str| {
-            json!({
-                "name": name, "host": "h", "pathPrefix": format!("/{name}/"), "kind": kind,
-                "timeoutMs": 5_000, "sloMs": 200, "service": "pool", "attempts": 1,
-            })
-        };
-        let limits = json!({
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
-            "idleTimeoutMs": 15_000,
-        });
-        let routes = [route("once", "non_idempotent"), route("stream", "streaming")];
-        let config = json!({
-            "version": 1, "routes": routes, "services": [{"name": "pool"}], "limits": limits,
-        });
-        store.put("config", "main", config);
+        store.put("config", "main", configuration(1));
         test(TestEnvironment { store, runner, script }).await;
     });
 }
 
+fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, attempts: u32| {
+        json!({
+            "name": name, "host": "h", "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 5_000, "sloMs": 200, "service": "pool", "attempts": attempts,
+            "resumable": attempts > 1,
+        })
+    };
+    let limits = json!({
+        "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
+        "idleTimeoutMs": 15_000,
+    });
+    let routes = [
+        route("once", "non_idempotent", 1),
+        route("stream", "streaming", 1),
+        route("resumable", "streaming", 2),
+    ];
+    json!({"version": version, "routes": routes, "services": [{"name": "pool"}], "limits": limits})
+}
+
+/// All targets fall silent for more than a second while a gateway stops and the configuration changes. Guards against
+/// streams that are begun again at another silent target and cut as the process ends.
+#[test]
+fn a_stopping_gateway_finishes_streams_of_targets_that_pause() {
+    run_with_environment(async |environment: TestEnvironment| {
+        let other = RunnerStandIn::start("r-b", &environment.script).await;
+        environment.store.put("servers", &other.id, other.entry("pool"));
+        // A first start has retries to spend.
+        let settings = "first_start = true\n";
+        let leaving = Gateway::start_with("g-0", environment.store.address, STOP_MS, settings);
+        leaving.wait_until_ready().await;
+        for _ in 0..16 {
+            let reply = Reply::EventsSlow(2, Duration::from_millis(1_200));
+            environment.script.lock().expect("the script lock is not poisoned").push_back(reply);
+        }
+        let mut streams = Vec::new();
+        for number in 0..8 {
+            let path = if number % 2 == 0 { "/stream/x" } else { "/resumable/x" };
+            let mut stream = HttpConnection::connect(leaving.callers).await;
+            stream.send(request(path, &format!("a{number}")).as_bytes()).await;
+            streams.push(stream);
+        }
+        let received =
+            || environment.runner.received_messages().len() + other.received_messages().len();
+        while received() < streams.len() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        leaving.signal(Signal::SIGTERM);
+        environment.store.put("config", "main", configuration(2));
+        for (number, mut stream) in streams.into_iter().enumerate() {
+            let answer = stream.read(true).await.unwrap_or_default();
+            assert!(answer.whole && answer.text().contains("id: 2\n"), "stream {number}");
+        }
+    });
+}
+
 fn request(path: &str, id: &str) -> String {
     request_with_deadline(path, id, 4_000)
 }
@@ -174,7 +217,7 @@
 #[test]
 fn a_stopping_gateway_takes_late_calls_only_if_their_deadline_ends_them() {
     run_with_environment(async |environment: TestEnvironment| {
-        let mut leaving = Gateway::start_with_stop("g-0", environment.store.address, 6_000);
+        let mut leaving = Gateway::start_with("g-0", environment.store.address, 6_000, "");
         leaving.wait_until_ready().await;
         let reply = |reply| {
             environment.script.lock().expect("the script lock is not poisoned").push_back(reply);
