Continue a stream of a stated type only with that type

Cause: a second answer with status 200, a length and no content type was taken for the rest of a stream. Class: a part that is accepted by itself, not as part of a whole. Change: if the first answer stated that it consists of events, one that does not is no continuation. Evidence: adapter second_answers, 27 second answers to four kinds of callers and heads that stop at nine places on four routes: three of the eight cases fail without the change (Signed(200)) and all pass with it.

--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -39,6 +39,12 @@
     Foreign,
     /// An answer with status 200 and without the runner's signature.
     Unsigned,
+    /// A signed answer with this status after the runner executed the call; its text could be taken for an event.
+    Signed(u16),
+    /// The first bytes of such an answer's head, after which the connection closes.
+    HeadCut(usize),
+    /// Bytes that are no answer, after which the connection closes.
+    Garbage,
     /// A signed answer with status 500 after the runner executed the call.
     Failure,
     /// Status 503 and a header that says that the call was not executed.
@@ -411,6 +417,19 @@
                     format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n{}", self.empty_body_head());
                 connection.send(answer.as_bytes()).await;
             }
+            Reply::Signed(status) => {
+                let answer = self.signed_answer(status, &id, "error text\n\n");
+                connection.send(answer.as_bytes()).await;
+            }
+            Reply::HeadCut(bytes) => {
+                let head = self.event_stream_head(&id);
+                connection.send(&head.as_bytes()[..bytes.min(head.len() - 1)]).await;
+                return AfterReply::Close;
+            }
+            Reply::Garbage => {
+                connection.send(b"\x16\x03\x01 no answer\n\n").await;
+                return AfterReply::Close;
+            }
             Reply::Failure => {
                 connection.send(self.signed_answer(500, &id, "failed").as_bytes()).await
             }
--- a/crates/io-forward/src/relay/content.rs
+++ b/crates/io-forward/src/relay/content.rs
@@ -52,10 +52,8 @@
 
     /// Whether a response of another target continues the stream.
     pub(super) fn is_continued_by(&self, head: &response::Parts) -> bool {
-        if !self.is_resumable() {
-            return false;
-        }
-        carries_events(head)
+        let Self::ResumableEvents { is_type_stated, .. } = self else { return false };
+        carries_events(head) && (!is_type_stated || head.headers.contains_key(header::CONTENT_TYPE))
     }
 
     /// Takes a chunk that arrived and returns the bytes to forward, if any.
