--- a/crates/io-wire/src/endpoint.rs
+++ b/crates/io-wire/src/endpoint.rs
@@ -87,6 +87,15 @@
         Ok((wire, receiver))
     }
 
+    /// The address that the socket is bound to, with the port chosen by the system if it was 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not return the address.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
     /// Connects to the peer at an address.
     ///
     /// # Errors
--- a/crates/io-wire/tests/links.rs
+++ b/crates/io-wire/tests/links.rs
@@ -37,10 +37,10 @@
     PeerCredentials { ca, certificate: files.certificate, key: files.key }
 }
 
-/// An endpoint on a free port, and its address; a probe socket finds the port beforehand.
+/// An endpoint on a free port, and its address.
 fn peer(authority: &FleetAuthority, name: &str) -> (Peer, SocketAddr) {
-    let address = UdpSocket::bind(loopback()).unwrap().local_addr().unwrap();
-    let (endpoint, links) = WireEndpoint::bind(address, &tls(authority, name)).unwrap();
+    let (endpoint, links) = WireEndpoint::bind(loopback(), &tls(authority, name)).unwrap();
+    let address = endpoint.address().unwrap();
     (Peer { endpoint, links }, address)
 }
 
@@ -95,8 +95,8 @@
     let (one, _) = peer(&authority, "router-1");
     let mut second_tls = tls(&restored, "router-2");
     second_tls.ca = authority.files().certificate.clone();
-    let address = UdpSocket::bind(loopback()).unwrap().local_addr().unwrap();
-    let (_two, _links) = WireEndpoint::bind(address, &second_tls).unwrap();
+    let (two, _links) = WireEndpoint::bind(loopback(), &second_tls).unwrap();
+    let address = two.address().unwrap();
     assert!(one.endpoint.connect(address).await.is_ok());
 }
 
