Have a new recorder write that no content is blocked

Cause: a new recorder took the record to have no blocks, so that those which its predecessor wrote and which were lifted since stayed there; a later restart of all routers blocked sound content until a trial, 60 s at most. Change: what another router wrote counts as unknown; a recorder that has known of a block since it started writes which are in force as it takes over. Fleets without a block make no further call.

--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -198,6 +198,8 @@
     origins: OriginTable,
     /// Whether the platform kept no record as the fleet started for the first time.
     is_first_start: bool,
+    /// Whether content was blocked since this router started, so that the record may have blocks.
+    has_known_blocks: bool,
     /// Time from which this router may be the recorder; `None` before it was first asked.
     recorder_from: Option<TimePoint>,
     /// Whether a call was sent since the last heartbeat to a pool without engines. Such targets run few
@@ -254,6 +256,7 @@
             reported_changes: Vec::new(),
             origins: OriginTable::default(),
             is_first_start: false,
+            has_known_blocks: false,
             recorder_from: None,
             has_plain_call: false,
             calls: BTreeMap::new(),
--- a/crates/core-forward/src/core/records.rs
+++ b/crates/core-forward/src/core/records.rs
@@ -26,6 +26,7 @@
 impl ForwardCore {
     /// Returns what this router is to write to the platform now, if it is the recorder.
     pub fn next_record_write(&mut self, now: TimePoint) -> Option<RecordWrite> {
+        self.has_known_blocks |= self.crashes.block_notices(now).next().is_some();
         if !self.is_recorder(now) {
             self.origins.record.stop();
             return self.retried_write(now);
@@ -41,7 +42,7 @@
             return Some(write);
         }
         let blocks = self.crashes.block_notices(now).collect();
-        if let Some(write) = self.origins.record.blocks_write(blocks) {
+        if let Some(write) = self.origins.record.blocks_write(blocks, self.has_known_blocks) {
             return Some(write);
         }
         if !is_mixed {
@@ -118,6 +119,7 @@
             self.origins.on_recorded(now, call_hash, software);
         }
         let blocks = ContentReport { blocks: record.blocks, ..ContentReport::default() };
+        self.has_known_blocks |= !blocks.blocks.is_empty();
         self.crashes.on_report(now, &blocks);
         self.targets.software.on_past_read(now, is_complete);
     }
--- a/crates/core-forward/src/origin_record.rs
+++ b/crates/core-forward/src/origin_record.rs
@@ -59,8 +59,9 @@
 pub(crate) struct RecordSchedule {
     /// Software as last written by this router; `None` while another one is the recorder.
     written_software: Option<PoolSoftware>,
-    /// Content as last written, with the number of its trials; the record is taken to have none first.
-    written_blocks: BTreeMap<ContentKey, u8>,
+    /// Content as last written by this router, with the number of its trials; `None` while another one is the
+    /// recorder.
+    written_blocks: Option<BTreeMap<ContentKey, u8>>,
     /// The origins being recorded; `None` while no pool has several versions.
     part: Option<RecordPart>,
     access: RecordAccess,
@@ -156,9 +157,19 @@
         is_new.then_some(RecordWrite::Software(software))
     }
 
-    /// Returns the blocks to write, if others are in force than were written last.
-    pub(crate) fn blocks_write(&self, blocks: Vec<BlockNotice>) -> Option<RecordWrite> {
-        (trials_by_content(&blocks) != self.written_blocks).then_some(RecordWrite::Blocks(blocks))
+    /// Returns the blocks to write, if others are in force than were written last. What another router wrote is not
+    /// known: `may_have_blocks` says whether it may be any.
+    pub(crate) fn blocks_write(
+        &self,
+        blocks: Vec<BlockNotice>,
+        may_have_blocks: bool,
+    ) -> Option<RecordWrite> {
+        let trials = trials_by_content(&blocks);
+        let is_due = match &self.written_blocks {
+            Some(written) => *written != trials,
+            None => may_have_blocks || !trials.is_empty(),
+        };
+        is_due.then_some(RecordWrite::Blocks(blocks))
     }
 
     /// Returns the number and the calls of the part to write, if it has new ones.
@@ -178,7 +189,7 @@
         self.access.retry_at = None;
         match write {
             RecordWrite::Software(software) => self.written_software = Some(software),
-            RecordWrite::Blocks(blocks) => self.written_blocks = trials_by_content(&blocks),
+            RecordWrite::Blocks(blocks) => self.written_blocks = Some(trials_by_content(&blocks)),
             RecordWrite::Origins { part: number, .. } => {
                 if let Some(part) = self.part.as_mut().filter(|part| part.number == number) {
                     part.on_written(now);
--- a/crates/core-forward/tests/restarted.rs
+++ b/crates/core-forward/tests/restarted.rs
@@ -84,6 +84,52 @@
     assert_eq!(fail_calls(&mut core, later, 1), 1);
 }
 
+/// Guards against a block that was lifted and comes back after a later restart, because a new recorder took the record to
+/// have none.
+#[test]
+fn a_lifted_block_leaves_the_record_after_a_change_of_the_recorder() {
+    let key = ContentKey::of_request(ContentDigest(7));
+    let block = |trial_in_ms| vec![BlockNotice { key, trial_in_ms, trials: 0 }];
+    let mut routers = [0, 1].map(|index| new_router_with_attempts(seconds(1), index, 1, RULE, 2));
+    routers.iter_mut().for_each(|core| list(core, seconds(1)));
+    let exchange = |routers: &mut [ForwardCore; 2], now| {
+        let heartbeats = routers.each_mut().map(|core| core.next_heartbeat(now));
+        for heartbeat in heartbeats {
+            routers.iter_mut().for_each(|core| core.on_heartbeat(now, heartbeat.clone()));
+        }
+    };
+    let write_all = |core: &mut ForwardCore, now| {
+        let mut written = Vec::new();
+        while let Some(write) = core.next_record_write(now) {
+            core.on_record_written(now, write.clone());
+            written.extend(match write {
+                RecordWrite::Blocks(blocks) => Some(blocks.len()),
+                _ => None,
+            });
+        }
+        written
+    };
+    routers.iter_mut().for_each(|core| drop(core.next_record_write(seconds(1))));
+    let record = OriginRecord { blocks: block(60_000), ..OriginRecord::default() };
+    routers.iter_mut().for_each(|core| core.restore_record(seconds(1), Some(record.clone()), true));
+    exchange(&mut routers, seconds(4));
+    let written = routers.each_mut().map(|core| write_all(core, seconds(4)));
+    let recorder = written.iter().position(|blocks| !blocks.is_empty()).expect("a recorder");
+    assert_eq!(written[recorder], [1]);
+    let lifted = |core: &mut ForwardCore| {
+        let mut heartbeat =
+            new_router_with_attempts(seconds(5), 9, 1, RULE, 2).next_heartbeat(seconds(5));
+        heartbeat.shutting_down = true;
+        heartbeat.content.sound = vec![key];
+        core.on_heartbeat(seconds(5), heartbeat);
+    };
+    let next = &mut routers[1 - recorder];
+    lifted(next);
+    assert_eq!(next.status(seconds(5)).blocked_content, 0, "lifted");
+    assert_eq!(write_all(next, seconds(7)), [0], "the new recorder writes that there are none");
+    assert_eq!(write_all(next, seconds(8)), [0; 0]);
+}
+
 /// All routers restart: content that was blocked stays so.
 #[test]
 fn blocked_content_is_recorded_and_restored() {
