Continue an unnamed stream only by a list that is known to be current

Cause: the only version that a router knew counted however old its list was; for named origins any answer of the store within 3 s counted. Class: news that is older than what it decides. Change: it counts if heartbeats of half of the others are recent, each of which reports software that it learns of first, or if the router has asked for the complete list since the call came. Else the call waits for such a list, 1 s at most, and is refused at once while the store does not respond. Not played with processes.

--- a/crates/core-forward/src/core/resumption.rs
+++ b/crates/core-forward/src/core/resumption.rs
@@ -23,6 +23,10 @@
 /// Time in which the recorder writes what a heartbeat told it.
 const RECORD_TIME: Duration = Duration::from_millis(100);
 
+/// Heartbeat intervals without a heartbeat of half of the other routers after which this one may have missed what they
+/// learned.
+const STEP_INTERVALS: u32 = 3;
+
 /// Fraction of the heartbeat interval for which a call waits for the origin of its stream. A router
 /// that has an origin to report sends its next heartbeat early.
 const ORIGIN_WAIT_DIVISOR: u32 = 2;
@@ -94,10 +98,13 @@
         {
             return None;
         }
-        if self.is_past_awaited() {
+        let is_named = matches!(state.software, StreamSoftware::Unresolved(Some(_)));
+        let can_be_known =
+            !self.origins.record.is_platform_failing() && self.only_software(now, state).is_some();
+        let needs_list = can_be_known && !self.knows_software(now, state);
+        if self.is_past_awaited() || needs_list {
             return Some(now.after(PAST_WAIT).min(state.deadline));
         }
-        let is_named = matches!(state.software, StreamSoftware::Unresolved(Some(_)));
         (is_named && routers > 1)
             .then(|| now.after(heartbeat_interval(routers) / ORIGIN_WAIT_DIVISOR))
     }
@@ -132,14 +139,34 @@
     }
 
     /// Finds the software that began the stream which a call resumes: the one that a router reported,
-    /// or the only one of the pools in which it may have begun. A list that may be out of date counts only where the caller does not
-    /// name the call that began its stream, as no later report can tell its software.
+    /// or the only one of the pools in which it may have begun. A list that may be out of date tells nothing.
     fn find_software(&self, now: TimePoint, state: &CallState) -> Option<SoftwareKey> {
         let StreamSoftware::Unresolved(origin) = state.software else { return None };
         let reported = origin.and_then(|call_hash| self.origins.software(now, call_hash));
+        reported
+            .or_else(|| self.only_software(now, state).filter(|_| self.knows_software(now, state)))
+    }
+
+    /// The only software that this router knows of the pools in which a stream may have begun.
+    fn only_software(&self, now: TimePoint, state: &CallState) -> Option<SoftwareKey> {
+        self.targets.software.only_software(now, state.stream_pools.as_deref()?)
+    }
+
+    /// Whether this router knows all software that may have begun the stream which a call resumes: it has asked for the
+    /// list since, or is in touch with others, each of which reports software that it learns of first. A call that
+    /// names its origin has a report to wait for, and needs a current list, too.
+    fn knows_software(&self, now: TimePoint, state: &CallState) -> bool {
         let history = &self.targets.software;
-        let is_list_enough = origin.is_none() || history.is_current(now);
-        let pools = state.stream_pools.as_deref().filter(|_| is_list_enough);
-        reported.or_else(|| history.only_software(now, pools?))
+        if history.is_listed_since(state.admitted_at) {
+            return true;
+        }
+        let is_named = matches!(state.software, StreamSoftware::Unresolved(Some(_)));
+        let silence = heartbeat_interval(self.router_count()) * STEP_INTERVALS;
+        self.peers.hears_half(now, silence) && (!is_named || history.is_current(now))
+    }
+
+    /// Records that the platform answered with a complete list of targets, which was asked for at a time.
+    pub fn on_target_list_read(&mut self, asked_at: TimePoint) {
+        self.targets.software.on_list_read(asked_at);
     }
 }
--- a/crates/core-forward/src/origin_record.rs
+++ b/crates/core-forward/src/origin_record.rs
@@ -99,6 +99,11 @@
         self.access.is_platform_failing || self.access.retry_at.is_some()
     }
 
+    /// Whether the platform does not respond to this router.
+    pub(crate) fn is_platform_failing(&self) -> bool {
+        self.access.is_platform_failing
+    }
+
     /// Whether a write is due by which a router that was refused learns that the platform takes its writes
     /// again.
     pub(crate) fn is_retry_due(&self, now: TimePoint) -> bool {
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -347,6 +347,13 @@
         recent.map(|record| (&record.entry, record.record_refused))
     }
 
+    /// Whether heartbeats of at least half of the other routers are at most `silence` old.
+    pub(crate) fn hears_half(&self, now: TimePoint, silence: Duration) -> bool {
+        let age = |record: &PeerRecord| HEARTBEAT_TTL.saturating_sub(record.alive_until.since(now));
+        let heard = self.live(now).filter(|record| age(record) <= silence).count();
+        self.records.len() <= 2 * heard
+    }
+
     /// Returns the serving routers that reach targets.
     pub(crate) fn serving_with_links(&self, now: TimePoint) -> impl Iterator<Item = &RouterEntry> {
         let serving = self.records.values().filter(move |record| record.is_serving(now));
--- a/crates/core-forward/src/software.rs
+++ b/crates/core-forward/src/software.rs
@@ -72,6 +72,8 @@
     unreported: ReportQueue<(PoolName, SoftwareKey)>,
     /// Time until which the list of targets counts as current.
     current_until: TimePoint,
+    /// Time at which the latest complete list was asked for: it has all targets that were listed by then.
+    listed_at: TimePoint,
 }
 
 impl Default for SoftwareHistory {
@@ -81,6 +83,7 @@
             past: PastKnowledge::Awaited,
             unreported: ReportQueue::default(),
             current_until: TimePoint(0),
+            listed_at: TimePoint(0),
         }
     }
 }
@@ -103,6 +106,16 @@
         self.current_until = now.after(LIST_CURRENT_TIME);
     }
 
+    /// Records that a complete list of targets was read that was asked for at a time.
+    pub(crate) fn on_list_read(&mut self, asked_at: TimePoint) {
+        self.listed_at = self.listed_at.max(asked_at);
+    }
+
+    /// Whether all targets are known that were listed by a time.
+    pub(crate) fn is_listed_since(&self, time: TimePoint) -> bool {
+        time <= self.listed_at
+    }
+
     /// Whether the list of targets is current, so that it has all software of a pool.
     pub(crate) fn is_current(&self, now: TimePoint) -> bool {
         !self.current_until.passed(now)
--- a/crates/core-forward/tests/split.rs
+++ b/crates/core-forward/tests/split.rs
@@ -141,3 +141,70 @@
     core.on_first_event(START, call);
     assert_eq!(take_up(&mut core, START.after(SOON / 2), Some("7")), [true; 16]);
 }
+
+/// What a router learns between the admission of a call that resumes a stream, while it was out of step, and its dispatch.
+#[derive(Debug, Clone, Copy)]
+enum Learned {
+    Nothing,
+    /// Heartbeats of the others arrive again.
+    Heartbeats,
+    /// The platform's complete list, asked for after the admission.
+    List,
+    /// A list that was asked for before.
+    OlderList,
+}
+
+/// A router hears nothing of the others for a while, in which another version may have joined through them. Guards against
+/// a stream that began there and goes on at the only version that this router knows.
+fn check_out_of_step(learned: Learned, newer_joined: bool, goes_on: bool) {
+    let (cut_at, now) = (START.after(SOON), START.after(SOON + Duration::from_secs(2)));
+    let mut core = new_router(&[ALL_TO_A], true);
+    let mut peers = [1, 2].map(|index| ForwardCore::new(router_entry(index, 1), BOUNDS));
+    for peer in &mut peers {
+        peer.adopt_config(START, config(1, ALL_TO_A));
+        peer.list_targets(START, targets());
+        peer.restore_record(START, None, true);
+        core.on_heartbeat(cut_at, peer.next_heartbeat(cut_at));
+    }
+    let mut listed = targets();
+    if newer_joined {
+        let software_version = "v2".into();
+        listed.push(TargetEntry {
+            pool: PoolName::new("a"),
+            software_version,
+            ..target_entry(7, 1)
+        });
+        peers.iter_mut().for_each(|peer| peer.list_targets(now, listed.clone()));
+    }
+    // The store's answers to other calls do not show that the list is current.
+    core.on_platform_responded(now);
+    let mut head = call_head(now, 100, None);
+    head.resumption = Some(StreamResumption { origin: None });
+    let call = core.admit(now, head, ContentDigest(100)).expect("admitted").call;
+    assert!(core.origin_deadline(now, call).is_some(), "the call waits");
+    let later = now.after(Duration::from_millis(50));
+    match learned {
+        Learned::Nothing => {}
+        Learned::Heartbeats => {
+            peers.iter_mut().for_each(|peer| core.on_heartbeat(later, peer.next_heartbeat(later)));
+        }
+        Learned::List => {
+            core.list_targets(later, listed);
+            core.on_target_list_read(now);
+        }
+        Learned::OlderList => core.on_target_list_read(TimePoint(now.0 - 1)),
+    }
+    let is_sent = matches!(core.dispatch(later, call), DispatchStep::Send(_));
+    assert_eq!(is_sent, goes_on);
+    assert_eq!(core.origin_deadline(later, call).is_some(), !goes_on && !newer_joined);
+}
+
+test_cases! {
+    check_out_of_step:
+    a_router_out_of_step_does_not_guess(Learned::Nothing, false, false);
+    a_list_of_before_does_not_help(Learned::OlderList, false, false);
+    a_router_in_touch_again_continues_a_stream(Learned::Heartbeats, false, true);
+    a_current_list_of_one_version_continues_a_stream(Learned::List, false, true);
+    heartbeats_tell_of_a_version_that_joined(Learned::Heartbeats, true, false);
+    a_current_list_tells_of_a_version_that_joined(Learned::List, true, false);
+}
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -233,6 +233,7 @@
             self.state.with_core(|core, now| core.origin_deadline(now, call))
         };
         let Some(deadline) = origin_deadline() else { return };
+        self.state.list_wanted().notify_one();
         let waiting = async {
             loop {
                 let received = self.state.origins_received().notified();
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -37,6 +37,7 @@
     shutting_down: watch::Sender<bool>,
     heartbeat_wakeup: Notify,
     origins_received: Notify,
+    list_wanted: Notify,
     place_messages_due: Notify,
     /// Wakeups of the calls that wait for a target with room.
     room_waiters: RefCell<BTreeMap<CallKey, Rc<Notify>>>,
@@ -84,6 +85,7 @@
             shutting_down,
             heartbeat_wakeup: Notify::new(),
             origins_received: Notify::new(),
+            list_wanted: Notify::new(),
             place_messages_due: Notify::new(),
             room_waiters: RefCell::default(),
         };
@@ -196,6 +198,11 @@
     }
 
     /// Notified when the origins of streams were received.
+    /// Notified when a call waits for a complete list of targets.
+    pub fn list_wanted(&self) -> &Notify {
+        &self.inner.list_wanted
+    }
+
     pub(crate) fn origins_received(&self) -> &Notify {
         &self.inner.origins_received
     }
