Keep what a fragile target held through a burst of its rejections

Cause: while no place of a fragile target is leased after many rejections, each late rejection counted as one with no place, which lowered its learned number to 1; it grows by one a second, so that a target with room was left idle for some seconds. Change: a rejection lowers the learned number to what the target held, whatever is leased just then.

--- a/crates/core-forward/src/core/places.rs
+++ b/crates/core-forward/src/core/places.rs
@@ -547,12 +547,14 @@
     /// Records that a target, whose places this router keeps, declined a call.
     fn on_rejected(&mut self, now: TimePoint, target: TargetKey) {
         let Some(record) = self.targets.get(target) else { return };
-        let Some(bearable) = self.rejection_limit(now, record) else { return };
+        if self.rejection_limit(now, record).is_none() {
+            return;
+        }
         let leased = record.places.leased_to(identity(&self.entry));
         let own_unleased = record.own_in_flight.saturating_sub(leased);
         let held = record.places.taken(now).saturating_add(own_unleased);
         let Some(record) = self.targets.get_mut(target) else { return };
-        record.places.limit.on_rejected(now, held, record.entry.slots, bearable);
+        record.places.limit.on_rejected(now, held, record.entry.slots);
     }
 
     /// The router that keeps the places of a target.
--- a/crates/policy-targets/src/places.rs
+++ b/crates/policy-targets/src/places.rs
@@ -43,19 +43,21 @@
 impl PlaceLimit {
     /// Calls that may be in flight at a target now.
     pub fn places(&self, now: TimePoint, slots: u32, bearable: RejectionLimit) -> u32 {
-        let slots = slots.clamp(1, PLACES_MAX);
         let recent = self.rejections.iter().filter(|end| !end.passed(now)).count() as u32;
-        if recent > bearable.0 / 2 {
-            return 0;
-        }
+        if recent > bearable.0 / 2 { 0 } else { self.learned_places(now, slots) }
+    }
+
+    /// Calls that the target takes at once as far as known, also while it is sent none.
+    fn learned_places(&self, now: TimePoint, slots: u32) -> u32 {
+        let slots = slots.clamp(1, PLACES_MAX);
         let Some(LearnedPlaces { places, grows_from }) = self.learned else { return slots };
         let growth = now.since(grows_from).as_micros() / GROWTH_INTERVAL.as_micros();
         places.saturating_add(u32::try_from(growth).unwrap_or(u32::MAX)).min(slots)
     }
 
     /// Records that the target rejected a call while it held `held` others.
-    pub fn on_rejected(&mut self, now: TimePoint, held: u32, slots: u32, bearable: RejectionLimit) {
-        let places = self.places(now, slots, bearable).min(held).max(1);
+    pub fn on_rejected(&mut self, now: TimePoint, held: u32, slots: u32) {
+        let places = self.learned_places(now, slots).min(held).max(1);
         self.learned = Some(LearnedPlaces { places, grows_from: now });
         self.rejections.retain(|end| !end.passed(now));
         if self.rejections.len() < REJECTIONS_MAX {
