--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,10 +1,15 @@
 //! Series of overlapping faults, drawn from a seed.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use error_stack::Report;
 use fakes::StoreMode;
 use rand::{Rng, rngs::SmallRng};
+use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -45,8 +50,16 @@
     Drain,
     Configure(u64),
     ConfigureBurst,
+    Restore,
 }
 
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_AWAY_TIME: Duration = Duration::from_millis(500);
+/// Time after which the operator and the runners have written again what a restore lost.
+const REWRITE_TIME: Duration = Duration::from_millis(300);
+/// Time after a restore for which it counts as a fault.
+const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Injects the faults of one round and returns once all of them are over.
 pub(crate) async fn inject_faults(
     cluster: &Rc<SoakCluster>,
@@ -54,8 +67,11 @@
 ) -> Result<(), Report<SoakError>> {
     let count = rng.random_range(FAULTS_MIN..=FAULTS_MAX);
     let mut tasks = Vec::new();
-    for _ in 0..count {
-        let fault = draw_fault(cluster, rng);
+    for number in 0..count {
+        let mut fault = draw_fault(cluster, rng);
+        if cluster.plan.restores && number == 0 {
+            fault = SoakFault::Restore;
+        }
         let start_delay = Duration::from_millis(rng.random_range(0..START_DELAY_MS_MAX));
         let duration = Duration::from_millis(rng.random_range(300..DURATION_MS_MAX));
         let cluster = cluster.clone();
@@ -142,6 +158,7 @@
             disturb_link(cluster, &proxy, FaultScope::Runner(index), &description, mode, duration)
                 .await;
         }
+        SoakFault::Restore => restore_store(cluster, duration).await,
         SoakFault::Drain => replace_runner(cluster).await?,
         SoakFault::Configure(step) => cluster.configure(step),
         SoakFault::ConfigureBurst => {
@@ -170,6 +187,36 @@
     cluster.finish_fault(fault_id);
 }
 
+/// Restores the store from a copy of some time before; then the operator and the runners write again what was lost.
+async fn restore_store(cluster: &SoakCluster, age: Duration) {
+    let copy = cluster.store.copy();
+    sleep(age).await;
+    let fault_id = cluster.start_fault(FaultScope::Store, "restored from a copy");
+    cluster.store.set_mode(StoreMode::Silent);
+    sleep(RESTORE_AWAY_TIME).await;
+    let objects = || ["config", "servers"].map(|kind| (kind, cluster.store.objects(kind)));
+    let written = objects();
+    cluster.store.restore(copy);
+    let restored = objects();
+    cluster.store.set_mode(StoreMode::Healthy);
+    sleep(REWRITE_TIME).await;
+    for ((kind, written), (_, restored)) in written.into_iter().zip(restored) {
+        let written: BTreeMap<String, Value> = written.into_iter().collect();
+        let restored: BTreeMap<String, Value> = restored.into_iter().collect();
+        let present: BTreeMap<String, Value> = cluster.store.objects(kind).into_iter().collect();
+        let names: BTreeSet<&String> = written.keys().chain(restored.keys()).collect();
+        // What was written since the restore stays.
+        for name in names.into_iter().filter(|name| present.get(*name) == restored.get(*name)) {
+            match written.get(name) {
+                Some(spec) => cluster.store.put(kind, name, spec.clone()),
+                None => cluster.store.remove(kind, name),
+            }
+        }
+    }
+    sleep(RESTORE_SETTLE_TIME).await;
+    cluster.finish_fault(fault_id);
+}
+
 /// Asks a gateway to stop, waits for the process to exit, and starts a new one.
 async fn stop_gateway(cluster: &SoakCluster, index: usize) -> Result<(), Report<SoakError>> {
     let signalled_at = Instant::now();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -50,6 +50,8 @@
     /// Whether runners run two software versions in turn, and callers break streams off and take them
     /// up.
     pub software_versions: bool,
+    /// Whether the store is restored from a copy in each round.
+    pub restores: bool,
     /// Path of the `knapweedport` binary.
     pub program: PathBuf,
     /// Folder for the settings and logs of the gateways.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -67,6 +67,8 @@
         announcements: bool,
         /// Runs two software versions, whose streams callers break off and resume.
         software_versions: bool,
+        /// Restores the store from a copy some seconds old in each round.
+        restores: bool,
         /// Binary to run instead of the release build.
         #[bpaf(argument("PATH"), optional)]
         program: Option<PathBuf>,
@@ -126,6 +128,7 @@
             rounds,
             announcements,
             software_versions,
+            restores,
             program,
         } => soak::run_soaks(soak::SoakTask {
             seed,
@@ -136,6 +139,7 @@
             rounds,
             announcements,
             software_versions,
+            restores,
             program,
         }),
         Task::Bench => bench::run_bench(),
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -20,6 +20,7 @@
     pub(crate) rounds: u32,
     pub(crate) announcements: bool,
     pub(crate) software_versions: bool,
+    pub(crate) restores: bool,
     /// Binary to run instead of the release build.
     pub(crate) program: Option<PathBuf>,
 }
@@ -35,6 +36,7 @@
             rounds: 2,
             announcements: false,
             software_versions: false,
+            restores: false,
             program: None,
         }
     }
@@ -68,6 +70,7 @@
         rounds: task.rounds,
         announcements: task.announcements,
         software_versions: task.software_versions,
+        restores: task.restores,
         program,
         folder: folder.clone(),
     };
