Bound a reported cold time by what the pool states

Cause: a router that reports that a target is cold for up to 600 s had the others send it few calls until the platform next listed its entry, whatever time the pool states.

--- a/crates/core-forward/src/core/cold.rs
+++ b/crates/core-forward/src/core/cold.rs
@@ -12,7 +12,7 @@
 /// Smallest change of the time for which a target stays cold that the other routers are told.
 const COLD_NEWS: Duration = Duration::from_millis(1_000);
 
-/// Longest time for which a target stays cold by what another router says.
+/// Longest time for which a target stays cold by what another router says, where the configuration states none.
 const COLD_TIME_MAX: Duration = Duration::from_secs(600);
 
 /// Time for which a target that starts counts as cold where a snapshot names only the rate that it takes.
@@ -103,8 +103,12 @@
     /// Handles what another router says of how long targets stay cold. It can shorten only what is assumed here.
     pub(super) fn on_cold_notices(&mut self, now: TimePoint, notices: &[ColdNotice]) {
         for notice in notices {
+            let Some(record) = self.targets.find_by_hash(notice.target_hash) else { continue };
+            // The configuration of a snapshot does not have the time.
+            let rule = self.cold_rule(record).filter(|_| !self.is_config_partial);
+            let longest = rule.map_or(COLD_TIME_MAX, |rule| rule.time);
             let Some(record) = self.targets.find_by_hash_mut(notice.target_hash) else { continue };
-            let left = Duration::from_millis(u64::from(notice.left_ms)).min(COLD_TIME_MAX);
+            let left = Duration::from_millis(u64::from(notice.left_ms)).min(longest);
             let until = now.after(left);
             if record.is_cold_assumed || record.cold_until < until {
                 record.cold_until = until;
--- a/crates/core-forward/tests/cold.rs
+++ b/crates/core-forward/tests/cold.rs
@@ -219,3 +219,21 @@
     });
     one_router_alone_keeps_the_bound(ColdPlan { routers: 1, ..SMALL });
 }
+
+/// Guards against a router that keeps a target cold for all others by a time that the pool does not state.
+#[test]
+fn a_notice_of_another_router_holds_for_no_longer_than_the_pool_states() {
+    let start = TimePoint(1_000_000);
+    let sim = ColdSim::new(ColdPlan { routers: 2, ..SMALL }, 0);
+    let [mut core, mut peer] = [0, 1].map(|index| sim.new_router(index, 1));
+    let entry = target_entry(0, 1);
+    for router in [&mut core, &mut peer] {
+        router.list_targets(start, vec![entry.clone()]);
+    }
+    peer.on_cold_listed(start, &[(entry.name, start.after(Duration::from_secs(600)))]);
+    let heartbeat = peer.next_heartbeat(start);
+    assert!(heartbeat.extension.cold_targets[0].left_ms > 500_000, "{:?}", heartbeat.extension);
+    core.on_heartbeat(start, heartbeat);
+    let cold_until = core.status(start).targets[0].cold_until;
+    assert_eq!(cold_until.since(start), Duration::from_secs(COLD_SECONDS));
+}
