--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -204,7 +204,7 @@
     /// Time at which the caller stops waiting, which may be later than `deadline`.
     pub(crate) caller_deadline: TimePoint,
     pub(crate) software: StreamSoftware,
-    /// Pools in which the stream that the call resumes may have begun; `None` where any may be missing.
+    /// Pools in which the stream that the call resumes may have started; `None` where any may be missing.
     pub(crate) stream_pools: Option<Box<[PoolName]>>,
     /// Time from which the recorded origin of the stream is the latest one.
     pub(crate) origin_settled_at: TimePoint,
--- a/crates/core-forward/src/core/restores.rs
+++ b/crates/core-forward/src/core/restores.rs
@@ -5,16 +5,14 @@
 use crate::{ChangeOrder, ForwardCore};
 
 impl ForwardCore {
-    /// Handles the era in which the platform answered; returns whether it was restored since this router first
-    /// learned of an era. What this router recorded there may be gone.
-    pub fn on_platform_era(&mut self, now: TimePoint, era: u16) -> bool {
-        let is_restored = self.platform_era.is_some_and(|known| known < era);
-        self.platform_era = self.platform_era.max(Some(era));
-        if is_restored {
+    /// Handles the era in which the platform answered. If it is later than the one known, the platform was restored, and
+    /// what this router recorded there may be gone.
+    pub fn on_platform_era(&mut self, now: TimePoint, era: u16) {
+        if self.platform_era.is_some_and(|known| known < era) {
             self.targets.on_platform_restored(now);
             self.origins.record.stop();
         }
-        is_restored
+        self.platform_era = self.platform_era.max(Some(era));
     }
 
     /// Handles the place of a change, which may come from another router that learned of a restore first.
--- a/crates/core-forward/src/core/resumption.rs
+++ b/crates/core-forward/src/core/resumption.rs
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Pools in which the stream that a call resumes may have begun: those to which its route leads or led; after a
+    /// Pools in which the stream that a call resumes may have started: those to which its route leads or led; after a
     /// restart, before which the routes may have been others, all that serve resumable streams. `None` if some
     /// may be missing.
     pub(super) fn stream_pools(
@@ -139,7 +139,7 @@
     }
 
     /// Finds the software that began the stream which a call resumes: the one that a router reported,
-    /// or the only one of the pools in which it may have begun. A list that may be out of date tells nothing.
+    /// or the only one of the pools in which it may have started. A list that may be out of date tells nothing.
     fn find_software(&self, now: TimePoint, state: &CallState) -> Option<SoftwareKey> {
         let StreamSoftware::Unresolved(origin) = state.software else { return None };
         let reported = origin.and_then(|call_hash| self.origins.software(now, call_hash));
@@ -147,12 +147,12 @@
             .or_else(|| self.only_software(now, state).filter(|_| self.knows_software(now, state)))
     }
 
-    /// The only software that this router knows of the pools in which a stream may have begun.
+    /// The only software that this router knows of the pools in which a stream may have started.
     fn only_software(&self, now: TimePoint, state: &CallState) -> Option<SoftwareKey> {
         self.targets.software.only_software(now, state.stream_pools.as_deref()?)
     }
 
-    /// Whether this router knows all software that may have begun the stream which a call resumes: it has asked for the
+    /// Whether this router knows all software that may have started the stream which a call resumes: it has asked for the
     /// list since, or is in touch with others, each of which reports software that it learns of first. A call that
     /// names its origin has a report to wait for, and needs a current list, too.
     fn knows_software(&self, now: TimePoint, state: &CallState) -> bool {
@@ -162,7 +162,7 @@
         }
         let is_named = matches!(state.software, StreamSoftware::Unresolved(Some(_)));
         let silence = heartbeat_interval(self.router_count()) * STEP_INTERVALS;
-        self.peers.hears_half(now, silence) && (!is_named || history.is_current(now))
+        self.peers.receives_from_half(now, silence) && (!is_named || history.is_current(now))
     }
 
     /// Records that the platform answered with a complete list of targets, which was asked for at a time.
--- a/crates/core-forward/src/former_routes.rs
+++ b/crates/core-forward/src/former_routes.rs
@@ -1,6 +1,6 @@
 //! Pools to which routes of resumable streams led before the configuration in force.
 //!
-//! Answers the load of callers that take a stream up after its route moved: the stream may have begun in a pool to which
+//! Answers the load of callers that take a stream up after its route moved: the stream may have started in a pool to which
 //! the route no longer leads. Invariant: while such a stream may go on, its pool is named, or that too many are known.
 
 use std::collections::BTreeMap;
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -348,10 +348,10 @@
     }
 
     /// Whether heartbeats of at least half of the other routers are at most `silence` old.
-    pub(crate) fn hears_half(&self, now: TimePoint, silence: Duration) -> bool {
+    pub(crate) fn receives_from_half(&self, now: TimePoint, silence: Duration) -> bool {
         let age = |record: &PeerRecord| HEARTBEAT_TTL.saturating_sub(record.alive_until.since(now));
-        let heard = self.live(now).filter(|record| age(record) <= silence).count();
-        self.records.len() <= 2 * heard
+        let recent = self.live(now).filter(|record| age(record) <= silence).count();
+        self.records.len() <= 2 * recent
     }
 
     /// Returns the serving routers that reach targets.
--- a/crates/core-forward/tests/evacuations.rs
+++ b/crates/core-forward/tests/evacuations.rs
@@ -128,7 +128,7 @@
         [false, true]);
 }
 
-/// A failure domain that nobody evacuates again after a restore gets calls.
+/// A failure domain that is not evacuated again after a restore gets calls.
 #[test]
 fn what_a_restored_platform_lacks_ends_after_a_while() {
     let mut core = new_router(0, REQUIRED);
--- a/crates/core-forward/tests/split.rs
+++ b/crates/core-forward/tests/split.rs
@@ -1,5 +1,5 @@
 //! Streams of routes that lead, or led, to several pools: a stream that a caller takes up without naming the call that
-//! began it goes on only where no other software may have begun it.
+//! began it goes on only where no other software may have started it.
 
 #[path = "support/fixture.rs"]
 mod fixture;
@@ -154,7 +154,7 @@
     OlderList,
 }
 
-/// A router hears nothing of the others for a while, in which another version may have joined through them. Guards against
+/// No heartbeats reach a router for a while, in which another version may have joined through them. Guards against
 /// a stream that began there and goes on at the only version that this router knows.
 fn check_out_of_step(learned: Learned, newer_joined: bool, goes_on: bool) {
     let (cut_at, now) = (START.after(SOON), START.after(SOON + Duration::from_secs(2)));
--- a/crates/knapweedport/tests/gateway.rs
+++ b/crates/knapweedport/tests/gateway.rs
@@ -166,7 +166,7 @@
 }
 
 /// All targets fall silent for more than a second while a gateway stops and the configuration changes. Guards against
-/// streams that are begun again at another silent target and cut as the process ends.
+/// streams that start again at another silent target and cut as the process ends.
 #[test]
 fn a_stopping_gateway_finishes_streams_of_targets_that_pause() {
     run_with_environment(async |environment: TestEnvironment| {
