--- a/crates/knapweedport/tests/soak.rs
+++ b/crates/knapweedport/tests/soak.rs
@@ -4,7 +4,7 @@
 use base_types::test_cases;
 use soak::{SoakPlan, run_soak};
 
-fn check_seed(seed: u64, announcements: bool, software_versions: bool) {
+fn check_seed(seed: u64, announcements: bool, software_versions: bool, restores: bool) {
     let folder =
         std::env::temp_dir().join(format!("knapweedport-soak-{}-{seed}", std::process::id()));
     let plan = SoakPlan {
@@ -15,6 +15,7 @@
         rounds: 1,
         announcements,
         software_versions,
+        restores,
         program: env!("CARGO_BIN_EXE_knapweedport").into(),
         folder: folder.clone(),
     };
@@ -28,7 +29,8 @@
 
 test_cases! {
     check_seed:
-    a_first_seed(1, false, false);
-    a_target_that_announces_its_leaving(2, true, false);
-    targets_of_two_software_versions(3, false, true);
+    a_first_seed(1, false, false, false);
+    a_target_that_announces_its_leaving(2, true, false, false);
+    targets_of_two_software_versions(3, false, true, false);
+    a_store_that_is_restored_from_a_copy(5021, false, true, true);
 }
