End a stream as broken when both targets of a handover break off

Found in reading the change. What callers could see: a stream that both its silent target and the next one broke off within 300 ms read as complete, as the second body was read again after its error. Class: an end that is framed as whole although its origin broke off. Change: both broken ends the stream without its end.

--- a/crates/io-forward/src/relay/handover.rs
+++ b/crates/io-forward/src/relay/handover.rs
@@ -39,6 +39,8 @@
     Moved(StreamSource),
     /// Another target broke off before it supplied anything.
     Failed(StreamSource),
+    /// Both targets broke off. A body is not read again after its error, as its end would read as complete.
+    BothBroken,
     CallerDisconnected,
 }
 
@@ -92,7 +94,7 @@
                 self.call.log.silent_target_kept(self.call.state.now(), &silent.attempt);
                 HandoverEnd::Supplied(Box::new(silent))
             }
-            HandoverEvent::Dispatched(..) => HandoverEnd::Lost,
+            HandoverEvent::Dispatched(..) | HandoverEvent::BothBroken => HandoverEnd::Lost,
             HandoverEvent::CallerDisconnected => HandoverEnd::CallerDisconnected,
         }
     }
@@ -144,7 +146,7 @@
                         let reason = crate::upstream::error_chain(&error);
                         let outcome = AttemptOutcome::Lost;
                         self.call.record_failed_attempt(&next.attempt, outcome, &reason);
-                        return silent.map_or(HandoverEvent::Moved(next), HandoverEvent::Failed);
+                        return silent.map_or(HandoverEvent::BothBroken, HandoverEvent::Failed);
                     }
                     Some(Ok(frame)) => {
                         let Ok(chunk) = frame.into_data() else { continue };
