--- a/crates/fakes/src/gateway/store.rs
+++ b/crates/fakes/src/gateway/store.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::Notify};
 
@@ -14,6 +15,9 @@
 
 const PAGE_SIZE: usize = 3;
 
+/// Start of the strings that stand for entire objects.
+const RAW_PREFIX: &str = "object ";
+
 /// How the store treats calls.
 ///
 /// The soak prints the names of the variants in its verdict lines.
@@ -60,8 +64,8 @@
     /// Number of the door through which each kind was last written.
     writers: BTreeMap<String, usize>,
     doors: usize,
-    /// Texts of specs that are no JSON values of this process, by the strings that stand for them.
-    texts: BTreeMap<String, String>,
+    /// Bytes of specs and of objects that are no JSON values of this process, by the strings that stand for them.
+    texts: BTreeMap<String, Vec<u8>>,
 }
 
 /// The stand-in; clones share one set of objects.
@@ -143,9 +147,17 @@
 
     /// Writes an object whose spec is sent as this text.
     pub fn put_text(&self, kind: &str, name: &str, text: &str) {
-        let stand_in = format!("text of {kind}/{name}");
+        self.put_stand_in(format!("text of {kind}/{name}"), kind, name, text.as_bytes());
+    }
+
+    /// Writes an object that is sent as these bytes, with its envelope; `name` gives its place in lists.
+    pub fn put_raw(&self, kind: &str, name: &str, object: &[u8]) {
+        self.put_stand_in(format!("{RAW_PREFIX}{kind}/{name}"), kind, name, object);
+    }
+
+    fn put_stand_in(&self, stand_in: String, kind: &str, name: &str, bytes: &[u8]) {
         let mut state = self.state.lock().expect("the state lock is poisoned");
-        state.texts.insert(Value::from(stand_in.as_str()).to_string(), text.to_owned());
+        state.texts.insert(Value::from(stand_in.as_str()).to_string(), bytes.to_owned());
         drop(state);
         self.put(kind, name, Value::from(stand_in));
     }
@@ -240,16 +252,16 @@
             if status == 200 && matches!(request.method(), "POST" | "PUT") {
                 self.record_writer(&request, &door);
             }
-            let mut body = body.to_string();
+            let mut body = body.to_string().into_bytes();
             for (stand_in, text) in &self.state.lock().expect("the state lock is poisoned").texts {
-                body = body.replace(stand_in, text);
+                body = replace_bytes(&body, stand_in.as_bytes(), text);
             }
             let length = body.len();
             let era = self.state.lock().expect("the state lock is poisoned").era;
             let head = format!(
-                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n{body}"
+                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n"
             );
-            connection.send(head.as_bytes()).await;
+            connection.send(&[head.as_bytes(), &body].concat()).await;
         }
     }
 
@@ -276,7 +288,11 @@
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
         let mut segments = path.trim_start_matches("/api/objects/").split('/');
         let kind = segments.next().unwrap_or("").to_owned();
-        let name = segments.next().map(str::to_owned);
+        let name = segments.next().map(decode_percent);
+        let after = decode_percent(&query.get("after").copied().unwrap_or("").replace('+', " "));
+        let (Ok(name), Ok(after)) = (name.transpose(), after) else {
+            return Some((400, json!({})));
+        };
         let spec = serde_json::from_slice::<Value>(&request.body).ok();
         match (request.method(), name) {
             ("GET", Some(name)) => Some(self.read(&kind, &name)),
@@ -285,7 +301,7 @@
                     let wait_ms = query.get("waitMs").and_then(|wait_ms| wait_ms.parse().ok());
                     self.watch(&kind, since.parse().ok()?, wait_ms.unwrap_or(0)).await
                 }
-                None => Some(self.list(&kind, query.get("after").copied().unwrap_or(""))),
+                None => Some(self.list(&kind, &after)),
             },
             ("POST", None) => {
                 let spec = spec?;
@@ -383,6 +399,32 @@
     std::future::pending::<()>().await;
 }
 
+/// Decodes a name of a path or a query; fails if a percent sign begins no escape.
+fn decode_percent(text: &str) -> Result<String, ()> {
+    let is_escape = |rest: &str| {
+        let digits = rest.as_bytes().get(..2);
+        digits.is_some_and(|digits| digits.iter().all(u8::is_ascii_hexdigit))
+    };
+    if !text.split('%').skip(1).all(is_escape) {
+        return Err(());
+    }
+    Ok(percent_decode_str(text).decode_utf8_lossy().into_owned())
+}
+
+fn replace_bytes(body: &[u8], pattern: &[u8], replacement: &[u8]) -> Vec<u8> {
+    let (mut replaced, mut rest) = (Vec::new(), body);
+    while let Some(at) = rest.windows(pattern.len()).position(|window| window == pattern) {
+        replaced.extend_from_slice(&rest[..at]);
+        replaced.extend_from_slice(replacement);
+        rest = &rest[at + pattern.len()..];
+    }
+    replaced.extend_from_slice(rest);
+    replaced
+}
+
 fn object_json(name: &str, revision: u64, spec: &Value) -> Value {
+    if spec.as_str().is_some_and(|text| text.starts_with(RAW_PREFIX)) {
+        return spec.clone();
+    }
     json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": null})
 }
