--- a/crates/core-forward/src/core/listing.rs
+++ b/crates/core-forward/src/core/listing.rs
@@ -29,15 +29,18 @@
         let known = self.targets.listed_names();
         let missing = known.into_iter().filter(|name| !listed.contains(name));
         let removals = missing.map(|name| TargetNotice { name, revision, entry: None });
-        let changes = entries.into_iter().map(|(revision, entry)| TargetNotice {
-            name: entry.name.clone(),
-            revision,
-            entry: Some(entry),
-        });
-        let notices = removals.chain(changes).collect();
+        let notices = removals.chain(entries.into_iter().map(listed_notice)).collect();
         self.on_targets_changed(now, notices);
     }
 
+    /// Handles a list that could not be read to its end: targets that it lacks stay as they are.
+    pub fn on_targets_listed_partly(&mut self, now: TimePoint, entries: Vec<(u64, TargetEntry)>) {
+        if !self.targets_listed {
+            return self.list_targets(now, entries.into_iter().map(|(_, entry)| entry).collect());
+        }
+        self.on_targets_changed(now, entries.into_iter().map(listed_notice).collect());
+    }
+
     /// Handles changes that the platform reported to this router; returns the names of the targets whose
     /// entries differ from what was known, which are reported to the other routers.
     pub fn on_targets_changed(
@@ -100,3 +103,7 @@
         is_changed
     }
 }
+
+fn listed_notice((revision, entry): (u64, TargetEntry)) -> TargetNotice {
+    TargetNotice { name: entry.name.clone(), revision, entry: Some(entry) }
+}
