Test answers that the protocol does not allow

The code handles all of these; nothing but tests and their stand-in changes. Not played: answers to health checks, as routers make none.

--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -45,6 +45,8 @@
     HeadCut(usize),
     /// Bytes that are no answer, after which the connection closes.
     Garbage,
+    /// This text, in which `@ID` stands for the id of the call, after which the connection closes.
+    Text(&'static str),
     /// A signed answer with status 500 after the runner executed the call.
     Failure,
     /// Status 503 and a header that says that the call was not executed.
@@ -116,6 +118,9 @@
     Reset,
 }
 
+/// Stands for the id of the call in the text of an answer.
+const ID_PLACE: &str = "@ID";
+
 /// Pause between two bytes of a stream that trickles.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -430,6 +435,10 @@
                 connection.send(b"\x16\x03\x01 no answer\n\n").await;
                 return AfterReply::Close;
             }
+            Reply::Text(text) => {
+                connection.send(text.replace(ID_PLACE, &id).as_bytes()).await;
+                return AfterReply::Close;
+            }
             Reply::Failure => {
                 connection.send(self.signed_answer(500, &id, "failed").as_bytes()).await
             }
