Take a status that is not a final one for no answer

What callers saw: a target that answered 101, or a status from 600 on, had that passed on as its answer; after a 101 the caller's connection was at the end of HTTP. Cause: the HTTP client skips interim responses except 101, which is final for it although no request of ours asks for an upgrade, and accepts any status of three digits. Same class as a status of 000, which it refuses. Change: `TargetConnection::send`, through which calls, relayed calls and requests of the router itself go, takes only statuses from 200 to 599 (RFC 9110, section 15) for a response. Any other one is lost: tried again where that may be, 502 where not.

--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Pool of connections to targets; each carries one call at a time and is reused.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, io, net::SocketAddr, ops::RangeInclusive, time::Duration};
 
 use base_types::{TargetKey, TimePoint};
 use bytes::Bytes;
@@ -37,6 +37,10 @@
 /// buffer, so hyper's default of 8 KiB would double the memory of each.
 const READ_BUFFER_BYTES: usize = 4_096;
 
+/// Status codes of final responses (RFC 9110, section 15). Interim ones are not returned, except 101, which agrees to an
+/// upgrade that no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Idle connections by target, and a count of all connections attempted.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPool {
@@ -92,16 +96,23 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 
-    /// Sends a request; fails with [`SendError::Unsent`] if nothing of it was written.
+    /// Sends a request; fails with [`SendError::Unsent`] if nothing of it was written, and with
+    /// [`SendError::Lost`] if the status of the response is not a final one.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| {
             let unsent = error.take_message().is_some();
             let reason = error_chain(&error.into_error());
             if unsent { SendError::Unsent(reason) } else { SendError::Lost(reason) }
-        })
+        })?;
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(SendError::Lost(format!("status {status} is not a final one").into()));
+        }
+        Ok(response)
     }
 }
 
