Limit what a target may send that is no part of a body

What callers saw: a call whose target sent interim responses, zeros of a chunk's size, or blanks after it without end was answered 504 at its deadline, although another target could have taken it; a stream ended there, too. Cause: the HTTP client bounds heads, chunk extensions and trailers, but reads interim responses and the size of a chunk for as long as they go on. The limits on bodies count only bytes of bodies. Change: a connection to a target fails once 64 KiB have been read from it without a part of a body. A part of a body allows 16 times its length again, up to 64 KiB, so that small chunks pass. It covers calls, streams, relayed calls and the router's own requests to targets.

--- a/crates/fakes/src/gateway/runner.rs
+++ b/crates/fakes/src/gateway/runner.rs
@@ -27,6 +27,8 @@
     Whole,
     /// A complete answer of that many bytes.
     Padded(usize),
+    /// A complete answer of that many chunks of one byte.
+    Chunks(usize),
     /// A complete answer without a length, which ends when the connection closes.
     Unframed,
     /// An answer with this status and without a length, whose connection is reset before its end.
@@ -97,6 +99,12 @@
 pub enum EndlessPart {
     /// The head.
     Head,
+    /// Interim responses before the head.
+    Interim,
+    /// The size of a chunk, in zeros.
+    ChunkSize,
+    /// The blanks after the size of a chunk, once the caller of a stream has an event.
+    ChunkBlanks,
     /// A body in chunks.
     Chunks,
     /// A body without a length or chunks.
@@ -397,6 +405,12 @@
                 let answer = self.signed_answer(200, &id, &"x".repeat(bytes));
                 connection.send(answer.as_bytes()).await;
             }
+            Reply::Chunks(count) => {
+                let head = self.signed_head(200, &id);
+                let body = chunk("x").repeat(count) + "0\r\n\r\n";
+                let answer = format!("{head}Transfer-Encoding: chunked\r\n\r\n{body}");
+                connection.send(answer.as_bytes()).await;
+            }
             Reply::Unframed => {
                 let head = self.signed_head(200, &id);
                 connection.send(format!("{head}Connection: close\r\n\r\n{body}").as_bytes()).await;
@@ -560,6 +574,18 @@
         let head = self.signed_head(200, id);
         let (start, piece) = match part {
             EndlessPart::Head => (head, "X-More: more\r\n".repeat(ENDLESS_REPEATS)),
+            EndlessPart::Interim => {
+                (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(ENDLESS_REPEATS))
+            }
+            EndlessPart::ChunkSize => {
+                let start = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+                (start, "0".repeat(ENDLESS_REPEATS))
+            }
+            EndlessPart::ChunkBlanks => {
+                let event = chunk(&event_text(1));
+                let start = format!("{head}Transfer-Encoding: chunked\r\n\r\n{event}4");
+                (start, " ".repeat(ENDLESS_REPEATS))
+            }
             EndlessPart::Chunks => {
                 let piece = chunk(&"x".repeat(ENDLESS_REPEATS));
                 (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), piece)
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -20,6 +20,7 @@
     memory::{CallMemory, CollectError},
     relay::relay_stream,
     state::RoomWaiter,
+    target_stream::TargetBody,
     upstream::{SendError, TargetConnection, open_connection, probe_for_crash, probe_target},
 };
 
@@ -54,7 +55,7 @@
     pub(crate) attempt: AttemptSpec,
     pub(crate) connection: TargetConnection,
     pub(crate) head: ResponseHead,
-    pub(crate) response: Response<Incoming>,
+    pub(crate) response: Response<TargetBody>,
 }
 
 /// Result of dispatching a call.
--- a/crates/io-forward/src/detour.rs
+++ b/crates/io-forward/src/detour.rs
@@ -6,7 +6,6 @@
 use core_forward::{DetourOutcome, DetourSpec};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use policy_admission::MemoryUse;
 
 use crate::{
@@ -15,6 +14,7 @@
     call::{RESPONSE_BYTES_MAX, ServedCall},
     hop::{end_to_end_parts, strip_hop_by_hop_headers},
     memory::CollectError,
+    target_stream::TargetBody,
     upstream::{SendError, TargetConnection, error_chain},
 };
 
@@ -24,7 +24,7 @@
     detour: DetourSpec,
     /// Dropping it closes the connection, which ends the call at the other router.
     connection: TargetConnection,
-    response: Response<Incoming>,
+    response: Response<TargetBody>,
 }
 
 impl ServedCall {
@@ -140,7 +140,7 @@
     call: ServedCall,
     detour: DetourSpec,
     connection: TargetConnection,
-    body: Incoming,
+    body: TargetBody,
     outlet: StreamOutlet,
 }
 
--- a/crates/io-forward/src/framing.rs
+++ b/crates/io-forward/src/framing.rs
@@ -2,7 +2,7 @@
 
 use base_types::key_types;
 use http::{Response, header};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
 key_types! {
     /// How a response marks the end of its body (RFC 9112, section 6.3).
@@ -28,7 +28,7 @@
 
 impl BodyFraming {
     /// Framing of a response as the HTTP client read it.
-    pub(crate) fn of(response: &Response<Incoming>) -> Self {
+    pub(crate) fn of(response: &Response<impl Body>) -> Self {
         if response.body().size_hint().exact().is_some() {
             return Self::Length;
         }
--- a/crates/io-forward/src/lib.rs
+++ b/crates/io-forward/src/lib.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod snapshots;
 mod state;
+mod target_stream;
 mod upstream;
 
 pub use crate::{
--- a/crates/io-forward/src/relay.rs
+++ b/crates/io-forward/src/relay.rs
@@ -13,7 +13,7 @@
 use core_forward::{AttemptOutcome, AttemptSpec, EVENT_REPORT_INTERVAL};
 use http::{Response, response};
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use policy_admission::MemoryUse;
 use tokio::time::Instant;
 
@@ -24,6 +24,7 @@
     framing::{BodyFraming, BodyProgress},
     hop::end_to_end_parts,
     relay::{content::StreamContent, handover::HandoverEnd},
+    target_stream::TargetBody,
     upstream::TargetConnection,
 };
 
@@ -61,7 +62,7 @@
     attempt: AttemptSpec,
     connection: TargetConnection,
     head: ResponseHead,
-    body: Incoming,
+    body: TargetBody,
     progress: BodyProgress,
     /// Whether the core knows that the response started.
     has_started: bool,
--- a/crates/io-forward/src/upstream.rs
+++ b/crates/io-forward/src/upstream.rs
@@ -7,15 +7,16 @@
 use core_forward::AttemptSpec;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use io_clock::MonotonicClock;
 use tokio::task::AbortHandle;
 
-use crate::{ForwardState, connect::connect_target};
+use crate::{
+    ForwardState,
+    connect::connect_target,
+    target_stream::{ReadAllowance, TargetBody, TargetStream},
+};
 
 /// Idle timeout assumed for a target whose response has no `Keep-Alive` timeout.
 const TARGET_IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
@@ -58,6 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
     task: AbortHandle,
 }
 
@@ -79,7 +81,8 @@
 impl TargetConnection {
     /// Connects to a target and spawns the task that drives the connection.
     pub(crate) async fn connect(address: SocketAddr) -> io::Result<Self> {
-        let stream = connect_target(address).await?;
+        let allowance = ReadAllowance::new();
+        let stream = TargetStream::new(connect_target(address).await?, allowance.clone());
         let mut builder = http1::Builder::new();
         builder.read_buf_exact_size(Some(READ_BUFFER_BYTES));
         let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -89,7 +92,7 @@
                 log::debug!(error = error.to_string().as_str(); "connection to target failed");
             }
         });
-        Ok(Self { sender, task: task.abort_handle() })
+        Ok(Self { sender, allowance, task: task.abort_handle() })
     }
 
     fn is_usable(&self) -> bool {
@@ -101,7 +104,8 @@
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<TargetBody>, SendError> {
+        self.allowance.restore();
         let sent = self.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| {
             let unsent = error.take_message().is_some();
@@ -112,7 +116,7 @@
         if !FINAL_STATUSES.contains(&status) {
             return Err(SendError::Lost(format!("status {status} is not a final one").into()));
         }
-        Ok(response)
+        Ok(response.map(|body| TargetBody::new(body, self.allowance.clone())))
     }
 }
 
