Limit the length of responses that are read whole

What callers could see: a router that starts asks engines for their cached segments; one that sends bytes without end instead filled its memory for 0.8 s at the speed of the link. The same held for responses of the store, for 1.5 s a call. Cause: both bodies were collected without a limit. Bytes of answers to calls have had one. Change: a list of cached segments may have 16 MiB, as an answer to a call, a response of the store 64 MiB.

--- a/crates/io-forward/src/contents.rs
+++ b/crates/io-forward/src/contents.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
 use crate::{
     ForwardState,
+    call::RESPONSE_BYTES_MAX,
     upstream::{SendError, TargetConnection},
 };
 
@@ -65,6 +66,6 @@
     if !response.status().is_success() {
         return Err(io::Error::other(format!("status {}", response.status().as_u16())));
     }
-    let body = response.into_body().collect().await.map_err(io::Error::other)?;
-    Ok(body.to_bytes())
+    let body = Limited::new(response.into_body(), RESPONSE_BYTES_MAX).collect().await;
+    Ok(body.map_err(io::Error::other)?.to_bytes())
 }
--- a/crates/io-platform/src/transport.rs
+++ b/crates/io-platform/src/transport.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use http::{Method, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -30,6 +30,9 @@
 /// Number of unanswered keep-alive probes after which a connection is closed.
 const KEEPALIVE_PROBES_MAX: u32 = 2;
 
+/// Limit on the bytes of an answer.
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// Result of a call to the platform; the error states what is known about the call's effect.
 pub type PlatformResult<T> = Result<T, Report<PlatformError>>;
 
@@ -72,7 +75,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when there is no complete answer within `timeout`. A write may have taken effect
+    /// Fails when there is no complete answer within `timeout`, or one of more than 64 MiB. A write may have taken effect
     /// unless the error is [`PlatformError::Unreachable`], or [`PlatformError::Malformed`], which
     /// is returned before anything is sent.
     pub async fn call(
@@ -119,7 +122,9 @@
             }
         };
         let (head, body) = response.into_parts();
-        let body = body.collect().await.change_context(PlatformError::Unanswered)?;
+        let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
+        let body =
+            body.map_err(|error| Report::new(PlatformError::Unanswered).attach(error.to_string()))?;
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 }
