Decode each object and host of the platform's lists by itself

What operators could see, on the product's own platform interface: routers followed no change of tables and of the host list while one object or host in them could not be read. Cause: lists and the answers to watches were decoded as one typed value, as in the adapter of the users' platform. Change: their elements are decoded one by one, with the code of the adapter, which moves to `io-platform`; elements that cannot be read are left out and counted in a log line.

--- a/crates/io-platform/src/client.rs
+++ b/crates/io-platform/src/client.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     HostList, ObjectKey, ObjectList, ObjectRecord, PlatformError, PlatformResult,
-    PlatformTransport, WatchAnswer, WriteAnswer, WriteCondition,
+    PlatformTransport, WatchAnswer, WriteAnswer, WriteCondition, escape_invalid_bytes,
 };
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -119,5 +119,5 @@
     if !status.is_success() {
         return Err(Report::new(PlatformError::Refused));
     }
-    serde_json::from_slice(body).change_context(PlatformError::Malformed)
+    serde_json::from_str(&escape_invalid_bytes(body)).change_context(PlatformError::Malformed)
 }
--- a/platform/src/json_text.rs
+++ b/crates/io-platform/src/json_text.rs
@@ -1,18 +1,19 @@
-//! JSON texts with bytes that are not UTF-8.
+//! JSON texts with parts that cannot be decoded.
 
 use std::{borrow::Cow, fmt::Write};
 
 use serde::{
     Deserialize, Deserializer,
-    de::{Error, Visitor},
+    de::{DeserializeOwned, Error, Visitor},
 };
+use serde_json::value::RawValue;
 
 /// A JSON string as bytes; lone surrogates are encoded like other characters.
 struct RawString(Vec<u8>);
 
 /// Returns a JSON text in which bytes that are not UTF-8 are escapes of lone surrogates: these are part of the
 /// text, but not of any string that it can be decoded to (as in PEP 383).
-pub(crate) fn escape_invalid_bytes(body: &[u8]) -> Cow<'_, str> {
+pub fn escape_invalid_bytes(body: &[u8]) -> Cow<'_, str> {
     if let Ok(text) = std::str::from_utf8(body) {
         return text.into();
     }
@@ -28,11 +29,27 @@
 }
 
 /// Decodes a string of an escaped text to the bytes that it had before; `None` if the text is not a string.
-pub(crate) fn decode_raw_string(text: &str) -> Option<Vec<u8>> {
+pub fn decode_raw_string(text: &str) -> Option<Vec<u8>> {
     let RawString(bytes) = serde_json::from_str(text).ok()?;
     Some(restore_invalid_bytes(&bytes))
 }
 
+/// Decodes the elements of a list one by one; those that cannot be decoded are left out.
+pub(crate) fn readable_elements<'de, D, T>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: DeserializeOwned,
+{
+    let elements = Vec::<&RawValue>::deserialize(deserializer)?;
+    let count = elements.len();
+    let decoded = elements.into_iter().filter_map(|text| serde_json::from_str(text.get()).ok());
+    let decoded: Vec<T> = decoded.collect();
+    if decoded.len() < count {
+        log::warn!(unreadable = count - decoded.len(); "elements of a list left out");
+    }
+    Ok(decoded)
+}
+
 /// Reverses [`escape_invalid_bytes`] in a decoded string, where U+DC80 to U+DCFF have three bytes each.
 fn restore_invalid_bytes(bytes: &[u8]) -> Vec<u8> {
     let (mut restored, mut rest) = (Vec::with_capacity(bytes.len()), bytes);
--- a/crates/io-platform/src/lib.rs
+++ b/crates/io-platform/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod client;
 mod error;
+mod json_text;
 mod objects;
 mod transport;
 
 pub use crate::{
     client::PlatformClient,
     error::PlatformError,
+    json_text::{decode_raw_string, escape_invalid_bytes},
     objects::{
         HostList, HostRow, ObjectKey, ObjectList, ObjectRecord, WatchAnswer, WriteAnswer,
         WriteCondition,
--- a/crates/io-platform/src/objects.rs
+++ b/crates/io-platform/src/objects.rs
@@ -5,6 +5,8 @@
 use base_types::{FailureDomainName, HostName, RowVersion, key_types, name_types, value_types};
 use serde_json::Value;
 
+use crate::json_text::readable_elements;
+
 name_types! {
     /// Key of an object, such as `pools/assistant`; lists and watches select objects by key prefix.
     ObjectKey;
@@ -36,6 +38,7 @@
         /// Revision at which the list was read; the next watch starts here.
         pub revision: RowVersion,
         /// Objects in ascending order of their keys.
+        #[serde(deserialize_with = "readable_elements")]
         pub objects: Vec<ObjectRecord>,
     }
 
@@ -44,6 +47,7 @@
         /// Revision from which the next watch starts.
         pub revision: RowVersion,
         /// Changed objects in ascending order of their versions.
+        #[serde(deserialize_with = "readable_elements")]
         pub events: Vec<ObjectRecord>,
     }
 
@@ -56,6 +60,7 @@
     /// The platform's list of hosts, which lags behind the actual state.
     pub struct HostList {
         /// All hosts of the fleet: routers and targets.
+        #[serde(deserialize_with = "readable_elements")]
         pub hosts: Vec<HostRow>,
     }
 
