Play odd entries of another writer around gateway processes

`gateways_start_beside_odd_entries` kills three gateways at once beside ten odd entries on a list of several pages and starts them again; all 60 calls must be served.

--- a/crates/knapweedport/tests/gateway.rs
+++ b/crates/knapweedport/tests/gateway.rs
@@ -248,6 +248,42 @@
     });
 }
 
+/// All gateways are killed and start again while odd entries of another writer stand among those of the runners, on a
+/// list of several pages.
+#[test]
+fn gateways_start_beside_odd_entries() {
+    run_with_environment(async |environment: TestEnvironment| {
+        let mut runners = Vec::new();
+        for index in 1..6 {
+            let id = format!("r-{index}");
+            runners.push(RunnerStandIn::start(&id, &environment.script).await);
+            environment.store.put("servers", &id, runners[index - 1].entry("pool"));
+        }
+        let names = ["g-0", "g-1", "g-2"];
+        let mut gateways = names.map(|name| Gateway::start(name, environment.store.address));
+        for gateway in &gateways {
+            gateway.wait_until_ready().await;
+        }
+        for name in ["r-1&", "r-1+", "r-1#", "r-1%zz", "r-1 x", "r-1<", "r-1\n", "r-1\u{1}"] {
+            environment.store.put("servers", name, environment.runner.entry("pool"));
+        }
+        let odd_revision = br#"{"metadata":{"name":"r-2x","revision":"4"},"spec":{}}"#;
+        environment.store.put_raw("servers", "r-2x", odd_revision);
+        environment.store.put_raw("servers", "r-2y", b"{\"metadata\":{\"name\":\"r-2\xff\"}}");
+        gateways.iter().for_each(|gateway| gateway.signal(Signal::SIGKILL));
+        gateways.iter_mut().for_each(Gateway::restart);
+        for gateway in &gateways {
+            gateway.wait_until_ready().await;
+        }
+        for number in 0..60 {
+            let mut caller = HttpConnection::connect(gateways[number % 3].callers).await;
+            let answer = caller.request(&request("/once/x", &format!("a{number}"))).await;
+            assert_eq!(answer.status(), 200, "call {number}");
+        }
+        assert!(runners.iter().all(|runner| !runner.received_messages().is_empty()));
+    });
+}
+
 #[test]
 fn a_stopping_gateway_finishes_its_calls_and_accepts_new_ones() {
     run_with_environment(async |environment: TestEnvironment| {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -72,6 +72,9 @@
         if cluster.plan.restores && number == 0 {
             fault = SoakFault::Restore;
         }
+        if cluster.plan.foreign_entries && number == 1 {
+            fault = SoakFault::KillAll;
+        }
         let start_delay = Duration::from_millis(rng.random_range(0..START_DELAY_MS_MAX));
         let duration = Duration::from_millis(rng.random_range(300..DURATION_MS_MAX));
         let cluster = cluster.clone();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod callers;
 mod faults;
+mod foreign;
 mod gateway;
 mod judge;
 mod plan;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -52,6 +52,9 @@
     pub software_versions: bool,
     /// Whether the store is restored from a copy in each round.
     pub restores: bool,
+    /// Whether another writer puts odd entries among those of the runners, and all gateways are killed, in each
+    /// round.
+    pub foreign_entries: bool,
     /// Path of the `knapweedport` binary.
     pub program: PathBuf,
     /// Folder for the settings and logs of the gateways.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,6 +20,7 @@
 use crate::{
     callers::send_calls,
     faults::{announce_leaving, inject_faults, replace_runner},
+    foreign::put_foreign_entries,
     gateway::SoakGateway,
     judge::{Violation, find_violations},
     plan::{
@@ -135,6 +136,9 @@
             .plan
             .announcements
             .then(|| tokio::task::spawn_local(announce_leaving(cluster.clone())));
+        if cluster.plan.foreign_entries {
+            put_foreign_entries(&cluster);
+        }
         inject_faults(&cluster, &mut rng).await?;
         if let Some(announcement) = announcement {
             announcement.await.change_context(SoakError)??;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -69,6 +69,8 @@
         software_versions: bool,
         /// Restores the store from a copy some seconds old in each round.
         restores: bool,
+        /// Writes odd entries among those of the runners and kills all gateways in each round.
+        foreign_entries: bool,
         /// Binary to run instead of the release build.
         #[bpaf(argument("PATH"), optional)]
         program: Option<PathBuf>,
@@ -129,6 +131,7 @@
             announcements,
             software_versions,
             restores,
+            foreign_entries,
             program,
         } => soak::run_soaks(soak::SoakTask {
             seed,
@@ -140,6 +143,7 @@
             announcements,
             software_versions,
             restores,
+            foreign_entries,
             program,
         }),
         Task::Bench => bench::run_bench(),
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -21,6 +21,7 @@
     pub(crate) announcements: bool,
     pub(crate) software_versions: bool,
     pub(crate) restores: bool,
+    pub(crate) foreign_entries: bool,
     /// Binary to run instead of the release build.
     pub(crate) program: Option<PathBuf>,
 }
@@ -37,6 +38,7 @@
             announcements: false,
             software_versions: false,
             restores: false,
+            foreign_entries: false,
             program: None,
         }
     }
@@ -71,6 +73,7 @@
         announcements: task.announcements,
         software_versions: task.software_versions,
         restores: task.restores,
+        foreign_entries: task.foreign_entries,
         program,
         folder: folder.clone(),
     };
