--- a/crates/io-platform/src/json_text.rs
+++ b/crates/io-platform/src/json_text.rs
@@ -8,9 +8,6 @@
 };
 use serde_json::value::RawValue;
 
-/// A JSON string as bytes; lone surrogates are encoded like other characters.
-struct RawString(Vec<u8>);
-
 /// Returns a JSON text in which bytes that are not UTF-8 are escapes of lone surrogates: these are part of the
 /// text, but not of any string that it can be decoded to (as in PEP 383).
 pub fn escape_invalid_bytes(body: &[u8]) -> Cow<'_, str> {
@@ -65,6 +62,9 @@
     restored
 }
 
+/// A JSON string as bytes; lone surrogates are encoded like other characters.
+struct RawString(Vec<u8>);
+
 impl<'de> Deserialize<'de> for RawString {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         struct BytesVisitor;
--- a/crates/io-platform/src/transport.rs
+++ b/crates/io-platform/src/transport.rs
@@ -75,9 +75,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when there is no complete answer within `timeout`, or one of more than 64 MiB. A write may have taken effect
-    /// unless the error is [`PlatformError::Unreachable`], or [`PlatformError::Malformed`], which
-    /// is returned before anything is sent.
+    /// Fails when there is no complete answer within `timeout`, or one of more than 64 MiB. A write
+    /// may have taken effect unless the error is [`PlatformError::Unreachable`], or
+    /// [`PlatformError::Malformed`], which is returned before anything is sent.
     pub async fn call(
         &self,
         request: request::Builder,
