--- a/crates/io-forward/src/target_stream.rs
+++ b/crates/io-forward/src/target_stream.rs
@@ -1,7 +1,7 @@
-//! Connection to a target, which fails when the target sends too much that is no body.
+//! Connection to a target, which fails when the target sends too many bytes that belong to no body.
 //!
 //! Interim responses and the size of a chunk may go on without end, and the HTTP client reads them for as long as they
-//! do. Bytes of a body are limited where they are used.
+//! do. Bytes of a body are limited where the body is read.
 
 use std::{
     cell::Cell,
