--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -291,9 +291,8 @@
     /// Starts the program of the deploy file with the settings that its template renders, with the bounds of
     /// `gls-compressor-hub-grown`.
     pub fn start(folder: &Path, name: &str, zone: &str, store: SocketAddr) -> Self {
-        let ports: Vec<TcpListener> =
-            (0..5).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let address = |index: usize| ports[index].local_addr().unwrap();
+        let ports: Vec<u16> = (0..5).map(|_| free_port()).collect();
+        let address = |index: usize| SocketAddr::from(([127, 0, 0, 1], ports[index]));
         let (callers, readiness) = (address(0), address(2));
         let quoted = |text: &dyn std::fmt::Display| format!("\"{text}\"");
         let fields = [
@@ -322,7 +321,6 @@
             ("bounds.coldOverage", "1.5".into()),
             ("bounds.coldSlack", "5".into()),
         ];
-        drop(ports);
         let fields = fields.into_iter().map(|(path, value)| (path.to_owned(), value)).collect();
         let folder = folder.to_owned();
         write_settings(&folder, name, &fields);
@@ -378,6 +376,21 @@
     }
 }
 
+/// A port that is free for TCP and UDP, below those that the system gives to outgoing connections.
+fn free_port() -> u16 {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    for _ in 0..10_000 {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst) + u64::from(std::process::id()) * 61;
+        let port = 20_000 + (number % 12_000) as u16;
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok()
+            && std::net::UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if is_free {
+            return port;
+        }
+    }
+    crate::cannot_run("no free port");
+}
+
 /// Renders the template of the deploy file. The port of the metrics, which the template fixes, is a free one, as all
 /// machines share one address here.
 fn write_settings(folder: &Path, name: &str, fields: &Fields) {
