Accept figures of the deployment's settings in every notation

Cause: the template made milliseconds of seconds by appending three zeros, and the settings accepted integers only for times, counts and sizes, no zero, and no missing value.

Times are kept exactly, counts and sizes are rounded down, so that no bound is exceeded. A cold target whose peak is zero gets no turn.

--- a/crates/base-settings/src/section.rs
+++ b/crates/base-settings/src/section.rs
@@ -1,6 +1,11 @@
 //! Typed reads of the keys of a TOML table, which collect faults instead of failing at the first.
 
-use std::{cell::RefCell, net::SocketAddr, ops::Range};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    ops::{Range, RangeInclusive},
+    time::Duration,
+};
 
 use serde::de::DeserializeOwned;
 use toml::{
@@ -17,6 +22,13 @@
 
 type SpannedValue<'a, 'i> = &'a Spanned<DeValue<'i>>;
 
+/// Keys under which a time may be set, one for each unit; at most one of them may be used.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DurationKeys {
+    pub(crate) millis: &'static str,
+    pub(crate) seconds: &'static str,
+}
+
 /// The text of a file and the faults found in it so far.
 #[derive(Debug)]
 pub(crate) struct FaultList<'i> {
@@ -216,20 +228,96 @@
 
     /// An integer or float above zero and at most `max`; `default` when absent or faulty.
     pub(crate) fn ratio(&self, name: &'static str, default: f64, max: f64) -> f64 {
+        self.number(
+            name,
+            default,
+            |ratio| ratio > 0.0 && ratio <= max,
+            || format!("use a number above 0 and at most {max}"),
+        )
+    }
+
+    /// An integer or float from zero to `max`; `default` when absent or faulty.
+    pub(crate) fn amount(&self, name: &'static str, default: f64, max: f64) -> f64 {
+        self.number(
+            name,
+            default,
+            |amount| (0.0..=max).contains(&amount),
+            || format!("use a number from 0 to {max}, or omit it for the default of {default}"),
+        )
+    }
+
+    /// The whole part of an integer or float from zero to `max`; `default` when absent or faulty.
+    pub(crate) fn count(&self, name: &'static str, default: u32, max: u32) -> u32 {
+        self.amount(name, f64::from(default), f64::from(max)) as u32
+    }
+
+    /// The whole part of an integer or float from one to `max`; `None` when absent or faulty.
+    pub(crate) fn optional_count(&self, name: &'static str, max: u32) -> Option<u32> {
+        let count = self.number(
+            name,
+            0.0,
+            |count| (1.0..=f64::from(max)).contains(&count),
+            || format!("use a number from 1 to {max}, or omit it"),
+        );
+        (count > 0.0).then_some(count as u32)
+    }
+
+    /// A time of `min` to `max`, an integer or float under one of two keys; `default` when both are absent or one is
+    /// faulty.
+    pub(crate) fn duration(
+        &self,
+        keys: DurationKeys,
+        default: Duration,
+        range: &RangeInclusive<Duration>,
+    ) -> Duration {
+        let DurationKeys { millis, seconds } = keys;
+        if self.value_span(millis).is_some() && self.value_span(seconds).is_some() {
+            let key = self.key_path(millis);
+            self.report_fault(seconds, format!("is set beside `{key}`"), "remove one of them");
+        }
+        let read = |name, unit: f64| {
+            let [min, max] = [range.start(), range.end()].map(|time| time.as_secs_f64() / unit);
+            let is_allowed = |time: f64| (min..=max).contains(&time);
+            let remedy = || {
+                let default = default.as_secs_f64() / unit;
+                format!("use a number from {min} to {max}, or omit it for the default of {default}")
+            };
+            let time = self.number(name, f64::NAN, is_allowed, remedy);
+            // A product with the unit may exceed a bound of the range by its last digit.
+            (!time.is_nan())
+                .then(|| Duration::from_secs_f64(time * unit).clamp(*range.start(), *range.end()))
+        };
+        let time = read(millis, 1e-3);
+        read(seconds, 1.0).or(time).unwrap_or(default)
+    }
+
+    /// An integer or float that is allowed; `default` when absent or faulty.
+    fn number(
+        &self,
+        name: &'static str,
+        default: f64,
+        is_allowed: impl FnOnce(f64) -> bool,
+        remedy: impl FnOnce() -> String,
+    ) -> f64 {
         let Some(value) = self.read_value(name) else { return default };
-        let number = match value.get_ref() {
-            DeValue::Integer(number) => number.as_str(),
-            DeValue::Float(number) => number.as_str(),
+        let (text, number) = match value.get_ref() {
+            DeValue::Integer(number) => {
+                let digits = number.as_str().replace('_', "");
+                let integer = i128::from_str_radix(&digits, number.radix());
+                (number.as_str(), integer.ok().map(|integer| integer as f64))
+            }
+            DeValue::Float(number) => {
+                (number.as_str(), number.as_str().replace('_', "").parse().ok())
+            }
             _ => {
                 self.report_wrong_type(name, value, "a number", "write it without quotes");
                 return default;
             }
         };
-        match number.replace('_', "").parse::<f64>() {
-            Ok(ratio) if ratio > 0.0 && ratio <= max => ratio,
+        match number {
+            Some(number) if is_allowed(number) => number,
             _ => {
-                let remedy = format!("use a number above 0 and at most {max}");
-                self.report_fault(name, format!("is {number}"), remedy);
+                self.report_fault(name, format!("is {text}"), remedy());
                 default
             }
         }
@@ -268,24 +356,15 @@
         match parsed.and_then(|number| u64::try_from(number).ok()) {
             Some(number) if (1..=max).contains(&number) => number,
             _ => {
-                let remedy = match default {
-                    0 => format!("use a number from 1 to {max}, or omit it"),
-                    _ => format!(
-                        "use a number from 1 to {max}, or omit it for the default of {default}"
-                    ),
-                };
+                let remedy = format!(
+                    "use a number from 1 to {max}, or omit it for the default of {default}"
+                );
                 self.report_fault(name, format!("is {}", number.as_str()), remedy);
                 default
             }
         }
     }
 
-    /// An integer above zero and at most `max`; `None` when absent or faulty.
-    pub(crate) fn optional_integer(&self, name: &'static str, max: u64) -> Option<u64> {
-        let number = self.positive_integer(name, 0, max);
-        (number > 0).then_some(number)
-    }
-
     /// One of a fixed set of words; `default` when absent or faulty.
     pub(crate) fn choice<T: Copy>(
         &self,
--- a/crates/base-settings/src/settings/gateway.rs
+++ b/crates/base-settings/src/settings/gateway.rs
@@ -1,36 +1,49 @@
 //! Settings of a gateway: a router that forwards plain HTTP calls for a platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, time::Duration};
 
 use base_types::{AdaptiveCapacity, FailureDomainName, HostName};
 use error_stack::Report;
 
 use crate::{
-    LogSettings, SecretValue, SettingsError, section::SettingsSection, settings::parse_settings,
+    LogSettings, SecretValue, SettingsError,
+    section::{DurationKeys, SettingsSection},
+    settings::parse_settings,
 };
 
 /// Keys of the addresses that the process binds over TCP.
 const LISTEN_KEYS: [&str; 4] =
     ["caller_listen", "entry_listen", "readiness_listen", "metrics_listen"];
 
-const DEFAULT_RETRY_SLACK: u64 = 20;
-const DEFAULT_RETRY_WINDOW_MS: u64 = 10_000;
-const DEFAULT_TARGET_DRAIN_MS: u64 = 2_000;
-const DEFAULT_STOP_TIMEOUT_MS: u64 = 8_000;
-const DEFAULT_ENTRY_TTL_MAX_MS: u64 = 1_000;
+const DEFAULT_RETRY_SLACK: u32 = 20;
+const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
+const DEFAULT_TARGET_DRAIN: Duration = Duration::from_secs(2);
+const DEFAULT_STOP_TIMEOUT: Duration = Duration::from_secs(8);
+const DEFAULT_ENTRY_TTL_MAX: Duration = Duration::from_secs(1);
 /// One terabyte.
-const MEMORY_MB_MAX: u64 = 1_048_576;
-const DURATION_MS_MAX: u64 = 86_400_000;
-const RETRY_SLACK_MAX: u64 = 1_000_000;
+const MEMORY_MB_MAX: u32 = 1_048_576;
+const DURATION_MAX: Duration = Duration::from_secs(86_400);
+const RETRY_SLACK_MAX: u32 = 1_000_000;
+const RETRY_WINDOWS: RangeInclusive<Duration> = Duration::from_millis(1)..=DURATION_MAX;
+/// Times that may be zero, so that nothing is waited for.
+const WAITING_TIMES: RangeInclusive<Duration> = Duration::ZERO..=DURATION_MAX;
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
 const DEFAULT_LOAD_RATIO_MAX: f64 = 2.0;
 const DEFAULT_COLD_RATIO: f64 = 1.0;
-const DEFAULT_COLD_SLACK: u64 = 1;
-const COLD_SLACK_MAX: u64 = 1_000_000;
+const DEFAULT_COLD_SLACK: u32 = 1;
+const COLD_SLACK_MAX: u32 = 1_000_000;
 const RATIO_MAX: f64 = 100.0;
 const CPU_SHARE_MAX: f64 = 1_024.0;
 const LINK_MBPS_MAX: f64 = 1_000_000.0;
-const DESCRIPTORS_MAX: u64 = 100_000_000;
+const DESCRIPTORS_MAX: u32 = 100_000_000;
+
+const RETRY_WINDOW: DurationKeys =
+    DurationKeys { millis: "retry_window_ms", seconds: "retry_window_s" };
+const TARGET_DRAIN: DurationKeys =
+    DurationKeys { millis: "target_drain_ms", seconds: "target_drain_s" };
+const STOP_TIMEOUT: DurationKeys = DurationKeys { millis: "stop_ms", seconds: "stop_s" };
+const ENTRY_TTL_MAX: DurationKeys =
+    DurationKeys { millis: "entry_life_max_ms", seconds: "entry_life_max_s" };
 
 /// Words for the values of `adaptive_capacity`.
 const ADAPTIVE_CAPACITIES: [(&str, AdaptiveCapacity); 3] = [
@@ -155,7 +168,7 @@
         let first_start = root.flag("first_start", false);
         let capacity = CapacitySettings::read(root);
         let fleet_keys = FleetKeySettings::read(root);
-        let memory_mb = root.optional_integer("memory_mb", MEMORY_MB_MAX);
+        let memory_mb = root.optional_count("memory_mb", MEMORY_MB_MAX).map(u64::from);
         let fleet = FleetSettings::read(root);
         let log = LogSettings::read(root);
         Some(Self {
@@ -182,9 +195,7 @@
         Self {
             cpu_share: root.optional_ratio("cpu_share", CPU_SHARE_MAX),
             link_mbps: root.optional_ratio("link_mbps", LINK_MBPS_MAX),
-            max_descriptors: root
-                .optional_integer("max_descriptors", DESCRIPTORS_MAX)
-                .map(|count| count as u32),
+            max_descriptors: root.optional_count("max_descriptors", DESCRIPTORS_MAX),
         }
     }
 }
@@ -224,17 +235,10 @@
 impl FleetSettings {
     fn read(root: &SettingsSection<'_, '_>) -> Self {
         let Some(section) = root.section("fleet") else { return Self::default() };
-        let duration = |name, default| {
-            Duration::from_millis(section.positive_integer(name, default, DURATION_MS_MAX))
-        };
         let fleet = Self {
-            retry_ratio: section.ratio("retry_ratio", DEFAULT_RETRY_RATIO, RATIO_MAX),
-            retry_slack: section.positive_integer(
-                "retry_slack",
-                DEFAULT_RETRY_SLACK,
-                RETRY_SLACK_MAX,
-            ) as u32,
-            retry_window: duration("retry_window_ms", DEFAULT_RETRY_WINDOW_MS),
+            retry_ratio: section.amount("retry_ratio", DEFAULT_RETRY_RATIO, RATIO_MAX),
+            retry_slack: section.count("retry_slack", DEFAULT_RETRY_SLACK, RETRY_SLACK_MAX),
+            retry_window: section.duration(RETRY_WINDOW, DEFAULT_RETRY_WINDOW, &RETRY_WINDOWS),
             load_ratio_max: section.ratio("load_ratio_max", DEFAULT_LOAD_RATIO_MAX, RATIO_MAX),
             queueing: section.flag("queueing", false),
             adaptive_capacity: section.choice(
@@ -243,13 +247,12 @@
                 &ADAPTIVE_CAPACITIES,
             ),
             engine_memory_guard: section.flag("engine_memory_guard", false),
-            target_drain: duration("target_drain_ms", DEFAULT_TARGET_DRAIN_MS),
-            stop_timeout: duration("stop_ms", DEFAULT_STOP_TIMEOUT_MS),
-            entry_ttl_max: duration("entry_life_max_ms", DEFAULT_ENTRY_TTL_MAX_MS),
+            target_drain: section.duration(TARGET_DRAIN, DEFAULT_TARGET_DRAIN, &WAITING_TIMES),
+            stop_timeout: section.duration(STOP_TIMEOUT, DEFAULT_STOP_TIMEOUT, &WAITING_TIMES),
+            entry_ttl_max: section.duration(ENTRY_TTL_MAX, DEFAULT_ENTRY_TTL_MAX, &WAITING_TIMES),
             evacuations: section.flag("evacuations", false),
-            cold_ratio: section.ratio("cold_ratio", DEFAULT_COLD_RATIO, RATIO_MAX),
-            cold_slack: section.positive_integer("cold_slack", DEFAULT_COLD_SLACK, COLD_SLACK_MAX)
-                as u32,
+            cold_ratio: section.amount("cold_ratio", DEFAULT_COLD_RATIO, RATIO_MAX),
+            cold_slack: section.count("cold_slack", DEFAULT_COLD_SLACK, COLD_SLACK_MAX),
         };
         section.finish();
         fleet
@@ -260,18 +263,18 @@
     fn default() -> Self {
         Self {
             retry_ratio: DEFAULT_RETRY_RATIO,
-            retry_slack: DEFAULT_RETRY_SLACK as u32,
-            retry_window: Duration::from_millis(DEFAULT_RETRY_WINDOW_MS),
+            retry_slack: DEFAULT_RETRY_SLACK,
+            retry_window: DEFAULT_RETRY_WINDOW,
             load_ratio_max: DEFAULT_LOAD_RATIO_MAX,
             adaptive_capacity: AdaptiveCapacity::default(),
             queueing: false,
             engine_memory_guard: false,
-            target_drain: Duration::from_millis(DEFAULT_TARGET_DRAIN_MS),
-            stop_timeout: Duration::from_millis(DEFAULT_STOP_TIMEOUT_MS),
-            entry_ttl_max: Duration::from_millis(DEFAULT_ENTRY_TTL_MAX_MS),
+            target_drain: DEFAULT_TARGET_DRAIN,
+            stop_timeout: DEFAULT_STOP_TIMEOUT,
+            entry_ttl_max: DEFAULT_ENTRY_TTL_MAX,
             evacuations: false,
             cold_ratio: DEFAULT_COLD_RATIO,
-            cold_slack: DEFAULT_COLD_SLACK as u32,
+            cold_slack: DEFAULT_COLD_SLACK,
         }
     }
 }
--- a/crates/base-settings/tests/gateway.rs
+++ b/crates/base-settings/tests/gateway.rs
@@ -108,3 +108,16 @@
     a_capacity_in_quotes_is_refused("platform =", "max_descriptors = \"4096\"\nplatform =", &["max_descriptors"]);
     a_first_start_in_quotes_is_refused("platform =", "first_start = \"true\"\nplatform =", &["first_start"]);
 }
+
+test_cases! {
+    check_fault_keys:
+    a_duration_may_be_in_seconds("stop_ms = 8000", "stop_s = 7.5", &[]);
+    a_duration_in_two_units_is_refused("stop_ms = 8000", "stop_ms = 8000\nstop_s = 8", &["fleet.stop_s"]);
+    a_negative_duration_is_refused("stop_ms = 8000", "stop_s = -0.5", &["fleet.stop_s"]);
+    a_duration_over_a_day_is_refused("stop_ms = 8000", "stop_s = 86401", &["fleet.stop_s"]);
+    a_duration_that_is_no_number_is_refused("stop_ms = 8000", "stop_s = nan", &["fleet.stop_s"]);
+    a_duration_in_quotes_is_refused("stop_ms = 8000", "stop_s = \"8\"", &["fleet.stop_s"]);
+    a_window_of_zero_is_refused("retry_window_ms = 10000", "retry_window_s = 0", &["fleet.retry_window_s"]);
+    a_negative_slack_is_refused("retry_slack = 54", "retry_slack = -1", &["fleet.retry_slack"]);
+    an_infinite_slack_is_refused("retry_slack = 54", "retry_slack = inf", &["fleet.retry_slack"]);
+}
--- a/crates/policy-targets/src/cold.rs
+++ b/crates/policy-targets/src/cold.rs
@@ -17,6 +17,8 @@
 /// Standard deviations of the number of turns in a second that are kept below the peak.
 const PEAK_DEVIATIONS: f64 = 4.0;
 
+const PERIOD_MAX: Duration = Duration::from_secs(3_600);
+
 key_types! {
     /// Calls that a cold target takes from all routers together.
     pub struct ColdLimit {
@@ -44,14 +46,17 @@
     /// Turns of a router among `routers`; `phase`, from 0 to 1, is uniform over pairs of a router and a target.
     ///
     /// The number of turns in a second is about Poisson distributed, so that a mean of m keeps m + 4 sqrt(m) below
-    /// the peak.
+    /// the peak. A peak of zero leaves no turn.
     pub fn new(limit: ColdLimit, routers: u32, phase: f64) -> Self {
+        if limit.peak == 0 {
+            return Self { period: PERIOD_MAX, offset: Duration::from_micros(u64::MAX) };
+        }
         let half = PEAK_DEVIATIONS / 2.0;
         let mean_max = ((half * half + f64::from(limit.peak)).sqrt() - half).powi(2);
         let window = 1.0 + TURN_TIME_MAX.as_secs_f64();
         let rate = (f64::from(limit.rate) / 1_000.0).min(mean_max / window).max(f64::MIN_POSITIVE);
         let period = Duration::try_from_secs_f64(f64::from(routers.max(1)) / rate);
-        let period = period.unwrap_or(Duration::MAX).min(Duration::from_secs(3_600));
+        let period = period.unwrap_or(Duration::MAX).min(PERIOD_MAX);
         Self { period, offset: period.mul_f64(phase.clamp(0.0, 1.0)) }
     }
 
