Send calls only through routers that have the configuration that admitted them

Cause: a router that reaches no target of a pool sends the call through another one, which decided on it anew by its own configuration. Neither the choice of the router nor the call said which version that was, and a router whose configuration does not use the pool never says that it cannot reach it, so that the one that was behind was chosen.

Change: heartbeats state the sender's version (record 9), and only routers that stated the admitting version or a later one are chosen. The call carries the version; a router with an earlier one answers 421, "not run", before it reads the body, and the call is offered to another router or refused. This holds also for a router that restarted meanwhile and has a new key. Versions are compared, not revisions, as a restore of the store lowers those. Mixed builds: routers of the build before state no version and get no such calls; theirs, which state none, are answered 421.

Tests that took all of a heartbeat for its frozen layout leave its records out now, as before; sizes grow by the record of 12 bytes; the fuzzed tags include the new one; the digest of decisions leaves out the new field and is the same.

--- a/crates/base-types/src/codes.rs
+++ b/crates/base-types/src/codes.rs
@@ -115,6 +115,7 @@
     KeyUnknown = 1022, 401, "The account key is not known.";
     OriginUnknown = 1023, 503, "It is not known which software version began the stream.";
     MemoryFull = 1024, 503, "The router has no memory left for the body of the request.";
+    ConfigOutdated = 1025, 421, "This router has an older configuration than the router that sent the request.";
 }
 
 codes! {
--- a/crates/core-forward/src/call.rs
+++ b/crates/core-forward/src/call.rs
@@ -6,7 +6,7 @@
     AccountName, ContentDigest, ContentKey, PoolName, Refusal, RouteName, TargetKey, TimePoint,
     key_types, message_types,
 };
-use state_config::{KeyDigest, RetryRule};
+use state_config::{ConfigVersion, KeyDigest, RetryRule};
 
 use crate::{
     detours::{CallDetour, DetourClaim, DetourSpec},
@@ -190,6 +190,8 @@
 pub(crate) struct CallState {
     pub(crate) route: RouteName,
     pub(crate) pool: PoolName,
+    /// Version of the configuration that the call was admitted under.
+    pub(crate) version: ConfigVersion,
     pub(crate) retry_rule: RetryRule,
     pub(crate) account: Option<AccountName>,
     pub(crate) rank: u8,
--- a/crates/core-forward/src/core.rs
+++ b/crates/core-forward/src/core.rs
@@ -354,6 +354,9 @@
         head: CallHead,
         content: ContentDigest,
     ) -> Result<AdmittedCall, NotRunCode> {
+        if head.detour.as_ref().is_some_and(|claim| self.is_outdated_for(claim)) {
+            return Err(NotRunCode::ConfigOutdated);
+        }
         let config = self.config.as_ref().ok_or(NotRunCode::TablesMissing)?;
         let call_hash = stable_hash(head.id.as_bytes());
         let hash_id = |id: &str| stable_hash(id.as_bytes());
@@ -376,11 +379,11 @@
         };
         let resumable = retry_rule.is_streaming() && retry_rule.is_retryable();
         let content_keys = shared_content_keys(content, head.prompt.as_ref());
-        let own_key = &self.entry.detour_key;
-        let detour = head.detour.filter(|claim| !own_key.is_empty() && claim.key == *own_key);
+        let detour = head.detour.filter(|claim| self.is_own_detour_key(&claim.key));
         let state = CallState {
             route: route_match.rule.name.clone(),
             pool: route_match.pool.clone(),
+            version: config.version,
             retry_rule,
             account,
             rank: account_rank.unwrap_or(route_match.rule.rank),
--- a/crates/core-forward/src/core/beats.rs
+++ b/crates/core-forward/src/core/beats.rs
@@ -128,6 +128,7 @@
             speeds: self.take_speed_notices(now),
             fragile_pools: self.own_fragile_notices(now),
             record_refused: self.origins.record.is_refused(),
+            config_version: self.version().map(|version| version.0),
             ..HeartbeatExtension::default()
         };
         let running = self.calls.values().filter(|call| call.current_attempt.is_some());
--- a/crates/core-forward/src/core/detours.rs
+++ b/crates/core-forward/src/core/detours.rs
@@ -1,12 +1,14 @@
 //! Sends calls through another router where this one cannot reach the targets.
 //!
-//! A call makes one detour at most: a router that gets a call from another one serves it or refuses it.
+//! A call makes one detour at most: a router that gets a call from another one serves it or refuses it. It decides on
+//! the call anew, so its configuration must not be older than the one by which the call was admitted. Versions are
+//! compared and not the platform's revisions, which a restore of the platform lowers.
 
 use base_types::{HostName, NotRunCode, TimePoint, UnknownCode};
 use policy_routing::stable_hash;
 
 use crate::{
-    CallKey, DetourOutcome, DetourSpec, DispatchStep, ForwardCore, call::CallState,
+    CallKey, DetourClaim, DetourOutcome, DetourSpec, DispatchStep, ForwardCore, call::CallState,
     core::refusals::refuse, detours::pool_hash,
 };
 
@@ -14,7 +16,7 @@
 /// targets of its pool are known to be unreachable.
 const UNSENT_ATTEMPTS_BEFORE_DETOUR: u32 = 2;
 
-/// Number of routers that a call is offered to; each of the first ones did not accept a connection.
+/// Number of routers that a call is offered to; each of the first ones did not accept a connection or the call.
 const OFFERS_MAX: usize = 2;
 
 impl ForwardCore {
@@ -31,8 +33,10 @@
         let Some(mut state) = self.calls.remove(&key) else { return };
         self.end_detour(&mut state);
         match (outcome, state.detour.offered.last()) {
-            (DetourOutcome::Unsent, Some(router)) => self.peers.on_detour_refused(now, router),
-            (DetourOutcome::Unsent, None) => {}
+            (DetourOutcome::Unsent | DetourOutcome::Outdated, Some(router)) => {
+                self.peers.on_detour_refused(now, router);
+            }
+            (DetourOutcome::Unsent | DetourOutcome::Outdated, None) => {}
             (DetourOutcome::Lost | DetourOutcome::Answered, _) => {
                 state.detour.is_over = true;
                 state.may_have_run |= outcome == DetourOutcome::Lost;
@@ -85,13 +89,28 @@
         }
     }
 
-    /// Chooses the router with the fewest calls among those that reach the pool.
+    /// Whether a call that another router sent, or a caller who claims that, must not be decided by this router's
+    /// configuration, because that is older than the one by which the other router decided. A router that states no
+    /// version may have decided by a later one.
+    pub fn is_outdated_for(&self, claim: &DetourClaim) -> bool {
+        let is_own_key = self.is_own_detour_key(&claim.key);
+        claim.version.map_or(is_own_key, |version| self.version() < Some(version))
+    }
+
+    /// Whether a key is the one that other routers show to this one.
+    pub(super) fn is_own_detour_key(&self, key: &str) -> bool {
+        !key.is_empty() && *key == *self.entry.detour_key
+    }
+
+    /// Chooses the router with the fewest calls among those that reach the pool and have the configuration by which
+    /// the call was admitted.
     fn choose_detour(&self, now: TimePoint, state: &CallState) -> Option<DetourSpec> {
         let detour = &state.detour;
         if detour.is_over || detour.offered.len() >= OFFERS_MAX {
             return None;
         }
-        let peers = self.peers.reaching(now, pool_hash(&state.pool));
+        let pool = pool_hash(&state.pool);
+        let peers = self.peers.reaching(now, pool, state.version);
         let candidates = peers.filter(|peer| !detour.offered.contains(&peer.entry.name));
         // Calls are spread over routers with equally many.
         let tie = |name: &HostName| stable_hash(name.as_str().as_bytes()) ^ state.call_hash;
@@ -101,6 +120,7 @@
             address: chosen.entry.caller_address,
             key: chosen.entry.detour_key.clone(),
             attempts: state.attempts,
+            version: state.version,
             deadline: state.deadline,
         })
     }
--- a/crates/core-forward/src/detours.rs
+++ b/crates/core-forward/src/detours.rs
@@ -4,6 +4,7 @@
 
 use base_types::{HostName, PoolName, TimePoint, key_types, message_types};
 use policy_routing::stable_hash;
+use state_config::ConfigVersion;
 
 message_types! {
     /// Instructions for sending a call through another router.
@@ -16,6 +17,8 @@
         pub key: Box<str>,
         /// Attempts of the call so far that count against its limit.
         pub attempts: u32,
+        /// Version of the configuration that the call was admitted under.
+        pub version: ConfigVersion,
         /// Time at which the call is given up.
         pub deadline: TimePoint,
     }
@@ -26,6 +29,8 @@
         pub key: Box<str>,
         /// Attempts of the call at the router that sent it.
         pub attempts: u32,
+        /// Version of the configuration that it was admitted under there; `None` if that router's build does not say.
+        pub version: Option<ConfigVersion>,
     }
 }
 
@@ -34,6 +39,8 @@
     pub enum DetourOutcome {
         /// The other router did not accept a connection; the call was not sent.
         Unsent,
+        /// The other router has an older configuration than the call was admitted under, and did not run it.
+        Outdated,
         /// The connection broke, or the deadline passed.
         Lost,
         /// The other router answered.
@@ -46,6 +53,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
+            Self::Outdated => "outdated",
             Self::Lost => "lost",
             Self::Answered => "answered",
         }
--- a/crates/core-forward/src/envelope.rs
+++ b/crates/core-forward/src/envelope.rs
@@ -89,6 +89,8 @@
         FragilePools,
         /// That the platform refuses what the sender records; without a payload.
         RecordRefused,
+        /// Version of the configuration in force at the sender.
+        ConfigVersion,
         /// MAC over all bytes before the record.
         Authentication,
     }
@@ -104,7 +106,7 @@
 }
 
 impl RecordTag {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::ColdTargets,
         Self::Evacuations,
         Self::Speeds,
@@ -113,6 +115,7 @@
         Self::ColdRates,
         Self::FragilePools,
         Self::RecordRefused,
+        Self::ConfigVersion,
         Self::Authentication,
     ];
 
@@ -127,6 +130,7 @@
             Self::ColdRates => 6,
             Self::FragilePools => 7,
             Self::RecordRefused => 8,
+            Self::ConfigVersion => 9,
             Self::Authentication => 127,
         }
     }
@@ -139,7 +143,7 @@
 impl PeerFormat {
     /// Format of this build.
     pub const CURRENT: Self =
-        Self { version: FORMAT_VERSION, highest_tag: RecordTag::RecordRefused.number() };
+        Self { version: FORMAT_VERSION, highest_tag: RecordTag::ConfigVersion.number() };
 
     /// Whether a router of this format reads records of a tag. One of a later framing counts as reading
     /// none, as it may not find the records of this build.
@@ -257,6 +261,9 @@
 ) -> Result<EncodedMessage, EnvelopeError> {
     let extension = &heartbeat.extension;
     let mut writer = EnvelopeWriter::new(heartbeat, HEARTBEAT_BYTES_MAX, key)?;
+    if let Some(version) = &extension.config_version {
+        writer.write(RecordTag::ConfigVersion, version)?;
+    }
     writer.write_evacuations(extension.evacuations.as_ref())?;
     writer.write_list(RecordTag::FragilePools, &extension.fragile_pools, FRAGILE_POOLS_MAX)?;
     writer.write_list(RecordTag::ColdTargets, &extension.cold_targets, COLD_TARGETS_MAX)?;
@@ -531,6 +538,7 @@
                 read_value::<()>(payload)?;
                 extension.record_refused = true;
             }
+            Some(RecordTag::ConfigVersion) => extension.config_version = Some(read_value(payload)?),
             Some(RecordTag::ColdRates | RecordTag::Authentication) | None => unknown_records += 1,
         }
     }
@@ -562,6 +570,7 @@
                 RecordTag::RouterCapacity
                 | RecordTag::WaitingCalls
                 | RecordTag::RecordRefused
+                | RecordTag::ConfigVersion
                 | RecordTag::Authentication,
             )
             | None => unknown_records += 1,
--- a/crates/core-forward/src/extension.rs
+++ b/crates/core-forward/src/extension.rs
@@ -72,6 +72,8 @@
         pub fragile_pools: Vec<FragileNotice>,
         /// Whether the platform refuses what the sender records, so that another router is to be the recorder.
         pub record_refused: bool,
+        /// Version of the configuration in force at the sender; absent while it has none.
+        pub config_version: Option<u64>,
     }
 
     /// Records of a snapshot beside its frozen layout.
--- a/crates/core-forward/src/peers.rs
+++ b/crates/core-forward/src/peers.rs
@@ -5,6 +5,7 @@
 use base_types::{HostName, LoadShare, TimePoint, key_types, value_types};
 use policy_routing::{LoadClass, PeerClass};
 use policy_targets::OutcomeCount;
+use state_config::ConfigVersion;
 
 use crate::{
     ContentReport, DecodedHeartbeat, HeartbeatExtension, LimitNotice, MessageAuthenticity,
@@ -18,7 +19,7 @@
 /// Time for which the start of a router's shutdown is kept; longer than any takes.
 const STOP_TTL: Duration = Duration::from_secs(60);
 
-/// Time for which no calls are sent through a router that did not accept a connection.
+/// Time for which no calls are sent through a router that did not accept a connection or a call.
 const DETOUR_REFUSED_TTL: Duration = Duration::from_secs(1);
 
 /// Time for which a router's capacity counts after the last heartbeat that stated it. Routers that state
@@ -127,12 +128,15 @@
     calls_in_flight: u32,
     /// Calls that this router has sent through it and that are in flight.
     detours: u32,
-    /// Time until which no calls are sent through it, as it did not accept a connection.
+    /// Time until which no calls are sent through it, as it did not accept a connection or a call.
     refusing_until: TimePoint,
     unreachable_pools: Vec<u64>,
     cut_off: bool,
     record_refused: bool,
     capacity: Option<PeerCapacity>,
+    /// Version of the configuration that it stated; `None` before it stated one, as a router of an earlier build never
+    /// does.
+    config_version: Option<ConfigVersion>,
     /// Latest format of the heartbeats of its current start; that of the frozen layout until one was
     /// received.
     format: PeerFormat,
@@ -160,10 +164,16 @@
             cut_off: false,
             record_refused: false,
             capacity: None,
+            config_version: None,
             format: PeerFormat::default(),
         }
     }
 
+    /// Whether the router stated a version of the configuration or a later one; versions do not go down while it runs.
+    fn has_config(&self, version: ConfigVersion) -> bool {
+        self.config_version.is_some_and(|stated| version <= stated)
+    }
+
     /// Calls of the router, and those sent through it that its last heartbeat may not contain.
     pub(crate) fn calls(&self) -> u32 {
         self.calls_in_flight.saturating_add(self.detours)
@@ -216,6 +226,7 @@
                 if record.entry != entry {
                     record.entry = entry;
                     record.alive_until = TimePoint(0);
+                    record.config_version = None;
                     record.format = PeerFormat::default();
                 }
             }
@@ -241,8 +252,12 @@
         if is_restarted {
             record.entry = heartbeat.entry.clone();
             record.capacity = None;
+            record.config_version = None;
             record.format = PeerFormat::default();
         }
+        if let Some(version) = heartbeat.extension.config_version {
+            record.config_version = Some(ConfigVersion(version));
+        }
         record.alive_until = now.after(HEARTBEAT_TTL);
         record.serving = heartbeat.ready && !heartbeat.shutting_down;
         if heartbeat.shutting_down {
@@ -370,17 +385,20 @@
         }
     }
 
-    /// Returns the serving routers that take calls of other routers and reach a pool.
+    /// Returns the serving routers that take calls of other routers, reach a pool and have a version of the
+    /// configuration.
     pub(crate) fn reaching(
         &self,
         now: TimePoint,
         pool_hash: u64,
+        version: ConfigVersion,
     ) -> impl Iterator<Item = &PeerRecord> {
         self.records.values().filter(move |record| {
             record.is_serving(now)
                 && record.refusing_until.passed(now)
                 && !record.entry.detour_key.is_empty()
                 && !record.unreachable_pools.contains(&pool_hash)
+                && record.has_config(version)
         })
     }
 
@@ -391,7 +409,7 @@
         }
     }
 
-    /// Records that a router did not accept a connection.
+    /// Records that a router did not accept a connection or a call.
     pub(crate) fn on_detour_refused(&mut self, now: TimePoint, name: &HostName) {
         if let Some(record) = self.records.get_mut(name) {
             record.refusing_until = now.after(DETOUR_REFUSED_TTL);
--- a/crates/core-forward/tests/crashes/fleet.rs
+++ b/crates/core-forward/tests/crashes/fleet.rs
@@ -278,8 +278,11 @@
                     let core = &mut self.routers[router];
                     core.on_detour_finished(self.now, call, DetourOutcome::Answered);
                     self.routers[router].finish(call);
-                    request.head.detour =
-                        Some(DetourClaim { key: detour.key, attempts: detour.attempts });
+                    request.head.detour = Some(DetourClaim {
+                        key: detour.key,
+                        attempts: detour.attempts,
+                        version: Some(detour.version),
+                    });
                     return self.admit(router_index(&detour.router), request);
                 }
                 DispatchStep::Send(attempt) => {
--- a/crates/core-forward/tests/detours.rs
+++ b/crates/core-forward/tests/detours.rs
@@ -13,13 +13,16 @@
     AttemptOutcome, CallKey, CallerKey, DetourClaim, DetourOutcome, DetourSpec, DispatchStep,
     ForwardCore,
 };
-use fixture::{call_head, new_router, target_entry, target_index};
-use state_config::RetryRule;
+use fixture::{call_head, config, new_router, target_entry, target_index};
+use state_config::{ConfigVersion, RetryRule};
 
 const TARGETS: usize = 9;
 const CALLS: u64 = 400;
 const CALLS_PER_HEARTBEAT: u64 = 10;
 const START: TimePoint = TimePoint(10_000_000);
+/// Version of the configuration that all routers start with.
+const VERSION: ConfigVersion = ConfigVersion(1);
+const NEXT_VERSION: ConfigVersion = ConfigVersion(4);
 
 /// Routers that know each other and all targets; some are cut off from the targets.
 struct CutFleet {
@@ -48,6 +51,13 @@
         }
     }
 
+    /// Has a router adopt a version of the configuration.
+    fn adopt(&mut self, router: usize, version: ConfigVersion) {
+        let mut config = config(RetryRule::Idempotent, 1);
+        config.version = version;
+        assert!(self.routers[router].adopt_config(START, config));
+    }
+
     fn exchange_heartbeats(&mut self) {
         let heartbeats: Vec<_> =
             self.routers.iter_mut().map(|router| router.next_heartbeat(START)).collect();
@@ -70,7 +80,8 @@
 }
 
 fn claim(detour: &DetourSpec) -> Option<DetourClaim> {
-    Some(DetourClaim { key: detour.key.clone(), attempts: detour.attempts })
+    let (key, version) = (detour.key.clone(), Some(detour.version));
+    Some(DetourClaim { key, attempts: detour.attempts, version })
 }
 
 fn index(detour: &DetourSpec) -> usize {
@@ -124,7 +135,8 @@
 /// What a router does with a call that names a key, while it reaches no target.
 fn check_claim(key: &str, makes_detour: bool) {
     let mut fleet = CutFleet::new(3, &[0]);
-    let (_, step) = fleet.call(0, Some(DetourClaim { key: key.into(), attempts: 0 }));
+    let (_, step) =
+        fleet.call(0, Some(DetourClaim { key: key.into(), attempts: 0, version: Some(VERSION) }));
     assert_eq!(matches!(step, DispatchStep::Detour(_)), makes_detour, "{step:?}");
     let is_refused = matches!(step, DispatchStep::Refuse(Refusal::NotRun(NotRunCode::NoTarget, _)));
     assert_eq!(is_refused, !makes_detour, "{step:?}");
@@ -161,7 +173,7 @@
     assert_eq!(is_unknown, may_have_run, "{step:?}");
 }
 
-use DetourOutcome::{Lost, Unsent};
+use DetourOutcome::{Lost, Outdated, Unsent};
 
 test_cases! {
     check_ends:
@@ -169,6 +181,8 @@
     a_call_that_two_routers_did_not_accept_is_refused(&[Unsent, Unsent], false, false);
     a_call_that_was_lost_on_a_detour_is_unknown(&[Lost], false, true);
     a_call_that_was_lost_on_a_second_offer_is_unknown(&[Unsent, Lost], false, true);
+    a_call_that_a_router_did_not_take_is_offered_to_another(&[Outdated], true, false);
+    a_call_that_two_routers_did_not_take_is_refused(&[Outdated, Outdated], false, false);
 }
 
 #[test]
@@ -253,3 +267,90 @@
         assert_ne!(index(&detour), refusing);
     }
 }
+
+/// Whether a router takes a call of another one that states a version of the configuration.
+fn check_version(key: &str, stated: Option<ConfigVersion>, is_taken: bool) {
+    let mut fleet = CutFleet::new(2, &[]);
+    fleet.adopt(0, NEXT_VERSION);
+    let mut head = call_head(START, 1, None);
+    head.detour = Some(DetourClaim { key: key.into(), attempts: 0, version: stated });
+    let admitted = fleet.routers[0].admit(START, head, ContentDigest(1));
+    match is_taken {
+        true => assert!(admitted.is_ok(), "{admitted:?}"),
+        false => assert_eq!(admitted.err(), Some(NotRunCode::ConfigOutdated)),
+    }
+}
+
+const LATER: ConfigVersion = ConfigVersion(NEXT_VERSION.0 + 1);
+
+test_cases! {
+    check_version:
+    a_call_of_the_same_version_is_taken("key-0", Some(NEXT_VERSION), true);
+    a_call_of_an_earlier_version_is_taken("key-0", Some(VERSION), true);
+    a_call_of_a_later_version_is_not_taken("key-0", Some(LATER), false);
+    a_call_of_a_later_version_to_an_earlier_start_is_not_taken("key-of-an-earlier-start", Some(LATER), false);
+    a_call_of_a_router_that_states_no_version_is_not_taken("key-0", None, false);
+    a_call_of_a_caller_that_claims_to_be_a_router_is_taken("key", None, true);
+}
+
+/// A restore of the platform lowers its revisions, and leaves the older configuration of its copy to a router that
+/// restarts.
+#[test]
+fn a_restored_copy_of_the_configuration_does_not_count_as_later() {
+    let mut fleet = CutFleet::new(2, &[]);
+    fleet.adopt(0, NEXT_VERSION);
+    fleet.routers[1].on_platform_era(START, 3);
+    let mut head = call_head(START, 1, None);
+    head.detour =
+        Some(DetourClaim { key: "key-1".into(), attempts: 0, version: Some(NEXT_VERSION) });
+    let admitted = fleet.routers[1].admit(START, head, ContentDigest(1));
+    assert_eq!(admitted.err(), Some(NotRunCode::ConfigOutdated));
+}
+
+/// Routers that are not known to have the version that admitted a call do not get it.
+fn check_choice(versions: [ConfigVersion; 3], states_version: bool, chosen: Option<usize>) {
+    let mut fleet = CutFleet::new(3, &[0]);
+    for (router, version) in versions.into_iter().enumerate().filter(|(_, next)| *next > VERSION) {
+        fleet.adopt(router, version);
+    }
+    for router in 1..3 {
+        let mut heartbeat = fleet.routers[router].next_heartbeat(START);
+        if !states_version {
+            heartbeat.entry.incarnation += 1;
+            heartbeat.extension.config_version = None;
+        }
+        fleet.routers[0].on_heartbeat(START, heartbeat);
+    }
+    let (_, step) = fleet.call(0, None);
+    let detour = match &step {
+        DispatchStep::Detour(detour) => Some(index(detour)),
+        _ => None,
+    };
+    assert_eq!(detour, chosen, "{step:?}");
+    let is_refused = matches!(step, DispatchStep::Refuse(Refusal::NotRun(NotRunCode::NoTarget, _)));
+    assert_eq!(is_refused, chosen.is_none(), "{step:?}");
+}
+
+test_cases! {
+    check_choice:
+    a_router_with_the_version_gets_the_call([NEXT_VERSION, VERSION, NEXT_VERSION], true, Some(2));
+    a_router_with_a_later_version_gets_the_call([NEXT_VERSION, VERSION, LATER], true, Some(2));
+    routers_with_an_earlier_version_do_not_get_the_call([NEXT_VERSION, VERSION, VERSION], true, None);
+    routers_of_an_earlier_build_do_not_get_the_call([VERSION, VERSION, VERSION], false, None);
+}
+
+/// A router that did not take a call, as it restarted with an older configuration, is left out for a while.
+#[test]
+fn a_router_that_did_not_take_a_call_is_left_out_for_a_while() {
+    let mut fleet = CutFleet::new(3, &[0]);
+    let (call, step) = fleet.call(0, None);
+    let DispatchStep::Detour(detour) = step else { panic!("no detour: {step:?}") };
+    let outdated = index(&detour);
+    fleet.routers[0].on_detour_finished(START, call, DetourOutcome::Outdated);
+    let mut steps = vec![fleet.routers[0].dispatch(START, call)];
+    steps.extend((0..20).map(|_| fleet.call(0, None).1));
+    for step in steps {
+        let DispatchStep::Detour(detour) = step else { panic!("no detour: {step:?}") };
+        assert_ne!(index(&detour), outdated);
+    }
+}
--- a/crates/core-forward/tests/envelope.rs
+++ b/crates/core-forward/tests/envelope.rs
@@ -51,6 +51,7 @@
         waiting: vec![WaitingNotice { pool_hash: 5, calls: 6 }],
         fragile_pools: fragile_pools(2),
         record_refused: true,
+        config_version: Some(u64::MAX),
     }
 }
 
--- a/crates/core-forward/tests/envelope_fuzz.rs
+++ b/crates/core-forward/tests/envelope_fuzz.rs
@@ -35,6 +35,7 @@
         waiting: vec![WaitingNotice { pool_hash: 7, calls: 8 }; 20],
         fragile_pools: vec![FragileNotice { pool_hash: 7, bearable: 8, age_ms: 9 }; 20],
         record_refused: true,
+        config_version: Some(u64::MAX),
     };
     PeerHeartbeat { extension, ..full_heartbeat() }
 }
@@ -119,7 +120,7 @@
     /// Guards against the same because of any bytes as records.
     #[test]
     fn any_records_are_survived(
-        records in prop::collection::vec((0u8..9, prop::collection::vec(0u8..4, 0..48)), 0..8),
+        records in prop::collection::vec((0u8..10, prop::collection::vec(0u8..4, 0..48)), 0..8),
         tail in prop::collection::vec(any::<u8>(), 0..64),
     ) {
         let mut bytes = encode_heartbeat(&full_heartbeat(), None).expect("encoded").bytes;
--- a/crates/core-forward/tests/envelope_sizes.rs
+++ b/crates/core-forward/tests/envelope_sizes.rs
@@ -73,6 +73,7 @@
             waiting: vec![WaitingNotice { pool_hash: hash(0), calls: 20 }],
             fragile_pools: fragile_pools(),
             record_refused: false,
+            config_version: Some(u64::MAX),
         },
         ..heartbeat
     }
@@ -126,7 +127,7 @@
 test_cases! {
     check_sizes:
     // 66 routers, 60 engines and 3 plain targets.
-    a_fleet_of_66_routers(63, [1_732, 2_269, 2_303], [184_411, 185_603, 185_637]);
+    a_fleet_of_66_routers(63, [1_732, 2_281, 2_315], [184_411, 185_603, 185_637]);
     // 195 routers, 117 engines and 6 plain targets.
-    a_fleet_of_195_routers(123, [2_392, 3_169, 3_203], [186_414, 188_686, 188_720]);
+    a_fleet_of_195_routers(123, [2_392, 3_181, 3_215], [186_414, 188_686, 188_720]);
 }
--- a/crates/core-forward/tests/support/samples.rs
+++ b/crates/core-forward/tests/support/samples.rs
@@ -9,9 +9,9 @@
     AccountName, ContentKey, HostName, LoadShare, PoolName, RouteName, TargetLoad, TimePoint,
 };
 use core_forward::{
-    BlockNotice, CallRate, ContentReport, CrashNotice, LimitNotice, OriginNotice, PeerHeartbeat,
-    PeerSnapshot, SegmentHolders, SoftwareKey, SoftwareNotice, SuspectNotice, TargetNotice,
-    TargetOutcomes,
+    BlockNotice, CallRate, ContentReport, CrashNotice, HeartbeatExtension, LimitNotice,
+    OriginNotice, PeerHeartbeat, PeerSnapshot, SegmentHolders, SoftwareKey, SoftwareNotice,
+    SuspectNotice, TargetNotice, TargetOutcomes,
 };
 use policy_targets::OutcomeCount;
 use state_config::{
@@ -48,7 +48,7 @@
     vec![SoftwareNotice { pool: PoolName::new("pool"), software: SoftwareKey(24), left_ms: 25 }]
 }
 
-/// A heartbeat with something in each list.
+/// A heartbeat with something in each list of the frozen layout, without records.
 pub(crate) fn full_heartbeat() -> PeerHeartbeat {
     let mut router = new_router(NOW, 1, 300, RetryRule::ResumableStream);
     let limit =
@@ -79,13 +79,15 @@
         software: software(),
         unreachable_pools: vec![47],
         cut_off: true,
+        extension: HeartbeatExtension::default(),
         ..router.next_heartbeat(NOW)
     }
 }
 
-/// The first heartbeat of a router without targets.
+/// The first heartbeat of a router without targets, without records.
 pub(crate) fn empty_heartbeat() -> PeerHeartbeat {
-    new_router(NOW, 2, 301, RetryRule::ResumableStream).next_heartbeat(NOW)
+    let mut router = new_router(NOW, 2, 301, RetryRule::ResumableStream);
+    PeerHeartbeat { extension: HeartbeatExtension::default(), ..router.next_heartbeat(NOW) }
 }
 
 /// A snapshot with something in each list.
--- a/crates/core-forward/tests/switch.rs
+++ b/crates/core-forward/tests/switch.rs
@@ -20,6 +20,8 @@
 const STEPS: u64 = 1_500;
 /// What the inputs of a choice say of speeds while these are not used; commit 730cee9 did not have it.
 const DEFAULT_SPEED: &str = ", slowdown: 1.0, comfortable_calls: 64";
+/// What a step says of the version that admitted a call, which commit 730cee9 did not have either.
+const DETOUR_VERSION: &str = ", version: ConfigVersion(1)";
 const OUTCOMES: [AttemptOutcome; 5] = [
     AttemptOutcome::Completed,
     AttemptOutcome::Completed,
@@ -60,7 +62,7 @@
         while let Some((index, call)) = next.take() {
             let core = &mut routers[index];
             let step = core.dispatch(now, call);
-            text += &format!("{step:?}\n").replace(DEFAULT_SPEED, "");
+            text += &format!("{step:?}\n").replace(DEFAULT_SPEED, "").replace(DETOUR_VERSION, "");
             match step {
                 DispatchStep::Send(attempt) if random.random_bool(0.05) => {
                     core.on_rate_limit(now, attempt.target, CallRate::from_per_second(2.0));
--- a/crates/io-forward/src/call.rs
+++ b/crates/io-forward/src/call.rs
@@ -87,6 +87,14 @@
         }
     };
     let log = CallLog::new(&call.id, received_at);
+    // Before the limits of an older configuration are applied to the body.
+    if call
+        .detour
+        .as_ref()
+        .is_some_and(|claim| state.with_core(|core, _| core.is_outdated_for(claim)))
+    {
+        return refuse_unadmitted(&state, &log, NotRunCode::ConfigOutdated, &head);
+    }
     let memory = state.call_memory(MemoryUse::Stored);
     let body = match read_body(&state, &call, &memory, body).await {
         Ok(body) => body,
--- a/crates/io-forward/src/detour.rs
+++ b/crates/io-forward/src/detour.rs
@@ -1,6 +1,7 @@
 //! Sends calls through another router, and forwards its answers as they are.
 //!
-//! The other router decides on the call as on any other: it chooses the target, retries and resumes.
+//! The other router decides on the call as on any other: it chooses the target, retries and resumes. One whose
+//! configuration is older than the one that admitted the call does not take it.
 
 use bytes::Bytes;
 use core_forward::{DetourOutcome, DetourSpec};
@@ -60,12 +61,17 @@
         self.accept_detour(DetourResponse { detour, connection, response })
     }
 
-    /// Returns the response, unless it is a refusal that says that the call has not run although an
-    /// earlier attempt may have run it.
+    /// Returns the response, unless the router could not decide on the call, or refuses it as one that has not run
+    /// although an earlier attempt may have run it.
     fn accept_detour(&mut self, started: DetourResponse) -> Option<DetourResponse> {
         let call = self.admitted.call;
         let (parts, body) = started.response.into_parts();
         let head = self.state.dialect().read_response(self.log.id(), &parts);
+        if head.execution == ExecutionStatus::Misdirected {
+            let reason = "the router has an older configuration";
+            self.record_detour(&started.detour, DetourOutcome::Outdated, reason);
+            return None;
+        }
         let is_target_answer = head.execution == ExecutionStatus::Executed;
         if !is_target_answer && self.state.with_core(|core, _| core.may_have_run(call)) {
             let reason = format!("status {} of a router", parts.status.as_u16());
--- a/crates/io-forward/src/log_lines.rs
+++ b/crates/io-forward/src/log_lines.rs
@@ -165,6 +165,7 @@
             pool = call.pool.as_str(),
             router = detour.router.as_str(),
             sends = detour.attempts,
+            version = detour.version.0,
             left_ms = detour.deadline.since(now).as_millis() as u64;
             "call sent through another router"
         );
