Keep a cold time that a restored copy of the store lacks

Cause: after a restore the copy's entry of a target, from before it became cold, replaced the later cold time that was known.

Change: for 2.2 s after a restore a list does not shorten a known cold time, which ends by itself. Assumed times are replaced as before.

--- a/crates/core-forward/src/core/cold.rs
+++ b/crates/core-forward/src/core/cold.rs
@@ -23,10 +23,15 @@
 
 impl ForwardCore {
     /// Handles what the platform says of how long targets stay cold; returns whether the other routers need to know.
+    /// After a restore, what a copy says does not shorten what is known, which may have been written since.
     pub fn on_cold_listed(&mut self, now: TimePoint, targets: &[(HostName, TimePoint)]) -> bool {
         let mut has_news = false;
+        let is_copy = self.targets.is_restored_lately(now);
         for (name, until) in targets {
             let Some(record) = self.targets.find_by_name_mut(name) else { continue };
+            if is_copy && !record.is_cold_assumed && *until < record.cold_until {
+                continue;
+            }
             let is_later = record.cold_until.after(COLD_NEWS) < *until;
             if record.is_cold_assumed || (is_later && !until.passed(now)) {
                 self.unreported_cold.push(record.target_hash);
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -522,7 +522,13 @@
         };
         let known = self.listed_entry(&entry.name).filter(is_same_start);
         let is_undone = known.is_some_and(|known| known.draining && !entry.draining);
-        is_undone && !self.restored_until.passed(now)
+        is_undone && self.is_restored_lately(now)
+    }
+
+    /// Whether the platform was restored from a copy so recently that targets may not have written again what the copy
+    /// lacks.
+    pub(crate) fn is_restored_lately(&self, now: TimePoint) -> bool {
+        !self.restored_until.passed(now)
     }
 
     /// Removes targets that are not listed, have no calls in flight and cannot be fetched from;
--- a/crates/core-forward/tests/cold.rs
+++ b/crates/core-forward/tests/cold.rs
@@ -9,7 +9,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base_types::{ContentDigest, HostName, Refusal, TimePoint, test_cases};
-use core_forward::{AttemptOutcome, DispatchStep, ForwardCore, TargetEntry};
+use core_forward::{AttemptOutcome, ChangeOrder, DispatchStep, ForwardCore, TargetEntry};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::{ColdRule, RetryRule};
 
@@ -237,3 +237,29 @@
     let cold_until = core.status(start).targets[0].cold_until;
     assert_eq!(cold_until.since(start), Duration::from_secs(COLD_SECONDS));
 }
+
+/// What is known of a cold target after a list in an era of the platform that says that it is warm.
+fn check_listed_warm(era: u16, listed_after: Duration, stays_cold: bool) {
+    let start = TimePoint(1_000_000);
+    let sim = ColdSim::new(ColdPlan { routers: 1, ..SMALL }, 0);
+    let mut core = sim.new_router(0, 1);
+    let entry = target_entry(0, 1);
+    let order = |era, revision| ChangeOrder::new(era, revision).number();
+    core.on_platform_era(start, 1);
+    core.on_targets_listed(start, order(1, 9), vec![(order(1, 9), entry.clone())]);
+    let until = start.after(Duration::from_secs(4));
+    core.on_cold_listed(start, &[(entry.name.clone(), until)]);
+    core.on_platform_era(start, era);
+    let now = start.after(listed_after);
+    core.on_targets_listed(now, order(era, 8), vec![(order(era, 8), entry.clone())]);
+    core.on_cold_listed(now, &[(entry.name, now)]);
+    assert_eq!(core.status(now).targets[0].cold_until == until, stays_cold);
+}
+
+test_cases! {
+    check_listed_warm:
+    // Guards against a flood of a cold target because of a restored copy from before it became cold.
+    a_restored_copy_does_not_make_a_cold_target_warm(2, Duration::from_millis(100), true);
+    a_list_makes_a_cold_target_warm(1, Duration::from_millis(100), false);
+    a_list_some_time_after_a_restore_makes_a_cold_target_warm(2, Duration::from_millis(2_300), false);
+}
