Do not take an answer of the store that is still arriving for none

Cause: a probe reads the configuration and had to be complete within 0.8 s, which takes longer on 10 Mbit/s. The store counted as unavailable while it answered, the version was dropped, and watches that it had forgotten were not sent again.

Change: of an answer, the limit holds for the head and for the pause before each further part; the body may take 10 s. The product's own platform interface keeps its limit.

Evidence: a_version_that_arrives_slowly_is_adopted_after_an_outage (platform, entries) fails before and passes.

--- a/crates/fakes/src/gateway/store.rs
+++ b/crates/fakes/src/gateway/store.rs
@@ -15,6 +15,9 @@
 
 const PAGE_SIZE: usize = 3;
 
+/// Parts in which a body is sent that takes some time.
+const BODY_PARTS: u32 = 8;
+
 /// Start of the strings that stand for entire objects.
 const RAW_PREFIX: &str = "object ";
 
@@ -64,6 +67,8 @@
     /// Number of the door through which each kind was last written.
     writers: BTreeMap<String, usize>,
     doors: usize,
+    /// Time that the bodies of answers about a kind take.
+    body_times: BTreeMap<String, Duration>,
     /// Bytes of specs and of objects that are no JSON values of this process, by the strings that stand for them.
     texts: BTreeMap<String, Vec<u8>>,
 }
@@ -92,6 +97,7 @@
             calls: Vec::new(),
             writers: BTreeMap::new(),
             doors: 0,
+            body_times: BTreeMap::new(),
             texts: BTreeMap::new(),
         };
         let store = Self {
@@ -200,6 +206,13 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets the time that the bodies of answers about a kind take from now on, as those of large objects on a slow link
+    /// do.
+    pub fn set_body_time(&self, kind: &str, time: Duration) {
+        let mut state = self.state.lock().expect("the state lock is poisoned");
+        state.body_times.insert(kind.to_owned(), time);
+    }
+
     /// Marks the history up to now as compacted, so that watches since an older revision are
     /// refused with status 410.
     pub fn compact_history(&self) {
@@ -261,10 +274,25 @@
             let head = format!(
                 "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n"
             );
-            connection.send(&[head.as_bytes(), &body].concat()).await;
+            match self.body_time(&request) {
+                Some(time) => {
+                    connection.send(head.as_bytes()).await;
+                    for part in body.chunks(length.div_ceil(BODY_PARTS as usize).max(1)) {
+                        tokio::time::sleep(time / BODY_PARTS).await;
+                        connection.send(part).await;
+                    }
+                }
+                None => connection.send(&[head.as_bytes(), &body].concat()).await,
+            }
         }
     }
 
+    fn body_time(&self, request: &HttpMessage) -> Option<Duration> {
+        let path = request.target().trim_start_matches("/api/objects/");
+        let kind = path.split(['/', '?']).next()?;
+        self.state.lock().expect("the state lock is poisoned").body_times.get(kind).copied()
+    }
+
     fn record_writer(&self, request: &HttpMessage, door: &StoreDoor) {
         let kind = request.target().trim_start_matches("/api/objects/").split('/').next();
         let mut state = self.state.lock().expect("the state lock is poisoned");
--- a/crates/io-platform/src/transport.rs
+++ b/crates/io-platform/src/transport.rs
@@ -9,10 +9,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use error_stack::{Report, ResultExt};
 use http::{Method, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -33,6 +34,9 @@
 /// Limit on the bytes of an answer.
 const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
 
+/// Time in which the body of an answer must be complete. A large answer takes seconds on a slow link.
+const ANSWER_TIME_MAX: Duration = Duration::from_secs(10);
+
 /// Result of a call to the platform; the error states what is known about the call's effect.
 pub type PlatformResult<T> = Result<T, Report<PlatformError>>;
 
@@ -84,16 +88,21 @@
         body: Bytes,
         timeout: Duration,
     ) -> PlatformResult<(StatusCode, Bytes)> {
-        let response = self.call_with_headers(request, body, timeout).await?;
+        let response =
+            tokio::time::timeout(timeout, self.call_on_slow_link(request, body, timeout))
+                .await
+                .change_context(PlatformError::Unanswered)??;
         Ok((response.status(), response.into_body()))
     }
 
-    /// Sends a request and reads the complete answer with its headers.
+    /// Sends a request and reads the complete answer with its headers, however slowly it arrives, within limits: an
+    /// answer that is still arriving does not show that the platform is silent.
     ///
     /// # Errors
     ///
-    /// As for [`Self::call`].
-    pub async fn call_with_headers(
+    /// Fails when neither the head of the answer nor a further part of its body arrives for `timeout`, or when the
+    /// body takes more than 10 s or 64 MiB; otherwise as for [`Self::call`].
+    pub async fn call_on_slow_link(
         &self,
         request: request::Builder,
         body: Bytes,
@@ -104,27 +113,46 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .change_context(PlatformError::Malformed)?;
-        tokio::time::timeout(timeout, self.exchange(request))
+        let response = tokio::time::timeout(timeout, self.exchange(request))
+            .await
+            .change_context(PlatformError::Unanswered)??;
+        let (head, body) = response.into_parts();
+        let body = tokio::time::timeout(ANSWER_TIME_MAX, collect_body(body, timeout))
             .await
-            .change_context(PlatformError::Unanswered)?
+            .change_context(PlatformError::Unanswered)??;
+        Ok(Response::from_parts(head, body))
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> PlatformResult<Response<Bytes>> {
-        let response = match self.client.request(request).await {
-            Ok(response) => response,
-            Err(error) => {
-                let kind = if error.is_connect() {
-                    PlatformError::Unreachable
-                } else {
-                    PlatformError::Unanswered
-                };
-                return Err(Report::new(error).change_context(kind));
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> PlatformResult<Response<Incoming>> {
+        self.client.request(request).await.map_err(|error| {
+            let kind = if error.is_connect() {
+                PlatformError::Unreachable
+            } else {
+                PlatformError::Unanswered
+            };
+            Report::new(error).change_context(kind)
+        })
+    }
+}
+
+/// Reads a body whose parts follow each other within `pause_max`.
+async fn collect_body(body: Incoming, pause_max: Duration) -> PlatformResult<Bytes> {
+    let mut body = Limited::new(body, ANSWER_BYTES_MAX);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(pause_max, body.frame())
+            .await
+            .change_context(PlatformError::Unanswered)?;
+        match frame {
+            None => return Ok(bytes.freeze()),
+            Some(Ok(frame)) => {
+                if let Ok(part) = frame.into_data() {
+                    bytes.extend_from_slice(&part);
+                }
             }
-        };
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
-        let body =
-            body.map_err(|error| Report::new(PlatformError::Unanswered).attach(error.to_string()))?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+            Some(Err(error)) => {
+                return Err(Report::new(PlatformError::Unanswered).attach(error.to_string()));
+            }
+        }
     }
 }
