Take targets of a failure domain that is taken back to be cold until listed

Cause: each kind of object has a feed of its own, and that of targets pauses after a batch. The router learned that the domain was back before it learned that its targets had become cold.

Change: where their pool states what cold targets take, targets of a domain that is taken back count as cold until a list says otherwise, which the router asks for at once. A list from before the end of the evacuation does not count, by the order of the store's changes.

--- a/crates/core-forward/src/core/cold.rs
+++ b/crates/core-forward/src/core/cold.rs
@@ -23,13 +23,23 @@
 
 impl ForwardCore {
     /// Handles what the platform says of how long targets stay cold; returns whether the other routers need to know.
-    /// After a restore, what a copy says does not shorten what is known, which may have been written since.
-    pub fn on_cold_listed(&mut self, now: TimePoint, targets: &[(HostName, TimePoint)]) -> bool {
+    /// After a restore, what a copy says does not shorten what is known, which may have been written since. Nor does a
+    /// list from before the change because of which a target is assumed to be cold.
+    ///
+    /// `order` is the number of the list's [`ChangeOrder`](crate::ChangeOrder).
+    pub fn on_cold_listed(
+        &mut self,
+        now: TimePoint,
+        order: u64,
+        targets: &[(HostName, TimePoint)],
+    ) -> bool {
         let mut has_news = false;
         let is_copy = self.targets.is_restored_lately(now);
         for (name, until) in targets {
             let Some(record) = self.targets.find_by_name_mut(name) else { continue };
-            if is_copy && !record.is_cold_assumed && *until < record.cold_until {
+            let is_outdated = order < record.cold_assumed_order;
+            let is_kept = is_outdated || (is_copy && !record.is_cold_assumed);
+            if is_kept && *until < record.cold_until {
                 continue;
             }
             let is_later = record.cold_until.after(COLD_NEWS) < *until;
@@ -55,6 +65,29 @@
         }
     }
 
+    /// Takes the targets of failure domains that are taken back to be cold until a list from after that says otherwise:
+    /// they may have become cold shortly before. Returns whether there are any.
+    pub(super) fn assume_cold_domains(
+        &mut self,
+        now: TimePoint,
+        order: u64,
+        domains: &[Box<str>],
+    ) -> bool {
+        let Some(config) = &self.config else { return false };
+        let mut has_cold = false;
+        for (_, record) in self.targets.iter_mut() {
+            let rule = config.pools.get(&record.entry.pool).and_then(|pool| pool.cold);
+            let Some(rule) = rule.filter(|_| domains.contains(&record.entry.failure_domain)) else {
+                continue;
+            };
+            record.cold_until = record.cold_until.max(now.after(rule.time));
+            record.is_cold_assumed = true;
+            record.cold_assumed_order = order;
+            has_cold = true;
+        }
+        has_cold
+    }
+
     /// Turns of this router at a target; `None` while the target is not cold.
     pub(super) fn cold_turns(&self, now: TimePoint, record: &TargetRecord) -> Option<ColdTurns> {
         if record.cold_until.passed(now) {
--- a/crates/core-forward/src/core/evacuations.rs
+++ b/crates/core-forward/src/core/evacuations.rs
@@ -16,20 +16,20 @@
         self.observe_order(now, revision);
         let notice = EvacuationNotice { revision, domains };
         let change = self.targets.evacuations.on_listed(now, &notice);
-        self.on_evacuation_change(change)
+        self.on_evacuation_change(now, change)
     }
 
     /// Handles the list that another router reported.
     pub(super) fn on_evacuation_notice(&mut self, now: TimePoint, notice: &EvacuationNotice) {
         self.observe_order(now, notice.revision);
         let change = self.targets.evacuations.on_reported(now, notice);
-        self.on_evacuation_change(change);
+        self.on_evacuation_change(now, change);
     }
 
     /// Has failure domains get calls again that were not listed again after a restore of the platform.
     pub(super) fn sweep_evacuations(&mut self, now: TimePoint) {
         let change = self.targets.evacuations.sweep(now);
-        self.on_evacuation_change(change);
+        self.on_evacuation_change(now, change);
     }
 
     /// Returns the changes of the list since the last call, for logs.
@@ -37,9 +37,10 @@
         std::mem::take(&mut self.evacuation_changes)
     }
 
-    fn on_evacuation_change(&mut self, change: Option<EvacuationChange>) -> bool {
-        let Some(change) = change else { return false };
+    fn on_evacuation_change(&mut self, now: TimePoint, change: Option<EvacuationChange>) -> bool {
+        let Some(mut change) = change else { return false };
         self.targets.apply_evacuations();
+        change.wants_targets = self.assume_cold_domains(now, change.revision, &change.restored);
         self.evacuation_changes.push(change);
         true
     }
--- a/crates/core-forward/src/evacuations.rs
+++ b/crates/core-forward/src/evacuations.rs
@@ -24,7 +24,7 @@
 const DOMAINS_MAX: usize = 256;
 
 message_types! {
-    /// Change of the list of evacuated failure domains, for logs.
+    /// Change of the list of evacuated failure domains.
     pub struct EvacuationChange {
         /// Failure domains that were evacuated.
         pub evacuated: Vec<Box<str>>,
@@ -32,6 +32,8 @@
         pub restored: Vec<Box<str>>,
         /// [`ChangeOrder`](crate::ChangeOrder) of the list.
         pub revision: u64,
+        /// Whether targets that were taken back are assumed to be cold until they are listed again.
+        pub wants_targets: bool,
     }
 }
 
@@ -137,6 +139,7 @@
             evacuated: domains.difference(&before).cloned().collect(),
             restored: before.difference(&domains).cloned().collect(),
             revision: *revision,
+            wants_targets: false,
         };
         self.known = Some(KnownDomains {
             listed,
--- a/crates/core-forward/src/targets.rs
+++ b/crates/core-forward/src/targets.rs
@@ -171,6 +171,8 @@
     pub(crate) cold_until: TimePoint,
     /// Whether `cold_until` is an assumption, as neither the platform nor another router has said it.
     pub(crate) is_cold_assumed: bool,
+    /// Place among the platform's changes of the one because of which the target was last assumed to be cold.
+    pub(crate) cold_assumed_order: u64,
     pub(crate) cold_turn: UsedTurn,
     /// Whether the target announced in an answer that it leaves; true until it ends.
     announced_leaving: bool,
@@ -235,6 +237,7 @@
             is_evacuated: false,
             cold_until: TimePoint(0),
             is_cold_assumed: false,
+            cold_assumed_order: 0,
             cold_turn: UsedTurn::default(),
             announced_leaving: false,
             listed: true,
--- a/crates/core-forward/tests/cold.rs
+++ b/crates/core-forward/tests/cold.rs
@@ -9,7 +9,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base_types::{ContentDigest, HostName, Refusal, TimePoint, test_cases};
-use core_forward::{AttemptOutcome, ChangeOrder, DispatchStep, ForwardCore, TargetEntry};
+use core_forward::{
+    AttemptOutcome, ChangeOrder, DispatchStep, ForwardBounds, ForwardCore, TargetEntry,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use state_config::{ColdRule, RetryRule};
 
@@ -73,7 +75,11 @@
     }
 
     fn new_router(&self, index: u16, incarnation: u64) -> ForwardCore {
-        let mut core = ForwardCore::new(router_entry(index, incarnation), BOUNDS);
+        self.new_router_with(index, incarnation, BOUNDS)
+    }
+
+    fn new_router_with(&self, index: u16, incarnation: u64, bounds: ForwardBounds) -> ForwardCore {
+        let mut core = ForwardCore::new(router_entry(index, incarnation), bounds);
         let mut config = config(RetryRule::Idempotent, 1);
         let time = Duration::from_secs(COLD_SECONDS);
         let rule = ColdRule { rate: COLD_RATE * 1_000, time };
@@ -116,7 +122,7 @@
         for (index, core) in self.routers.iter_mut().enumerate() {
             core.on_targets_listed(now, 9, entries.iter().map(|e| (9, e.clone())).collect());
             if index == 0 || !self.plan.one_reader {
-                core.on_cold_listed(now, &cold);
+                core.on_cold_listed(now, 9, &cold);
             }
         }
     }
@@ -230,7 +236,7 @@
     for router in [&mut core, &mut peer] {
         router.list_targets(start, vec![entry.clone()]);
     }
-    peer.on_cold_listed(start, &[(entry.name, start.after(Duration::from_secs(600)))]);
+    peer.on_cold_listed(start, 9, &[(entry.name, start.after(Duration::from_secs(600)))]);
     let heartbeat = peer.next_heartbeat(start);
     assert!(heartbeat.extension.cold_targets[0].left_ms > 500_000, "{:?}", heartbeat.extension);
     core.on_heartbeat(start, heartbeat);
@@ -248,11 +254,11 @@
     core.on_platform_era(start, 1);
     core.on_targets_listed(start, order(1, 9), vec![(order(1, 9), entry.clone())]);
     let until = start.after(Duration::from_secs(4));
-    core.on_cold_listed(start, &[(entry.name.clone(), until)]);
+    core.on_cold_listed(start, order(1, 9), &[(entry.name.clone(), until)]);
     core.on_platform_era(start, era);
     let now = start.after(listed_after);
     core.on_targets_listed(now, order(era, 8), vec![(order(era, 8), entry.clone())]);
-    core.on_cold_listed(now, &[(entry.name, now)]);
+    core.on_cold_listed(now, order(era, 8), &[(entry.name, now)]);
     assert_eq!(core.status(now).targets[0].cold_until == until, stays_cold);
 }
 
@@ -263,3 +269,30 @@
     a_list_makes_a_cold_target_warm(1, Duration::from_millis(100), false);
     a_list_some_time_after_a_restore_makes_a_cold_target_warm(2, Duration::from_millis(2_300), false);
 }
+
+/// When a target that was taken back stops counting as cold: after a list that says that it is warm, if it is not from
+/// before that.
+fn check_taken_back(listed_revision: u64, counts_as_cold: bool) {
+    let start = TimePoint(1_000_000);
+    let sim = ColdSim::new(ColdPlan { routers: 1, ..SMALL }, 0);
+    let mut core = sim.new_router_with(0, 1, ForwardBounds { evacuations: true, ..BOUNDS });
+    let entry = target_entry(0, 1);
+    let domain = entry.failure_domain.clone();
+    core.list_targets(start, vec![entry.clone()]);
+    core.on_evacuations_listed(start, 10, vec![domain]);
+    let taken_back_at = start.after(Duration::from_secs(5));
+    assert!(core.on_evacuations_listed(taken_back_at, 20, Vec::new()));
+    let changes = core.take_evacuation_changes();
+    assert!(changes.iter().any(|change| change.wants_targets), "{changes:?}");
+    let now = taken_back_at.after(Duration::from_millis(10));
+    assert!(!core.status(now).targets[0].cold_until.passed(now));
+    core.on_cold_listed(now, listed_revision, &[(entry.name, now)]);
+    assert_eq!(!core.status(now).targets[0].cold_until.passed(now), counts_as_cold);
+}
+
+test_cases! {
+    check_taken_back:
+    // Guards against a flood of targets that became cold before their failure domain was taken back.
+    a_target_that_was_taken_back_is_cold_until_it_is_listed(19, true);
+    a_target_that_was_taken_back_is_warm_once_it_is_listed_so(20, false);
+}
--- a/crates/io-forward/src/peers.rs
+++ b/crates/io-forward/src/peers.rs
@@ -129,7 +129,7 @@
             let is_used = core.on_decoded_heartbeat(now, decoded);
             (is_used, core.take_leaving_heard(), core.take_reported_changes())
         });
-        self.state.log_evacuations("router");
+        self.state.report_evacuations("router");
         for target in changed {
             log::info!(target = target.as_str(); "change of a target reported by another router");
         }
--- a/crates/io-forward/src/state.rs
+++ b/crates/io-forward/src/state.rs
@@ -175,9 +175,13 @@
         self.inner.heartbeat_wakeup.notify_one();
     }
 
-    /// Logs the changes of the list of evacuated failure domains; `source` names who reported them.
-    pub fn log_evacuations(&self, source: &str) {
+    /// Logs the changes of the list of evacuated failure domains, and asks for a list of targets where they may have become
+    /// cold; `source` names who reported the changes.
+    pub fn report_evacuations(&self, source: &str) {
         for change in self.with_core(|core, _| core.take_evacuation_changes()) {
+            if change.wants_targets {
+                self.list_wanted().notify_one();
+            }
             let (evacuated, restored) = (change.evacuated.join(","), change.restored.join(","));
             log::info!(
                 source, revision = change.revision, evacuated = evacuated.as_str(),
