Forget links of the own interface that the peer closed

Operators saw: a router that answered 404 for 10 s and more to a request that another router remembered.

Cause: a link that the peer closed left the membership, but not the table of open links, which finds a link by its host. Two routers that connect to each other at once close one of two links; the closed one was found first, and every call on it failed. The table grew by each such link.

Change: a link that is closed leaves the table, whoever closed it.

--- a/crates/io-router/src/peers.rs
+++ b/crates/io-router/src/peers.rs
@@ -86,7 +86,13 @@
             };
             match input {
                 None => return,
-                Some(PeerInput::Event(event)) => self.on_event(event),
+                Some(PeerInput::Event(event)) => {
+                    // A link that the peer closed would be found instead of a later one to the same host.
+                    if let PeerEvent::LinkClosed(key) = &event {
+                        self.links.remove(key);
+                    }
+                    self.on_event(event);
+                }
                 Some(PeerInput::Query(query)) => query(&self.core),
                 Some(PeerInput::LinkOpened(link, connected_to)) => {
                     self.on_link_opened(link, connected_to)
--- a/crates/io-router/tests/answers/rig.rs
+++ b/crates/io-router/tests/answers/rig.rs
@@ -1,5 +1,7 @@
 //! A router in the test process, with a fake platform and a scripted target.
 
+#![allow(dead_code, reason = "each test uses a part")]
+
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -11,8 +13,9 @@
 use base_types::HostName;
 use http::Method;
 use io_wire::keys::FleetAuthority;
-use local_fleet::{CallAnswer, CallError, HttpClient, PortSource};
+use local_fleet::{CallAnswer, CallError, HttpClient, OPERATOR_TOKEN, PortSource};
 use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
 
 const READY_POLL: Duration = Duration::from_millis(20);
 const READY_POLLS_MAX: u32 = 500;
@@ -36,6 +39,11 @@
     pub(crate) caller: HttpClient,
     pub(crate) router: SocketAddr,
     pub(crate) platform: SocketAddr,
+    pub(crate) operator: SocketAddr,
+    /// Address of the router's links to other routers.
+    pub(crate) peer: SocketAddr,
+    /// Issues keys of other routers.
+    pub(crate) authority: FleetAuthority,
 }
 
 /// Runs a test with a router that sends `/chat` to a repeatable pool and `/pay` to a pool whose
@@ -56,10 +64,14 @@
     async fn start(target: SocketAddr) -> Self {
         let (platform, router) = (free_port(), free_port());
         tokio::spawn(fakes::run_platform(platform, Duration::ZERO, None));
-        let fixture = Self { caller: HttpClient::default(), router, platform };
+        let authority = FleetAuthority::generate().unwrap();
+        let settings = settings(router, platform, &authority);
+        let (operator, peer) = (settings.operator_listen, settings.peers.listen);
+        let caller = HttpClient::default();
+        let fixture = Self { caller, router, platform, operator, peer, authority };
         fixture.wait_until_answering(platform, "/calls").await;
         fixture.write_tables_and_host(target).await;
-        tokio::task::spawn_local(io_router::run_router(settings(router, platform)));
+        tokio::task::spawn_local(io_router::run_router(settings));
         fixture.wait_until_ready().await;
         fixture
     }
@@ -154,8 +166,11 @@
     }
 }
 
-fn settings(router: SocketAddr, platform: SocketAddr) -> RouterSettings {
-    let authority = FleetAuthority::generate().unwrap();
+fn settings(
+    router: SocketAddr,
+    platform: SocketAddr,
+    authority: &FleetAuthority,
+) -> RouterSettings {
     let host_keys = authority.issue(&HostName::new("router-0")).unwrap();
     let files = MemoryFiles(BTreeMap::from([
         ("ca", authority.files().certificate.clone()),
@@ -163,10 +178,14 @@
         ("key", host_keys.key.clone()),
     ]));
     let (operator, peer) = (free_port(), free_port());
+    let digest = Sha256::digest(OPERATOR_TOKEN);
+    let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     let text = format!(
         "host = \"router-0\"\nfailure_domain = \"domain-0\"\ncaller_listen = \"{router}\"\n\
          operator_listen = \"{operator}\"\nplatform = \"{platform}\"\npeer_listen = \"{peer}\"\n\
-         peer_seeds = []\n[peer_tls]\nca = \"ca\"\ncertificate = \"certificate\"\nkey = \"key\"\n"
+         peer_seeds = []\n[peer_tls]\nca = \"ca\"\ncertificate = \"certificate\"\nkey = \"key\"\n\
+         [[operator]]\nname = \"operator\"\nteam = \"team\"\nrights = [\"read\"]\n\
+         token_sha256 = \"{digest}\"\n"
     );
     RouterSettings::parse(&text, &files).unwrap()
 }
